Take an answer without length as whole only when its stream ended in order

Change: the socket is asked how its stream ended; a grant counts once for what may run once. Found by the new tests of the path: a head that is refused must stop the parser (it crashed), and the deadline handed on was 1 ms too long.

--- a/src/flow/flow_caller.c
+++ b/src/flow/flow_caller.c
@@ -219,7 +219,8 @@
 	x->close_after = true;
 	g_queue_push_tail(&caller->exchanges, x);
 	answer_own(x, status, 0, reason);
-	return 1;
+	/* 1 would tell the parser that a head has no body. */
+	return -1;
 }
 
 static int
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -330,6 +330,30 @@
 	schedule_ask(x, x->attempt_count > 0);
 }
 
+/*
+ * Returns whether a grant still counts.  A question that was asked again may
+ * be granted twice: what may run once is sent once, whoever grants.
+ */
+static bool
+may_send(const struct exchange *x, const char *target)
+{
+	uint32_t hash = (uint32_t)str_hash(str_from(target));
+
+	if (x->ended || x->streaming || x->attempt_count == ATTEMPTS_MAX)
+		return false;
+	if (!route_is_idempotent(x->route) &&
+	    (x->any_ran || has_open_attempt(x)))
+		return false;
+	if (has_open_attempt(x) && x->attempt_count >= x->route->max_attempts)
+		return false;
+	for (unsigned i = 0; i < x->attempt_count; i++) {
+		if (x->attempts[i].upstream != NULL &&
+		    x->attempts[i].target_hash == hash)
+			return false;
+	}
+	return true;
+}
+
 /*
  * Sends a request to the target that the scheduler names.
  */
@@ -341,7 +365,7 @@
 	struct pool *pool = g_hash_table_lookup(flow->pools, target);
 	struct attempt *attempt;
 
-	if (x->ended || x->streaming || x->attempt_count == ATTEMPTS_MAX)
+	if (!may_send(x, target))
 		return;
 	attempt = &x->attempts[x->attempt_count++];
 	*attempt = (struct attempt){
--- a/src/flow/flow_target.c
+++ b/src/flow/flow_target.c
@@ -273,7 +273,8 @@
 static void
 on_end(struct upstream *up, ssize_t error)
 {
-	if (error == UV_EOF && up->in_response && !up->foreign) {
+	if (error == UV_EOF && up->in_response && !up->foreign &&
+	    !address_was_reset(&up->tcp)) {
 		(void)http_parser_execute(
 		    &up->parser, &parser_settings, NULL, 0);
 		if (up->whole) {
@@ -470,7 +471,8 @@
 	str_buf_append(out, STR_LITERAL(" HTTP/1.1\r\n"));
 	head_forward(&x->head, without, out);
 	str_buf_printf(out, "%s: %" PRIu64 "\r\n%s: %s\r\n", d->deadline_header,
-	    left / US_PER_MS + 1, d->expect_header, attempt->target);
+	    left > US_PER_MS ? left / US_PER_MS : 1, d->expect_header,
+	    attempt->target);
 	if (x->body.len > 0 || x->method == HTTP_POST ||
 	    x->method == HTTP_PUT || x->method == HTTP_PATCH)
 		str_buf_printf(out, "Content-Length: %zu\r\n", x->body.len);
--- a/src/net/address.c
+++ b/src/net/address.c
@@ -49,3 +49,17 @@
 		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
 		    sizeof(silence_ms));
 }
+
+/*
+ * Asks the socket itself how its stream ended.
+ */
+bool
+address_was_reset(const uv_tcp_t *tcp)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)tcp, &fd) != 0)
+		return true;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+}
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -23,4 +23,10 @@
 /* TCP options of every connection between processes and to targets. */
 void address_tune(uv_tcp_t *tcp, unsigned silence_ms) ATTR_NONNULL_ALL;
 
+/*
+ * Whether a connection that libuv reports as ended was reset: it says end of
+ * stream for a hang-up, also when an error stands behind the last bytes.
+ */
+bool address_was_reset(const uv_tcp_t *tcp) ATTR_NONNULL_ALL;
+
 #endif
--- /dev/null
+++ b/test/functional/platform_bed.py
@@ -0,0 +1,345 @@
+"""The system as it runs on the provider's platform, on loopback addresses,
+with stand-ins for targets and the operator that speak its published
+protocol."""
+
+import http.client
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import struct
+import subprocess
+import tempfile
+import threading
+import time
+
+from support import BIN, wait_until
+
+ANSWER_TIMEOUT_S = 20
+
+
+def free_port_run(ip, count):
+    """The first of a run of ports that are free on an address."""
+    draw = random.SystemRandom()
+    for _ in range(200):
+        first = draw.randrange(20000, 60000 - count)
+        sockets = []
+        try:
+            for port in range(first, first + count):
+                one = socket.socket()
+                sockets.append(one)
+                one.bind((ip, port))
+            return first
+        except OSError:
+            continue
+        finally:
+            for one in sockets:
+                one.close()
+    raise AssertionError("no run of free ports")
+
+
+class Target:
+    """A stand-in target.  behave(request) returns the bytes of a response,
+    or a list of steps: bytes to send, "reset", "close" or seconds to wait."""
+
+    def __init__(self, name, service, ip, slots=4):
+        self.name = name
+        self.service = service
+        self.slots = slots
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.requests = []
+        self.connections = 0
+        self.behave = self.answer
+        self.load = "0,0,%d,100" % slots
+        self.lock = threading.Lock()
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((ip, 0))
+        self.listener.listen(64)
+        self.address = "%s:%d" % self.listener.getsockname()
+        self.open = True
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while self.open:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            with self.lock:
+                self.connections += 1
+            threading.Thread(
+                target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        pending = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in pending:
+                    more = connection.recv(65536)
+                    if not more:
+                        return
+                    pending += more
+                head, pending = pending.split(b"\r\n\r\n", 1)
+                lines = head.decode("latin-1").split("\r\n")
+                fields = {}
+                for line in lines[1:]:
+                    name, value = line.split(":", 1)
+                    fields[name.lower()] = value.strip()
+                length = int(fields.get("content-length", 0))
+                while len(pending) < length:
+                    more = connection.recv(65536)
+                    if not more:
+                        return
+                    pending += more
+                body, pending = pending[:length], pending[length:]
+                method, path, _ = lines[0].split(" ")
+                request = {"method": method, "path": path, "fields": fields,
+                           "body": body}
+                if path == "/health":
+                    connection.sendall(self.health())
+                    continue
+                with self.lock:
+                    self.requests.append(request)
+                if not self.play(connection, self.behave(request)):
+                    return
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+    def play(self, connection, steps):
+        for step in [steps] if isinstance(steps, bytes) else steps:
+            if step == "reset":
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                      struct.pack("ii", 1, 0))
+                return False
+            if step == "close":
+                return False
+            if isinstance(step, bytes):
+                connection.sendall(step)
+            else:
+                time.sleep(step)
+        return True
+
+    def health(self):
+        return ("HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
+                "X-Backend-Load: %s\r\nContent-Length: 0\r\n\r\n" %
+                (self.name, self.load)).encode()
+
+    def head(self, request, status="200 OK", fields=""):
+        return ("HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n"
+                "X-Response-Signature: s.%s\r\nX-Backend-Load: %s\r\n%s\r\n" %
+                (status, request["fields"].get("x-attempt-id", ""), self.name,
+                 self.load, fields)).encode()
+
+    def answer(self, request, body=b"whole"):
+        return self.head(
+            request, fields="Content-Length: %d\r\n" % len(body)) + body
+
+    def report(self, state="ready", **changes):
+        self.sequence += 1
+        body = {"address": self.address, "born": self.born,
+                "info": {"service": self.service, "version": "v1",
+                         "zone": "z-a", "slots": self.slots},
+                "status": {"state": state, "sequence": self.sequence,
+                           "warmup_left_ms": 0}}
+        body.update(changes)
+        return body
+
+    def close(self):
+        self.open = False
+        self.listener.close()
+
+
+class Instance:
+    """One machine of the system: a flow, and a core where there is a disk."""
+
+    def __init__(self, bed, number, core):
+        self.bed = bed
+        self.ip = "127.0.7.%d" % (number + 1)
+        self.name = "edge-%d" % number
+        self.core = core
+        self.folder = os.path.join(bed.folder, self.name)
+        self.data = os.path.join(self.folder, "data")
+        os.makedirs(self.data)
+        self.bootstrap = True
+        self.processes = {}
+
+    def settings(self, role):
+        p = self.bed.port
+        lines = {
+            "node": self.name, "role": role, "ip": self.ip, "zone": "z-a",
+            "region": "r", "internal_port_range": "%d,%d" % (p + 4, p + 9),
+            "listen.front": "%s:%d" % (self.ip, p),
+            "listen.ready": "%s:%d" % (self.ip, p + 1),
+            "listen.control": "%s:%d" % (self.ip, p + 2),
+            "listen.directory": "%s:%d" % (self.ip, p + 3),
+            "seeds": ",".join("%s:%d" % (ip, p + 2) for ip in self.bed.seeds),
+            "bootstrap": "true" if self.bootstrap else "false",
+            "limits.cpu_share": "0.35", "limits.cores": "1",
+            "limits.memory_mb": "260", "limits.max_fds": "1024",
+            "fault_tolerance.machines": "1",
+            "bounds": "grace_s=6,retry_budget_ratio=0.2,retry_window_s=10,"
+                      "retry_slack=62,ttl_max_s=5,probe_per_s=60",
+        }
+        if role == "core":
+            lines["data_dir"] = self.data
+        path = os.path.join(self.folder, role + ".conf")
+        with open(path, "w", encoding="utf-8") as out:
+            for name, value in lines.items():
+                out.write("%s=%s\n" % (name, value))
+        return path
+
+    def start(self, role):
+        environment = dict(os.environ,
+                           GYPSUMMILL_NODE_FILE=self.settings(role))
+        with open(self.log(role), "ab") as log:
+            self.processes[role] = subprocess.Popen(
+                [os.path.join(BIN, "gypsummill-" + role)], stdout=log,
+                stderr=log, env=environment)
+
+    def log(self, role):
+        return os.path.join(self.folder, role + ".log")
+
+    def kill(self, role, number=signal.SIGKILL):
+        process = self.processes.pop(role, None)
+        if process is not None:
+            process.send_signal(number)
+            return process.wait(timeout=30)
+        return None
+
+    def call(self, method, path, body=None, fields=None, port=2, timeout=5):
+        """One call; (status, body), or (0, "") for a broken connection."""
+        connection = http.client.HTTPConnection(
+            self.ip, self.bed.port + port, timeout=timeout)
+        try:
+            connection.request(method, path, body, fields or {})
+            response = connection.getresponse()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+        finally:
+            connection.close()
+
+
+class Bed:
+    """Instances, targets and an operator."""
+
+    def __init__(self, instances=1, cores=1):
+        self.folder = tempfile.mkdtemp(prefix="gypsummill-platform-")
+        self.port = free_port_run("127.0.7.1", 10)
+        self.seeds = ["127.0.7.%d" % (i + 1) for i in range(min(cores, 3))]
+        self.instances = [
+            Instance(self, i, i < cores) for i in range(instances)]
+        self.targets = []
+        self.beating = True
+        for one in self.instances:
+            if one.core:
+                one.start("core")
+            one.start("flow")
+        self.beats = threading.Thread(target=self.beat, daemon=True)
+        self.beats.start()
+
+    def cores(self):
+        return [i for i in self.instances if "core" in i.processes]
+
+    def target(self, name, service, **kinds):
+        one = Target(name, service, "127.0.7.200", **kinds)
+        self.targets.append(one)
+        wait_until(lambda: self.send_report(one) == 200, "a heartbeat's ack")
+        return one
+
+    def send_report(self, target, state="ready", **changes):
+        for core in self.cores():
+            status, _ = core.call(
+                "PUT", "/instances/" + target.name,
+                json.dumps(target.report(state, **changes)))
+            if status:
+                return status
+        return 0
+
+    def beat(self):
+        while self.beating:
+            for target in list(self.targets):
+                if target.open:
+                    self.send_report(target)
+            time.sleep(0.5)
+
+    def config(self, version, paths, services=("svc",)):
+        return {
+            "version": version,
+            "services": [{"name": name, "health_path": "/health",
+                          "max_conns": 260, "protocol": "h1", "tls": False}
+                         for name in services],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "hosts": [{"host": "h.example", "paths": paths}]}
+
+    def path(self, prefix, kind="safe", service="svc", **changes):
+        one = {"name": "r" + prefix, "path_prefix": prefix, "kind": kind,
+               "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 1,
+               "service": service, "max_attempts": 2}
+        one.update(changes)
+        return one
+
+    def put_config(self, config, base, core=None):
+        status, _ = (core or self.cores()[0]).call(
+            "PUT", "/config", json.dumps(config), {"If-Match": str(base)})
+        return status
+
+    def set_config(self, config, base=0):
+        wait_until(lambda: self.put_config(config, base) == 200,
+                   "a config's ack")
+
+    def wait_ready(self):
+        for one in self.instances:
+            wait_until(lambda o=one: o.call("GET", "/ready", port=1)[0] == 200,
+                       one.name + " ready")
+
+    def ask(self, path, method="GET", body=None, attempt="a1", instance=0,
+            wait_ms=3000, fields=None):
+        """One request of a caller; (status, body, fields)."""
+        one = self.instances[instance]
+        connection = http.client.HTTPConnection(
+            one.ip, self.port, timeout=ANSWER_TIMEOUT_S)
+        try:
+            connection.request(method, path, body, dict(
+                {"Host": "h.example", "X-Attempt-Id": attempt,
+                 "X-Request-Deadline": str(wait_ms)}, **(fields or {})))
+            response = connection.getresponse()
+            return response.status, response.read(), dict(
+                (k.lower(), v) for k, v in response.getheaders())
+        except (OSError, http.client.HTTPException) as error:
+            return 0, str(error).encode(), {}
+        finally:
+            connection.close()
+
+    def raw(self, data, instance=0, timeout=ANSWER_TIMEOUT_S):
+        """Bytes to a caller's port; what comes until the connection ends."""
+        one = self.instances[instance]
+        with socket.create_connection((one.ip, self.port), timeout) as s:
+            s.sendall(data)
+            s.shutdown(socket.SHUT_WR) if data.endswith(b"\0") else None
+            got = b""
+            try:
+                while True:
+                    more = s.recv(65536)
+                    if not more:
+                        return got
+                    got += more
+            except OSError:
+                return got
+
+    def close(self):
+        self.beating = False
+        self.beats.join()
+        for one in self.instances:
+            for role in list(one.processes):
+                one.kill(role)
+        for target in self.targets:
+            target.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
--- /dev/null
+++ b/test/functional/test_platform_path.py
@@ -0,0 +1,216 @@
+"""A request's path on the provider's platform: whole answers, truthful
+failures, at most once."""
+
+import time
+import unittest
+
+from platform_bed import Bed
+from support import wait_until
+
+
+class Path(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.bed = Bed()
+        cls.one = cls.bed.target("i-1", "svc")
+        cls.two = cls.bed.target("i-2", "svc")
+        cls.bed.set_config(cls.bed.config(1, [
+            cls.bed.path("/safe/"), cls.bed.path("/once/", "unsafe"),
+            cls.bed.path("/quick/", timeout_ms=400),
+            cls.bed.path("/none/", service="empty")], ("svc", "empty")))
+        cls.bed.wait_ready()
+        wait_until(lambda: cls.bed.ask("/safe/x")[0] == 200, "an answer")
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.bed.close()
+
+    def setUp(self):
+        for target in self.bed.targets:
+            target.behave = target.answer
+            target.requests.clear()
+        # What earlier tests made the scheduler think of targets fades.
+        wait_until(lambda: self.bed.ask("/safe/warm")[0] == 200, "an answer")
+        for target in self.bed.targets:
+            target.requests.clear()
+
+    def runs(self):
+        return [r for t in self.bed.targets for r in t.requests]
+
+    def behave(self, steps):
+        for target in self.bed.targets:
+            target.behave = lambda r, t=target: steps(t, r)
+
+    def test_answer_is_unchanged(self):
+        status, body, fields = self.bed.ask("/safe/a?b=c", attempt="q7")
+        self.assertEqual((status, body), (200, b"whole"))
+        self.assertTrue(fields["x-response-signature"].startswith("s.i-"))
+        run = self.runs()[0]
+        self.assertEqual(run["path"], "/safe/a?b=c")
+        self.assertEqual(run["fields"]["x-attempt-id"], "q7")
+        self.assertIn(run["fields"]["x-expect-instance"], ("i-1", "i-2"))
+        self.assertLessEqual(int(run["fields"]["x-request-deadline"]), 3000)
+
+    def test_body_arrives_whole_by_length_and_in_chunks(self):
+        self.bed.ask("/once/a", "POST", b"0123456789" * 3000)
+        self.assertEqual(self.runs()[-1]["body"], b"0123456789" * 3000)
+        head = ("POST /once/b HTTP/1.1\r\nHost: h.example\r\n"
+                "X-Attempt-Id: c\r\nTransfer-Encoding: chunked\r\n"
+                "Connection: close\r\n\r\n").encode()
+        got = self.bed.raw(head + b"5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n")
+        self.assertTrue(got.startswith(b"HTTP/1.1 200"), got)
+        self.assertEqual(self.runs()[-1]["body"], b"hello world")
+
+    def test_unknown_route_is_404_and_unread_input_is_refused(self):
+        self.assertEqual(self.bed.ask("/nowhere/")[0], 404)
+        base = "GET /safe/a HTTP/1.1\r\nHost: h.example\r\n"
+        for bad in ("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "Content-Length: 3\r\nContent-Length: 4\r\n\r\n",
+                    "Transfer-Encoding: gzip, chunked\r\n\r\n",
+                    "A: b\r\n folded\r\n\r\n", "A: b\n\r\n",
+                    "Host: other.example\r\n\r\n"):
+            got = self.bed.raw((base + bad).encode())
+            self.assertTrue(got.startswith(b"HTTP/1.1 400"), (bad, got))
+        long = "A: " + "x" * 20000 + "\r\n\r\n"
+        self.assertTrue(
+            self.bed.raw((base + long).encode()).startswith(b"HTTP/1.1 431"))
+        self.assertEqual(self.runs(), [])
+
+    def test_reset_behind_an_answer_without_length_is_not_whole(self):
+        # A reset right behind the last bytes was reported as their end.
+        def cut(target, request):
+            return [target.head(request) + b"half of it", "reset"]
+        self.behave(cut)
+        for _ in range(10):
+            status, _, _ = self.bed.ask("/once/a", "POST", b"x")
+            self.assertEqual(status, 502)
+
+    def test_answer_that_ends_with_its_connection_is_whole(self):
+        def unframed(target, request):
+            return [target.head(request) + b"all of it", "close"]
+        self.behave(unframed)
+        status, body, _ = self.bed.ask("/once/a", "POST", b"x")
+        self.assertEqual((status, body), (200, b"all of it"))
+
+    def test_unsafe_request_runs_once_when_its_target_breaks_off(self):
+        self.behave(lambda t, r: ["reset"])
+        status, _, _ = self.bed.ask("/once/a", "POST", b"x")
+        self.assertEqual(status, 502)
+        self.assertEqual(len(self.runs()), 1)
+
+    def test_safe_request_goes_to_another_target(self):
+        failed = []
+
+        def first_fails(target, request):
+            if not failed:
+                failed.append(target)
+                return ["reset"]
+            return target.answer(request)
+        self.behave(first_fails)
+        self.assertEqual(self.bed.ask("/safe/a")[0], 200)
+        self.assertEqual(len(self.runs()), 2)
+
+    def test_unsafe_request_that_did_not_run_goes_on(self):
+        shed = []
+
+        def first_sheds(target, request):
+            if not shed:
+                shed.append(target)
+                return (b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+                        b"Content-Length: 0\r\n\r\n")
+            return target.answer(request)
+        self.behave(first_sheds)
+        self.assertEqual(self.bed.ask("/once/a", "POST", b"x")[0], 200)
+
+    def test_503_without_the_word_is_no_promise(self):
+        def busy(target, request):
+            return target.head(request, "503 Busy",
+                               "Content-Length: 0\r\n")
+        self.behave(busy)
+        self.assertEqual(self.bed.ask("/once/a", "POST", b"x")[0], 502)
+        self.assertEqual(len(self.runs()), 1)
+
+    def test_answer_without_proof_is_none(self):
+        def bare(target, request):
+            return (b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                    b"Content-Length: 2\r\n\r\nok")
+        self.behave(bare)
+        self.assertEqual(self.bed.ask("/once/a", "POST", b"x")[0], 502)
+
+    def test_late_answer_of_another_request_is_left_out(self):
+        def extra(target, request):
+            other = dict(request, fields=dict(
+                request["fields"], **{"x-attempt-id": "other"}))
+            return target.answer(other, b"wrong") + target.answer(
+                request, b"right")
+        self.behave(extra)
+        status, body, _ = self.bed.ask("/safe/a")
+        self.assertEqual((status, body), (200, b"right"))
+
+    def test_bytes_behind_an_answer_belong_to_no_request(self):
+        def stray(target, request):
+            return target.answer(request) + target.answer(request, b"again")
+        self.behave(stray)
+        for i in range(6):
+            status, body, _ = self.bed.ask("/safe/a", attempt="n%d" % i)
+            self.assertEqual((status, body), (200, b"whole"))
+
+    def test_timeout_of_a_route_after_a_send_is_504(self):
+        self.behave(lambda t, r: [1.5, t.answer(r)])
+        status, _, _ = self.bed.ask("/quick/a")
+        self.assertEqual(status, 504)
+
+    def test_service_without_targets_is_refused_at_once(self):
+        began = time.monotonic()
+        status, _, fields = self.bed.ask("/none/a")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(fields["retry-after"]), 0)
+        self.assertLess(time.monotonic() - began, 2)
+
+    def test_pipelined_answers_come_in_order(self):
+        def slow_first(target, request):
+            name = request["path"].rsplit("/", 1)[1].encode()
+            return [0.3 if name == b"0" else 0, target.answer(request, name)]
+        self.behave(slow_first)
+        data = b"".join(
+            b"GET /safe/%d HTTP/1.1\r\nHost: h.example\r\n"
+            b"X-Attempt-Id: p%d\r\n%s\r\n" % (
+                i, i, b"Connection: close\r\n" if i == 3 else b"")
+            for i in range(4))
+        got = self.bed.raw(data)
+        bodies = [part.split(b"\r\n\r\n", 1)[1]
+                  for part in got.split(b"HTTP/1.1 200 OK")[1:]]
+        self.assertEqual(bodies, [b"0", b"1", b"2", b"3"])
+
+    def test_work_ends_when_the_caller_leaves(self):
+        import socket
+        self.behave(lambda t, r: [5, t.answer(r)])
+        one = self.bed.instances[0]
+        with socket.create_connection((one.ip, self.bed.port)) as s:
+            s.sendall(b"GET /safe/a HTTP/1.1\r\nHost: h.example\r\n"
+                      b"X-Attempt-Id: g\r\n\r\n")
+            wait_until(lambda: len(self.runs()) == 1, "the request's run")
+        with open(one.log("flow"), encoding="utf-8") as log:
+            wait_until(lambda: "outcome=caller_left" in log.read(),
+                       "the line of a caller that left")
+
+    def test_large_answer_arrives_whole(self):
+        body = bytes(range(256)) * 12000
+        self.behave(lambda t, r: t.answer(r, body))
+        status, got, _ = self.bed.ask("/safe/a")
+        self.assertEqual(status, 200)
+        self.assertEqual(got, body)
+
+    def test_large_answer_that_is_cut_does_not_look_whole(self):
+        body = bytes(range(256)) * 12000
+
+        def cut(target, request):
+            return [target.answer(request, body)[:-1000], 0.2, "reset"]
+        self.behave(cut)
+        status, got, _ = self.bed.ask("/once/a", "POST", b"x")
+        self.assertNotEqual((status, len(got)), (200, len(body)))
+        self.assertIn(status, (0, 502))
+
+
+if __name__ == "__main__":
+    unittest.main()
