--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -50,11 +50,5 @@
 void flow_stop(struct flow *flow, void (*stopped)(void *ctx), void *ctx)
     ATTR_NONNULL(1, 2);
 bool flow_is_ready(const struct flow *flow) ATTR_NONNULL_ALL;
-/*
- * Writes the addresses that a caller of a failure domain may connect to and
- * returns how many.
- */
-unsigned flow_lookup(const struct flow *flow, struct str failure_domain,
-    const char **addresses, unsigned max) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -10,8 +10,7 @@
 	/* An instance that few have told of yet is served by who knows it. */
 	SYNC_WAIT_MS = 2000,
 	CONTROLS_MAX = 16,
-	TARGET_KEPT_MS = 60 * 1000, /* as control keeps it */
-	LOOKUP_OWN_MIN = 2 /* so that one that fails has a neighbour */
+	TARGET_KEPT_MS = 60 * 1000 /* as control keeps it */
 };
 
 static uint64_t
@@ -95,8 +94,6 @@
 
 	mem_free(fellow->address);
 	mem_free(fellow->instance);
-	mem_free(fellow->failure_domain);
-	mem_free(fellow->caller_address);
 	mem_free(fellow);
 }
 
@@ -251,10 +248,6 @@
 		fellow = mem_calloc(1, sizeof(*fellow));
 		fellow->address = str_dup(str_from(hello->datagram_address));
 		fellow->instance = str_dup(str_from(hello->instance));
-		fellow->failure_domain =
-		    str_dup(str_from(hello->failure_domain));
-		fellow->caller_address =
-		    str_dup(str_from(hello->caller_address));
 		if (!address_parse(fellow->address, &fellow->datagram)) {
 			fellow_free(fellow);
 			return;
@@ -537,41 +530,3 @@
 	g_hash_table_destroy(flow->services);
 	roster_free(flow->roster);
 }
-
-static unsigned
-add_addresses(const struct flow *flow, struct str failure_domain, bool own,
-    const char **addresses, unsigned count, unsigned max)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	if (flow_is_ready(flow) && count < max &&
-	    str_equal_c(failure_domain, flow->settings.failure_domain) == own)
-		addresses[count++] = flow->settings.caller_address;
-	g_hash_table_iter_init(&iter, flow->fellows);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct fellow *fellow = value;
-
-		if (count < max && is_live(fellow) &&
-		    str_equal_c(failure_domain, fellow->failure_domain) == own)
-			addresses[count++] = fellow->caller_address;
-	}
-	return count;
-}
-
-/*
- * Names the live entries of the caller's failure domain, and all others too
- * where there are few.
- */
-unsigned
-flow_lookup(const struct flow *flow, struct str failure_domain,
-    const char **addresses, unsigned max)
-{
-	unsigned count =
-	    add_addresses(flow, failure_domain, true, addresses, 0, max);
-
-	if (count < LOOKUP_OWN_MIN)
-		count = add_addresses(
-		    flow, failure_domain, false, addresses, count, max);
-	return count;
-}
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -169,8 +169,6 @@
 struct fellow {
 	char *address; /* for datagrams; the key */
 	char *instance;
-	char *failure_domain;
-	char *caller_address;
 	unsigned processor_millis;
 	unsigned sources; /* bit per channel that tells of it as connected */
 	bool ready;
