Serve from the last known state after a restart of all; spread equal targets

Change: control keeps what it last knew in a cache and hands it to entries at once, never to a read; the text of a document goes to near entries only, others ask; among equal targets those with open connections and the longest unused go first.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -22,6 +22,7 @@
 	core_replica_tick(core, now);
 	core_propose_tick(core, now);
 	core_link_tick(core, now);
+	core_cache_tick(core, now);
 	if (now > TARGET_KEPT_MS * US_PER_MS)
 		roster_expire(core->roster, now - TARGET_KEPT_MS * US_PER_MS);
 }
@@ -73,6 +74,7 @@
 	status = core_link_open(core);
 	if (status != STATUS_OK)
 		return status;
+	core_cache_load(core);
 	if (core_replica_open(core) != STATUS_OK)
 		log_error("replica_not_opened", "instance=%s reason=\"%s\"",
 		    settings->instance, status_message());
--- /dev/null
+++ b/src/core/core_cache.c
@@ -0,0 +1,86 @@
+#include "core/core_cache.h"
+
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <xxhash.h>
+
+#include "base/memory.h"
+
+enum {
+	PATH_BYTES = 512,
+	DIGEST_BYTES = 8,
+	CACHE_MAX_BYTES = 16 << 20 /* a document and thousands of targets */
+};
+
+static void
+name_file(const char *folder, const char *suffix, char out[PATH_BYTES])
+{
+	snprintf(out, PATH_BYTES, "%s/cache%s", folder, suffix);
+}
+
+/*
+ * Writes a new file and puts it in the place of the old one.  The folder is
+ * not synced: after a power loss the old cache is as good.
+ */
+enum status
+core_cache_write(const char *folder, const Fleet__Cache *cache)
+{
+	char fresh[PATH_BYTES], final[PATH_BYTES];
+	size_t len = fleet__cache__get_packed_size(cache);
+	uint8_t *bytes = mem_alloc(DIGEST_BYTES + len);
+	uint64_t digest;
+	bool good;
+	int fd;
+
+	fleet__cache__pack(cache, bytes + DIGEST_BYTES);
+	digest = XXH3_64bits(bytes + DIGEST_BYTES, len);
+	memcpy(bytes, &digest, DIGEST_BYTES);
+	name_file(folder, ".new", fresh);
+	name_file(folder, "", final);
+	fd = open(fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+	good = fd >= 0 &&
+	    write(fd, bytes, DIGEST_BYTES + len) ==
+		(ssize_t)(DIGEST_BYTES + len) &&
+	    fsync(fd) == 0;
+	if (fd >= 0)
+		(void)close(fd);
+	mem_free(bytes);
+	if (!good || rename(fresh, final) != 0)
+		return status_set_errno(STATUS_IO, fresh);
+	return STATUS_OK;
+}
+
+/*
+ * Reads the cache; the caller frees it.
+ */
+Fleet__Cache *
+core_cache_read(const char *folder)
+{
+	char path[PATH_BYTES];
+	uint8_t *bytes;
+	size_t len = 0;
+	ssize_t n;
+	uint64_t digest = 0;
+	Fleet__Cache *cache = NULL;
+	int fd;
+
+	name_file(folder, "", path);
+	fd = open(path, O_RDONLY | O_CLOEXEC);
+	if (fd < 0)
+		return NULL;
+	bytes = mem_alloc(CACHE_MAX_BYTES);
+	while ((n = read(fd, bytes + len, CACHE_MAX_BYTES - len)) > 0)
+		len += (size_t)n;
+	(void)close(fd);
+	if (len > DIGEST_BYTES)
+		memcpy(&digest, bytes, DIGEST_BYTES);
+	if (len > DIGEST_BYTES &&
+	    digest == XXH3_64bits(bytes + DIGEST_BYTES, len - DIGEST_BYTES))
+		cache = fleet__cache__unpack(
+		    NULL, len - DIGEST_BYTES, bytes + DIGEST_BYTES);
+	mem_free(bytes);
+	return cache;
+}
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -54,6 +54,9 @@
 	GHashTable *heard; /* replica id -> uint64_t, last message */
 	struct roster *roster;
 	struct core_state state;
+	Fleet__Cache *cache; /* of the last run; NULL once the log knows more */
+	bool cache_dirty;
+	uint64_t cache_us; /* when the cache may be written next */
 	/* The replica; NULL on an instance without a disk. */
 	struct replica *replica;
 	struct replica_storage storage;
@@ -91,7 +94,11 @@
 void core_link_close(struct core *core);
 /* Sends to all who have greeted; controls only or entries too. */
 void core_push(struct core *core, const Fleet__Frame *frame);
-void core_push_document(struct core *core, struct channel *only);
+/* The text goes to entries of this failure domain; others ask if they must. */
+void core_push_document(struct core *core, struct core_peer *only);
+/* Saves what is known for the next start, if it has changed. */
+void core_cache_tick(struct core *core, uint64_t now_us);
+void core_cache_load(struct core *core);
 void core_push_departure(struct core *core,
     const struct roster_departure *departure, struct channel *only);
 void core_push_members(struct core *core, struct channel *only);
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -5,12 +5,15 @@
 #include "base/clock.h"
 #include "base/logger.h"
 #include "base/memory.h"
+#include "core/core_cache.h"
 #include "core/core_internal.h"
 
 enum {
 	/* A member that nobody has named for so long is no longer dialled. */
 	NEIGHBOUR_FORGET_MS = 60 * 1000,
 	MEMBERS_MS = 1000,
+	CACHE_MS =
+	    500, /* a third of a heartbeat: a burst of news is one write */
 	NEIGHBOURS_MAX = 32
 };
 
@@ -54,23 +57,58 @@
 }
 
 /*
- * Sends the document in force, to one or to all.
+ * Returns the newest document that may be handed on: of the log, or of the
+ * last run while the log does not say.
  */
-void
-core_push_document(struct core *core, struct channel *only)
+static Fleet__Document
+known_document(const struct core *core)
 {
-	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Document document = FLEET__DOCUMENT__INIT;
 
-	if (core->state.document_index == 0)
-		return;
+	if (core->state.document_index == 0 && core->cache != NULL &&
+	    core->cache->document != NULL)
+		return *core->cache->document;
 	document.index = core->state.document_index;
 	document.version = core->state.version;
 	document.text.data = (uint8_t *)core->state.text.data;
 	document.text.len = core->state.text.len;
+	return document;
+}
+
+static void
+send_document(struct core *core, const struct core_peer *peer, bool with_text)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Document document = known_document(core);
+
+	if (document.index == 0)
+		return;
+	if (!with_text)
+		document.text = (ProtobufCBinaryData){0};
 	frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
 	frame.document = &document;
-	push_to(core, &frame, only);
+	channel_send(peer->channel, &frame);
+}
+
+/*
+ * Tells of the document in force, one or all.  Bytes between failure domains
+ * are dear: the text goes to the entries of this one, and to instances that
+ * have no log.
+ */
+void
+core_push_document(struct core *core, struct core_peer *only)
+{
+	for (guint i = 0; i < core->peers->len; i++) {
+		const struct core_peer *peer = core->peers->pdata[i];
+		bool near;
+
+		if (!peer->greeted || (only != NULL && peer != only) ||
+		    (peer->is_control && peer->replica != 0))
+			continue;
+		near = strcmp(peer->hello->failure_domain,
+			   core->settings.failure_domain) == 0;
+		send_document(core, peer, near || peer->is_control);
+	}
 }
 
 /*
@@ -186,21 +224,22 @@
  * nobody takes a departed target for a moment.
  */
 static void
-greet(struct core *core, struct channel *to)
+greet(struct core *core, struct core_peer *peer)
 {
+	struct channel *to = peer->channel;
 	struct greeting g = {.core = core, .to = to};
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Synced synced = FLEET__SYNCED__INIT;
 
 	core_push_members(core, to);
 	roster_each_departure(core->roster, greet_departure, &g);
-	core_push_document(core, to);
+	core_push_document(core, peer);
 	roster_each(core->roster, greet_target, &g);
 	for (guint i = 0; i < core->peers->len; i++) {
-		const struct core_peer *peer = core->peers->pdata[i];
+		const struct core_peer *other = core->peers->pdata[i];
 
-		if (peer->greeted && !peer->is_control)
-			push_entry(core, peer->hello, false, to);
+		if (other->greeted && !other->is_control)
+			push_entry(core, other->hello, false, to);
 	}
 	frame.body_case = FLEET__FRAME__BODY_SYNCED;
 	frame.synced = &synced;
@@ -240,7 +279,7 @@
 		    " failure_domain=%s",
 		    core->settings.instance, peer_name(peer), peer->is_control,
 		    peer->replica, hello->failure_domain);
-		greet(core, peer->channel);
+		greet(core, peer);
 	}
 	if (!peer->is_control) {
 		push_entry(core, peer->hello, false, NULL);
@@ -270,6 +309,7 @@
 	    core->settings.instance, target->id, target->service,
 	    target->address, target->failure_domain, target->started_ms,
 	    target->sequence, target->slots);
+	core->cache_dirty = true;
 	core_push_announcement(core, target, NULL);
 	/* Instances without a disk are no neighbours: they dial, and tell. */
 	if (core->settings.data == NULL) {
@@ -449,6 +489,10 @@
 	case FLEET__FRAME__BODY_REMOVED:
 		on_removed(core, frame->removed);
 		break;
+	case FLEET__FRAME__BODY_FETCH:
+		if (peer != NULL && peer->greeted)
+			send_document(core, peer, true);
+		break;
 	case FLEET__FRAME__BODY_ENTRY:
 	case FLEET__FRAME__BODY_PING:
 	case FLEET__FRAME__BODY_SYNCED:
@@ -654,3 +698,82 @@
 	g_hash_table_destroy(core->addresses);
 	g_hash_table_destroy(core->heard);
 }
+
+struct snapshot {
+	Fleet__Announcement *space;
+	Fleet__Announcement **list;
+	size_t count;
+};
+
+static void
+cache_target(void *ctx, struct roster_target *target)
+{
+	struct snapshot *s = ctx;
+	Fleet__Announcement *to = &s->space[s->count];
+
+	fleet__announcement__init(to);
+	to->id = target->id;
+	to->service = target->service;
+	to->address = target->address;
+	to->failure_domain = target->failure_domain;
+	to->started_ms = target->started_ms;
+	to->sequence = target->sequence;
+	to->slots = target->slots;
+	s->list[s->count++] = to;
+}
+
+static void
+count_target(void *ctx, struct roster_target *target ATTR_UNUSED)
+{
+	(*(size_t *)ctx)++;
+}
+
+/*
+ * Saves the document and the targets for the next start.
+ */
+void
+core_cache_tick(struct core *core, uint64_t now_us)
+{
+	Fleet__Cache cache = FLEET__CACHE__INIT;
+	Fleet__Document document = known_document(core);
+	struct snapshot s = {0};
+	size_t count = 0;
+
+	if (core->settings.data == NULL || !core->cache_dirty ||
+	    now_us < core->cache_us)
+		return;
+	core->cache_dirty = false;
+	core->cache_us = now_us + CACHE_MS * US_PER_MS;
+	roster_each(core->roster, count_target, &count);
+	s.space = mem_calloc(count, sizeof(*s.space));
+	s.list = mem_calloc(count, sizeof(*s.list));
+	roster_each(core->roster, cache_target, &s);
+	cache.document = &document;
+	cache.n_announcement = s.count;
+	cache.announcement = s.list;
+	if (core_cache_write(core->settings.data, &cache) != STATUS_OK)
+		log_warn("cache_not_written", "instance=%s reason=\"%s\"",
+		    core->settings.instance, status_message());
+	mem_free(s.list);
+	mem_free(s.space);
+}
+
+/*
+ * Takes over what the last run knew.
+ */
+void
+core_cache_load(struct core *core)
+{
+	if (core->settings.data == NULL)
+		return;
+	core->cache = core_cache_read(core->settings.data);
+	if (core->cache == NULL)
+		return;
+	for (size_t i = 0; i < core->cache->n_announcement; i++)
+		on_announcement(core, core->cache->announcement[i]);
+	core->cache_dirty = false;
+	log_info("cache", "instance=%s index=%" PRIu64 " targets=%zu",
+	    core->settings.instance,
+	    core->cache->document != NULL ? core->cache->document->index : 0,
+	    core->cache->n_announcement);
+}
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -201,9 +201,11 @@
 		    " bytes=%zu term=%" PRIu64,
 		    core->settings.instance, index, core->state.version,
 		    core->state.text.len, term);
+		core->cache_dirty = true;
 		core_push_document(core, NULL);
 	}
 	if (effect.has_departed) {
+		core->cache_dirty = true;
 		counter_add(core->departures, 1);
 		log_info("departure",
 		    "instance=%s index=%" PRIu64 " target=%s started=%" PRIu64,
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -10,6 +10,8 @@
 	/* An instance that few have told of yet is served by who knows it. */
 	SYNC_WAIT_MS = 2000,
 	CONTROLS_MAX = 16,
+	/* Two of the leader's heartbeats: by then the near one has applied it. */
+	FETCH_AFTER_MS = 200,
 	TARGET_KEPT_MS = 60 * 1000 /* as control keeps it */
 };
 
@@ -201,12 +203,21 @@
  * from an instance that is behind.
  */
 static void
-on_document(struct flow *flow, const Fleet__Document *m)
+on_document(struct flow *flow, struct channel *from, const Fleet__Document *m)
 {
 	struct routes *routes = NULL;
 
 	if (m->index <= flow->document_index)
 		return;
+	if (m->text.len == 0) {
+		/* Only named: the text comes from nearby, or is asked for. */
+		if (m->index > flow->named_index) {
+			flow->named_us = flow_now_us(flow);
+			flow->named_index = m->index;
+			flow->named_by = from;
+		}
+		return;
+	}
 	if (flow->dialect.read_document(
 		str_of((const char *)m->text.data, m->text.len), &routes) !=
 	    STATUS_OK) {
@@ -284,7 +295,7 @@
 		return;
 	switch (frame->body_case) {
 	case FLEET__FRAME__BODY_DOCUMENT:
-		on_document(flow, frame->document);
+		on_document(flow, channel, frame->document);
 		break;
 	case FLEET__FRAME__BODY_ANNOUNCEMENT:
 		on_announcement(flow, frame->announcement);
@@ -366,6 +377,8 @@
 
 	log_warn("control_lost", "instance=%s control=%s reason=\"%s\"",
 	    flow->settings.instance, channel_address(channel), reason);
+	if (flow->named_by == channel)
+		flow->named_by = NULL;
 	if (control == NULL)
 		return;
 	control->synced = false;
@@ -471,6 +484,26 @@
 	return ((const struct fellow *)value)->sources == 0;
 }
 
+/*
+ * Asks for a document that has been named and does not come from nearby.
+ */
+static void
+fetch_document(struct flow *flow, uint64_t now_us)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Fetch fetch = FLEET__FETCH__INIT;
+
+	if (flow->named_index <= flow->document_index ||
+	    now_us - flow->named_us < FETCH_AFTER_MS * US_PER_MS)
+		return;
+	frame.body_case = FLEET__FRAME__BODY_FETCH;
+	frame.fetch = &fetch;
+	if (flow->named_by != NULL)
+		channel_send(flow->named_by, &frame);
+	/* Should the answer be lost, the next one that names it is asked. */
+	flow->named_index = flow->document_index;
+}
+
 /*
  * Looks at readiness, at who schedules what, and at who is gone.
  */
@@ -492,6 +525,7 @@
 		fleet_greet(flow);
 	}
 	update_owners(flow);
+	fetch_document(flow, now);
 	if (now > TARGET_KEPT_MS * US_PER_MS)
 		roster_expire(flow->roster, now - TARGET_KEPT_MS * US_PER_MS);
 }
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -205,6 +205,9 @@
 	/* What is in force. */
 	struct routes *routes;
 	uint64_t document_index;
+	uint64_t named_index; /* newest that a control instance has named */
+	uint64_t named_us;
+	struct channel *named_by;
 	struct roster *roster;
 	GHashTable *pools; /* target id -> struct pool */
 	GQueue connecting; /* of struct upstream, the oldest first */
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -60,6 +60,7 @@
 	    .objective_us = x->objective_us,
 	    .deadline_us = x->deadline_us,
 	    .failure_domain = x->flow->failure_domain,
+	    .asker = 1, /* other entries' are hashes of their addresses */
 	    .user = &x->asker,
 	};
 	unsigned used = x->attempt_count + 1;
@@ -364,6 +365,7 @@
 	    .objective_us = now + ask->objective_left_ms * US_PER_MS,
 	    .deadline_us = now + ask->deadline_left_ms * US_PER_MS,
 	    .failure_domain = ask->failure_domain,
+	    .asker = from->sin_addr.s_addr ^ from->sin_port,
 	};
 
 	if (call == NULL) {
--- a/src/placement/estimate.h
+++ b/src/placement/estimate.h
@@ -31,8 +31,9 @@
 void work_learn(
     struct work_table *table, uint32_t route, double work_us) ATTR_NONNULL_ALL;
 /*
- * Slowness, 1 as usual, of which a report said reported age_us ago, when the
- * mean over the service is mean.
+ * Slowness, 1 as usual, of which a report said reported age_us ago, when that
+ * of the service's mean speed is mean.  Speeds are averaged, not times: work
+ * goes on at each speed in turn.
  */
 double slowness_now(double reported, uint64_t age_us, double mean);
 /*
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -22,6 +22,7 @@
 {
 	struct target *t = value;
 
+	g_hash_table_destroy(t->users);
 	mem_free(t->id);
 	mem_free(t);
 }
@@ -75,6 +76,7 @@
 		t = mem_calloc(1, sizeof(*t));
 		t->id = str_dup(str_from(id));
 		t->hash = (uint32_t)str_hash(str_from(id));
+		t->users = g_hash_table_new(NULL, NULL);
 		g_hash_table_insert(p->targets, t->id, t);
 		g_ptr_array_add(p->order, t);
 	}
@@ -222,6 +224,7 @@
 	    .updated_us = now_us,
 	};
 	t->in_flight++;
+	target_note_use(t, call->request.asker, now_us);
 	p->callbacks.grant(
 	    p->callbacks.ctx, call->request.user, t->id, (uint64_t)finish_us);
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -9,6 +9,9 @@
  *   as long as it can still be answered in time;
  * - what can't be answered in time under overload is rejected on arrival,
  *   with the time at which there will be room;
+ * - among targets that are equally good the entry that asks keeps to those it
+ *   has open connections to, and the longest unused goes first, so that new
+ *   targets get requests (few requests on many pairs);
  * - an idempotent request on a target that turned slow is sent once more if
  *   that still makes its objective, within the budget of the whole service.
  *
@@ -61,6 +64,7 @@
 	uint64_t objective_us; /* when an answer no longer counts in full */
 	uint64_t deadline_us; /* when it no longer counts at all */
 	uint32_t failure_domain; /* of the asker; hash */
+	uint32_t asker; /* the entry that will send it; hash */
 	uint32_t excluded[PLACEMENT_EXCLUDED_MAX]; /* hashes of target ids */
 	unsigned excluded_count;
 	void *user;
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -18,7 +18,9 @@
 	DOWN_MAX_US = 4 * 1000 * 1000,
 	FULL_US = 30 * 1000, /* a third of the shortest work */
 	EXPIRED_US = 500 * 1000, /* past its deadline, a call is forgotten */
-	RETRY_AFTER_MIN_US = 50 * 1000
+	RETRY_AFTER_MIN_US = 50 * 1000,
+	/* Below the shortest time that a target keeps an idle connection. */
+	WARM_S = 6
 };
 
 struct target {
@@ -37,6 +39,8 @@
 	uint64_t down_for_us;
 	uint64_t full_until_us;
 	bool silent; /* probes go unanswered */
+	uint64_t granted_us; /* when it was used last; 0: never */
+	GHashTable *users; /* hash of an entry -> second of its last use */
 };
 
 struct send {
@@ -62,7 +66,7 @@
 	GPtrArray *order; /* of the same, for quick scans */
 	GHashTable *calls; /* user -> struct call */
 	GPtrArray *waiting; /* of struct call, most urgent first */
-	double mean_slowness;
+	double mean_slowness; /* over targets, of work: 1 over the mean speed */
 	int silent_count;
 	bool dispatching;
 };
@@ -79,6 +83,7 @@
 bool target_has_room(const struct target *t, uint64_t now_us);
 double target_finish(const struct placement *p, const struct target *t,
     const struct call *call, uint64_t now_us);
+void target_note_use(struct target *t, uint32_t asker, uint64_t now_us);
 struct target *placement_best(const struct placement *p,
     const struct call *call, uint64_t now_us, double *finish_us);
 
--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -10,6 +10,9 @@
 static const double cold_slowness = 2.0;
 /* What a full target adds, as some slow down then. */
 static const double crowding = 0.1;
+/* What a new connection to a target adds, and how near costs are equal. */
+static const double cold_connection = 0.04;
+static const double equal_share = 0.01;
 /* A target elsewhere must be a tenth faster to be worth the way. */
 static const double home_preference = 1.1;
 
@@ -146,6 +149,45 @@
 	return target_failing(t, now_us) * left;
 }
 
+/*
+ * Notes that an entry sends a request to a target.
+ */
+void
+target_note_use(struct target *t, uint32_t asker, uint64_t now_us)
+{
+	t->granted_us = now_us;
+	g_hash_table_insert(t->users, GUINT_TO_POINTER(asker),
+	    GUINT_TO_POINTER((guint)(now_us / 1000000)));
+}
+
+/*
+ * Returns whether the entry that asks has used the target lately, or nobody
+ * ever has: a new target must be tried to be known.
+ */
+static bool
+is_warm(const struct target *t, const struct call *call, uint64_t now_us)
+{
+	guint last = GPOINTER_TO_UINT(g_hash_table_lookup(
+	    t->users, GUINT_TO_POINTER(call->request.asker)));
+
+	return t->granted_us == 0 ||
+	    (last != 0 && now_us / 1000000 - last < WARM_S);
+}
+
+/*
+ * Returns whether a target goes before another: by cost, or by the longer
+ * time without use where these are as good as equal.
+ */
+static bool
+goes_before(const struct target *t, double cost, const struct target *best,
+    double best_cost)
+{
+	if (best == NULL || cost < best_cost * (1 - equal_share))
+		return true;
+	return cost < best_cost * (1 + equal_share) &&
+	    t->granted_us < best->granted_us;
+}
+
 /*
  * Returns the target with room that is best for a call, and when it would
  * answer; NULL when none has room.  Large responses stay in the asker's
@@ -168,12 +210,13 @@
 		    !target_has_room(t, now_us) || is_excluded(call, t))
 			continue;
 		f = target_finish(p, t, call, now_us);
-		c = f + failure_cost(t, call, now_us);
+		c = f * (is_warm(t, call, now_us) ? 1 : 1 + cold_connection) +
+		    failure_cost(t, call, now_us);
 		for (int k = 0; k < 2; k++) {
-			if (c >= cost[k] ||
-			    (k == 1 &&
+			if ((k == 1 &&
 				t->failure_domain !=
-				    call->request.failure_domain))
+				    call->request.failure_domain) ||
+			    !goes_before(t, c, best[k], cost[k]))
 				continue;
 			best[k] = t;
 			cost[k] = c;
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -682,6 +682,96 @@
   assert(message->base.descriptor == &fleet__synced__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   fleet__fetch__init
+                     (Fleet__Fetch         *message)
+{
+  static const Fleet__Fetch init_value = FLEET__FETCH__INIT;
+  *message = init_value;
+}
+size_t fleet__fetch__get_packed_size
+                     (const Fleet__Fetch *message)
+{
+  assert(message->base.descriptor == &fleet__fetch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__fetch__pack
+                     (const Fleet__Fetch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__fetch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__fetch__pack_to_buffer
+                     (const Fleet__Fetch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__fetch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__Fetch *
+       fleet__fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__Fetch *)
+     protobuf_c_message_unpack (&fleet__fetch__descriptor,
+                                allocator, len, data);
+}
+void   fleet__fetch__free_unpacked
+                     (Fleet__Fetch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__fetch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   fleet__cache__init
+                     (Fleet__Cache         *message)
+{
+  static const Fleet__Cache init_value = FLEET__CACHE__INIT;
+  *message = init_value;
+}
+size_t fleet__cache__get_packed_size
+                     (const Fleet__Cache *message)
+{
+  assert(message->base.descriptor == &fleet__cache__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__cache__pack
+                     (const Fleet__Cache *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__cache__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__cache__pack_to_buffer
+                     (const Fleet__Cache *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__cache__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__Cache *
+       fleet__cache__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__Cache *)
+     protobuf_c_message_unpack (&fleet__cache__descriptor,
+                                allocator, len, data);
+}
+void   fleet__cache__free_unpacked
+                     (Fleet__Cache *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__cache__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   fleet__frame__init
                      (Fleet__Frame         *message)
 {
@@ -2046,7 +2136,76 @@
   (ProtobufCMessageInit) fleet__synced__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[14] =
+#define fleet__fetch__field_descriptors NULL
+#define fleet__fetch__field_indices_by_name NULL
+#define fleet__fetch__number_ranges NULL
+const ProtobufCMessageDescriptor fleet__fetch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.Fetch",
+  "Fetch",
+  "Fleet__Fetch",
+  "fleet",
+  sizeof(Fleet__Fetch),
+  0,
+  fleet__fetch__field_descriptors,
+  fleet__fetch__field_indices_by_name,
+  0,  fleet__fetch__number_ranges,
+  (ProtobufCMessageInit) fleet__fetch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__cache__field_descriptors[2] =
+{
+  {
+    "document",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Cache, document),
+    &fleet__document__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "announcement",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Fleet__Cache, n_announcement),
+    offsetof(Fleet__Cache, announcement),
+    &fleet__announcement__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fleet__cache__field_indices_by_name[] = {
+  1,   /* field[1] = announcement */
+  0,   /* field[0] = document */
+};
+static const ProtobufCIntRange fleet__cache__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor fleet__cache__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.Cache",
+  "Cache",
+  "Fleet__Cache",
+  "fleet",
+  sizeof(Fleet__Cache),
+  2,
+  fleet__cache__field_descriptors,
+  fleet__cache__field_indices_by_name,
+  1,  fleet__cache__number_ranges,
+  (ProtobufCMessageInit) fleet__cache__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[15] =
 {
   {
     "ping",
@@ -2216,12 +2375,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fetch",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Fleet__Frame, body_case),
+    offsetof(Fleet__Frame, fetch),
+    &fleet__fetch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__frame__field_indices_by_name[] = {
   7,   /* field[7] = announcement */
   8,   /* field[8] = departure */
   6,   /* field[6] = document */
   9,   /* field[9] = entry */
+  14,   /* field[14] = fetch */
   1,   /* field[1] = hello */
   11,   /* field[11] = join */
   10,   /* field[10] = members */
@@ -2236,7 +2408,7 @@
 static const ProtobufCIntRange fleet__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor fleet__frame__descriptor =
 {
@@ -2246,7 +2418,7 @@
   "Fleet__Frame",
   "fleet",
   sizeof(Fleet__Frame),
-  14,
+  15,
   fleet__frame__field_descriptors,
   fleet__frame__field_indices_by_name,
   1,  fleet__frame__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -30,6 +30,8 @@
 typedef struct Fleet__Removed Fleet__Removed;
 typedef struct Fleet__Ping Fleet__Ping;
 typedef struct Fleet__Synced Fleet__Synced;
+typedef struct Fleet__Fetch Fleet__Fetch;
+typedef struct Fleet__Cache Fleet__Cache;
 typedef struct Fleet__Frame Fleet__Frame;
 typedef struct Fleet__State Fleet__State;
 typedef struct Fleet__Ask Fleet__Ask;
@@ -147,7 +149,7 @@
    */
   uint64_t version;
   /*
-   * as sent
+   * as sent; empty: ask for it
    */
   ProtobufCBinaryData text;
 };
@@ -279,6 +281,33 @@
      }
 
 
+/*
+ * Asks for the text of a document that was only named.
+ */
+struct  Fleet__Fetch
+{
+  ProtobufCMessage base;
+};
+#define FLEET__FETCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__fetch__descriptor) \
+     }
+
+
+/*
+ * What an instance last knew, for its next start.
+ */
+struct  Fleet__Cache
+{
+  ProtobufCMessage base;
+  Fleet__Document *document;
+  size_t n_announcement;
+  Fleet__Announcement **announcement;
+};
+#define FLEET__CACHE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__cache__descriptor) \
+    , NULL, 0,NULL }
+
+
 typedef enum {
   FLEET__FRAME__BODY__NOT_SET = 0,
   FLEET__FRAME__BODY_PING = 1,
@@ -294,7 +323,8 @@
   FLEET__FRAME__BODY_MEMBERS = 11,
   FLEET__FRAME__BODY_JOIN = 12,
   FLEET__FRAME__BODY_REMOVED = 13,
-  FLEET__FRAME__BODY_SYNCED = 14
+  FLEET__FRAME__BODY_SYNCED = 14,
+  FLEET__FRAME__BODY_FETCH = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLEET__FRAME__BODY__CASE)
 } Fleet__Frame__BodyCase;
 
@@ -317,6 +347,7 @@
     Fleet__Join *join;
     Fleet__Removed *removed;
     Fleet__Synced *synced;
+    Fleet__Fetch *fetch;
   };
 };
 #define FLEET__FRAME__INIT \
@@ -769,6 +800,44 @@
 void   fleet__synced__free_unpacked
                      (Fleet__Synced *message,
                       ProtobufCAllocator *allocator);
+/* Fleet__Fetch methods */
+void   fleet__fetch__init
+                     (Fleet__Fetch         *message);
+size_t fleet__fetch__get_packed_size
+                     (const Fleet__Fetch   *message);
+size_t fleet__fetch__pack
+                     (const Fleet__Fetch   *message,
+                      uint8_t             *out);
+size_t fleet__fetch__pack_to_buffer
+                     (const Fleet__Fetch   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Fetch *
+       fleet__fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__fetch__free_unpacked
+                     (Fleet__Fetch *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__Cache methods */
+void   fleet__cache__init
+                     (Fleet__Cache         *message);
+size_t fleet__cache__get_packed_size
+                     (const Fleet__Cache   *message);
+size_t fleet__cache__pack
+                     (const Fleet__Cache   *message,
+                      uint8_t             *out);
+size_t fleet__cache__pack_to_buffer
+                     (const Fleet__Cache   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Cache *
+       fleet__cache__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__cache__free_unpacked
+                     (Fleet__Cache *message,
+                      ProtobufCAllocator *allocator);
 /* Fleet__Frame methods */
 void   fleet__frame__init
                      (Fleet__Frame         *message);
@@ -987,6 +1056,12 @@
 typedef void (*Fleet__Synced_Closure)
                  (const Fleet__Synced *message,
                   void *closure_data);
+typedef void (*Fleet__Fetch_Closure)
+                 (const Fleet__Fetch *message,
+                  void *closure_data);
+typedef void (*Fleet__Cache_Closure)
+                 (const Fleet__Cache *message,
+                  void *closure_data);
 typedef void (*Fleet__Frame_Closure)
                  (const Fleet__Frame *message,
                   void *closure_data);
@@ -1036,6 +1111,8 @@
 extern const ProtobufCMessageDescriptor fleet__removed__descriptor;
 extern const ProtobufCMessageDescriptor fleet__ping__descriptor;
 extern const ProtobufCMessageDescriptor fleet__synced__descriptor;
+extern const ProtobufCMessageDescriptor fleet__fetch__descriptor;
+extern const ProtobufCMessageDescriptor fleet__cache__descriptor;
 extern const ProtobufCMessageDescriptor fleet__frame__descriptor;
 extern const ProtobufCMessageDescriptor fleet__state__descriptor;
 extern const ProtobufCMessageDescriptor fleet__ask__descriptor;
