--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -15,6 +15,9 @@
 	TARGET_KEPT_MS = 60 * 1000 /* as control keeps it */
 };
 
+/* Of the questions counted, what is left after each look at the fleet. */
+#define ASKS_KEPT 0.8
+
 static uint64_t
 mix(uint64_t a, uint64_t b)
 {
@@ -137,6 +140,7 @@
 	g_queue_init(&pool->idle);
 	g_queue_init(&pool->all);
 	g_hash_table_replace(flow->pools, pool->id, pool);
+	service->targets++;
 	placement_add_target(service->placement, target->id,
 	    pool->failure_domain, target->slots, target->warm_us,
 	    flow_now_us(flow));
@@ -158,8 +162,10 @@
 	struct service *service =
 	    g_hash_table_lookup(flow->services, target->service);
 
-	if (service != NULL)
+	if (service != NULL) {
 		placement_remove_target(service->placement, target->id);
+		service->targets--;
+	}
 	g_hash_table_remove(flow->pools, target->id);
 	log_info("target_gone",
 	    "instance=%s target=%s service=%s started=%" PRIu64 " targets=%u",
@@ -475,6 +481,7 @@
 			    flow->settings.instance, service->name, owner,
 			    fleet_size(flow));
 		service->owner = owner;
+		service->asks *= ASKS_KEPT;
 	}
 }
 
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -161,7 +161,8 @@
 	struct flow *flow;
 	char *name;
 	struct placement *placement;
-	uint64_t asked_us; /* when another entry asked last; 0: never */
+	double asks; /* of other entries, fading */
+	unsigned targets;
 	bool owner; /* this entry is its scheduler */
 };
 
@@ -192,6 +193,7 @@
 	struct sockaddr_in from;
 	uint64_t request;
 	uint64_t deadline_us;
+	char *granted; /* the target of the last grant; NULL: none yet */
 };
 
 struct flow {
--- a/src/flow/flow_probe.c
+++ b/src/flow/flow_probe.c
@@ -7,7 +7,9 @@
 	PROBE_INTERVAL_MS = 50,
 	/* A target that does not answer is looked for less often. */
 	PROBE_SILENT_MS = 250,
-	PROBE_SILENT_AFTER = 3
+	PROBE_SILENT_AFTER = 3,
+	/* Of one scheduler: about 2 % of a small instance's processor. */
+	PROBES_PER_SECOND = 2000
 };
 
 /*
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -13,9 +13,10 @@
 	HELD_MS =
 	    60, /* a held request is asked for again, if a word was lost */
 	SUSPECT_MS = 1000, /* as long as a silent channel lives */
-	SUSPECT_TIMEOUTS = 2,
+	SUSPECT_TIMEOUTS = 3, /* in a row, each of two questions */
 	PLACE_TICK_MS = 10, /* a seventh of the shortest work */
-	ASKED_MS = 2000, /* a scheduler that nobody asks stops probing */
+	/* Asked less often than this, an entry only helps out: it does not probe. */
+	ACTIVE_ASKS = 8,
 	DATAGRAM_BYTES = 1400
 };
 
@@ -172,8 +173,8 @@
 }
 
 /*
- * The scheduler has not answered: asks once more when the request waits
- * there, else places it on this entry's own view.
+ * The scheduler has not answered: asks once more, since a datagram may be
+ * lost, then places the request on this entry's own view.
  */
 static void
 on_answer_timeout(uv_timer_t *timer)
@@ -182,7 +183,7 @@
 	struct flow *flow = x->flow;
 	struct fellow *fellow;
 
-	if (x->held && x->ask_tries++ < 1) {
+	if (x->ask_tries++ < 1) {
 		send_ask(x, x->ask_repeat);
 		uv_timer_start(timer, on_answer_timeout, ANSWER_MS, 0);
 		return;
@@ -253,6 +254,15 @@
 	placement_report(pool->of->placement, pool->id, load, now);
 }
 
+static void
+remote_free(void *value)
+{
+	struct remote_call *call = value;
+
+	mem_free(call->granted);
+	mem_free(call);
+}
+
 static char *
 remote_key(const struct sockaddr_in *from, uint64_t request)
 {
@@ -260,6 +270,20 @@
 	    "%x:%u:%" PRIu64, from->sin_addr.s_addr, from->sin_port, request);
 }
 
+static void
+send_grant(struct flow *flow, const struct remote_call *call, uint64_t expected_us)
+{
+	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
+	Fleet__Grant grant = FLEET__GRANT__INIT;
+
+	grant.request = call->request;
+	grant.target = call->granted;
+	grant.expected_ms = (uint32_t)(expected_us / US_PER_MS);
+	datagram.body_case = FLEET__DATAGRAM__BODY_GRANT;
+	datagram.grant = &grant;
+	send_datagram(flow, &call->from, &datagram);
+}
+
 /*
  * Our placement grants a target, to an exchange of ours or another entry's.
  */
@@ -268,19 +292,14 @@
 {
 	struct service *service = ctx;
 	struct remote_call *call = user;
-	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
-	Fleet__Grant grant = FLEET__GRANT__INIT;
 
 	if (!call->asker.remote) {
 		exchange_on_grant(user, target, false, expected_us);
 		return;
 	}
-	grant.request = call->request;
-	grant.target = (char *)target;
-	grant.expected_ms = (uint32_t)(expected_us / US_PER_MS);
-	datagram.body_case = FLEET__DATAGRAM__BODY_GRANT;
-	datagram.grant = &grant;
-	send_datagram(service->flow, &call->from, &datagram);
+	mem_free(call->granted);
+	call->granted = str_dup(str_from(target));
+	send_grant(service->flow, call, expected_us);
 }
 
 static void
@@ -338,15 +357,12 @@
 bool
 schedule_is_active(const struct service *service)
 {
-	return service->owner ||
-	    (service->asked_us != 0 &&
-		flow_now_us(service->flow) - service->asked_us <
-		    ASKED_MS * US_PER_MS);
+	return service->owner || service->asks >= ACTIVE_ASKS;
 }
 
 /*
  * Another entry asks: a question that was asked before finds its call, whose
- * answer was lost, and starts over.
+ * answer was lost, and gets the same.
  */
 static void
 on_ask(struct flow *flow, const struct sockaddr_in *from, const Fleet__Ask *ask)
@@ -383,7 +399,11 @@
 	     i++)
 		request.excluded[request.excluded_count++] = ask->excluded[i];
 	request.user = call;
-	service->asked_us = now;
+	service->asks += 1;
+	if (call->granted != NULL) {
+		send_grant(flow, call, 0);
+		return;
+	}
 	if (placement_is_waiting(service->placement, call) ||
 	    placement_ask(service->placement, &request, now)) {
 		Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
@@ -562,7 +582,7 @@
 
 	flow->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
 	flow->remote_calls =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, mem_free);
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, remote_free);
 	uv_udp_init(flow->loop, &flow->udp);
 	flow->udp.data = flow;
 	if (address_parse(flow->settings.datagram_address, &at))
