Split large services among schedulers; tell targets and entries by two control instances

Change: parts of 40 targets or more have schedulers of their own; two control instances an entry tell of targets and entries, all of edits and departures, a greeting in one piece; a place whose control is lost is suspected.

--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -18,6 +18,7 @@
 	struct channel *channel;
 	bool greeted;
 	bool is_control;
+	bool wants_all; /* targets and entries too */
 	uint64_t replica; /* 0: an entry, or a control without a disk */
 	Fleet__Hello *hello; /* owned */
 };
@@ -92,18 +93,21 @@
 /* core_link.c */
 enum status core_link_open(struct core *core) ATTR_UNUSED_RESULT;
 void core_link_close(struct core *core);
-/* Sends to all who have greeted; controls only or entries too. */
-void core_push(struct core *core, const Fleet__Frame *frame);
+/*
+ * Sends to all who have greeted, or only to those who want all; the functions
+ * below append to a batch instead where one is given.
+ */
+void core_push(struct core *core, const Fleet__Frame *frame, bool to_everyone);
 /* The text goes to entries of this failure domain; others ask if they must. */
-void core_push_document(struct core *core, struct core_peer *only);
+void core_push_document(struct core *core);
 /* Saves what is known for the next start, if it has changed. */
 void core_cache_tick(struct core *core, uint64_t now_us);
 void core_cache_load(struct core *core);
 void core_push_departure(struct core *core,
-    const struct roster_departure *departure, struct channel *only);
-void core_push_members(struct core *core, struct channel *only);
+    const struct roster_departure *departure, struct str_buf *batch);
+void core_push_members(struct core *core, struct str_buf *batch);
 void core_push_announcement(struct core *core,
-    const struct roster_target *target, struct channel *only);
+    const struct roster_target *target, struct str_buf *batch);
 struct core_neighbour *core_neighbour(struct core *core, const char *address);
 void core_link_tick(struct core *core, uint64_t now_us);
 /* Takes an announcement and tells the others when it is news. */
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -34,26 +34,37 @@
 }
 
 /*
- * Sends a frame to all who have greeted.
+ * Sends a frame to all who have greeted, or to those who want all.
  */
 void
-core_push(struct core *core, const Fleet__Frame *frame)
+core_push(struct core *core, const Fleet__Frame *frame, bool to_everyone)
 {
+	struct packed_frame *packed = channel_pack(frame);
+
 	for (guint i = 0; i < core->peers->len; i++) {
 		const struct core_peer *peer = core->peers->pdata[i];
 
-		if (peer->greeted)
-			channel_send(peer->channel, frame);
+		if (peer->greeted && (to_everyone || peer->wants_all))
+			channel_send_packed(peer->channel, packed);
 	}
+	channel_packed_put(packed);
 }
 
 static void
-push_to(struct core *core, const Fleet__Frame *frame, struct channel *only)
+push_to(struct core *core, const Fleet__Frame *frame, bool to_everyone,
+    struct str_buf *batch)
 {
-	if (only != NULL)
-		channel_send(only, frame);
+	if (batch != NULL)
+		channel_batch(batch, frame);
 	else
-		core_push(core, frame);
+		core_push(core, frame, to_everyone);
+}
+
+static bool
+is_near(const struct core *core, const struct core_peer *peer)
+{
+	return strcmp(peer->hello->failure_domain,
+		   core->settings.failure_domain) == 0;
 }
 
 /*
@@ -75,40 +86,58 @@
 	return document;
 }
 
-static void
-send_document(struct core *core, const struct core_peer *peer, bool with_text)
+static struct packed_frame *
+pack_document(const struct core *core, bool with_text)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Document document = known_document(core);
 
-	if (document.index == 0)
-		return;
 	if (!with_text)
 		document.text = (ProtobufCBinaryData){0};
 	frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
 	frame.document = &document;
-	channel_send(peer->channel, &frame);
+	return channel_pack(&frame);
 }
 
 /*
- * Tells of the document in force, one or all.  Bytes between failure domains
- * are dear: the text goes to the entries of this one, and to instances that
- * have no log.
+ * Tells all of the document in force.  Bytes between failure domains are
+ * dear: the text goes to the entries of this one, and to instances that have
+ * no log.
  */
 void
-core_push_document(struct core *core, struct core_peer *only)
+core_push_document(struct core *core)
 {
+	struct packed_frame *whole, *named;
+
+	if (known_document(core).index == 0)
+		return;
+	whole = pack_document(core, true);
+	named = pack_document(core, false);
 	for (guint i = 0; i < core->peers->len; i++) {
 		const struct core_peer *peer = core->peers->pdata[i];
-		bool near;
 
-		if (!peer->greeted || (only != NULL && peer != only) ||
-		    (peer->is_control && peer->replica != 0))
+		if (!peer->greeted || (peer->is_control && peer->replica != 0))
 			continue;
-		near = strcmp(peer->hello->failure_domain,
-			   core->settings.failure_domain) == 0;
-		send_document(core, peer, near || peer->is_control);
+		channel_send_packed(peer->channel,
+		    peer->is_control || is_near(core, peer) ? whole : named);
 	}
+	channel_packed_put(whole);
+	channel_packed_put(named);
+}
+
+/*
+ * Sends the text of the document to one that has heard of it.
+ */
+static void
+send_document(struct core *core, const struct core_peer *peer)
+{
+	struct packed_frame *whole;
+
+	if (known_document(core).index == 0)
+		return;
+	whole = pack_document(core, true);
+	channel_send_packed(peer->channel, whole);
+	channel_packed_put(whole);
 }
 
 /*
@@ -116,7 +145,7 @@
  */
 void
 core_push_departure(struct core *core, const struct roster_departure *departure,
-    struct channel *only)
+    struct str_buf *batch)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Departure message = FLEET__DEPARTURE__INIT;
@@ -126,15 +155,15 @@
 	message.recorded_ms = departure->recorded_ms;
 	frame.body_case = FLEET__FRAME__BODY_DEPARTURE;
 	frame.departure = &message;
-	push_to(core, &frame, only);
+	push_to(core, &frame, true, batch);
 }
 
 /*
  * Sends what a target says of itself, to one or to all.
  */
 void
-core_push_announcement(
-    struct core *core, const struct roster_target *target, struct channel *only)
+core_push_announcement(struct core *core, const struct roster_target *target,
+    struct str_buf *batch)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Announcement message = FLEET__ANNOUNCEMENT__INIT;
@@ -152,14 +181,14 @@
 		    (uint32_t)((target->warm_us - now) / US_PER_MS);
 	frame.body_case = FLEET__FRAME__BODY_ANNOUNCEMENT;
 	frame.announcement = &message;
-	push_to(core, &frame, only);
+	push_to(core, &frame, false, batch);
 }
 
 /*
  * Sends the link addresses of all instances with a disk that are known.
  */
 void
-core_push_members(struct core *core, struct channel *only)
+core_push_members(struct core *core, struct str_buf *batch)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Members message = FLEET__MEMBERS__INIT;
@@ -178,15 +207,15 @@
 	message.leader_address = (char *)core_leader_address(core);
 	frame.body_case = FLEET__FRAME__BODY_MEMBERS;
 	frame.members = &message;
-	push_to(core, &frame, only);
+	push_to(core, &frame, true, batch);
 }
 
 /*
  * Sends an entry that is connected here or was until now.
  */
 static void
-push_entry(
-    struct core *core, Fleet__Hello *hello, bool gone, struct channel *only)
+push_entry(struct core *core, Fleet__Hello *hello, bool gone,
+    struct str_buf *batch)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Entry entry = FLEET__ENTRY__INIT;
@@ -195,12 +224,12 @@
 	entry.gone = gone;
 	frame.body_case = FLEET__FRAME__BODY_ENTRY;
 	frame.entry = &entry;
-	push_to(core, &frame, only);
+	push_to(core, &frame, false, batch);
 }
 
 struct greeting {
 	struct core *core;
-	struct channel *to;
+	struct str_buf batch;
 };
 
 static void
@@ -208,7 +237,7 @@
 {
 	struct greeting *g = ctx;
 
-	core_push_announcement(g->core, target, g->to);
+	core_push_announcement(g->core, target, &g->batch);
 }
 
 static void
@@ -216,34 +245,53 @@
 {
 	struct greeting *g = ctx;
 
-	core_push_departure(g->core, departure, g->to);
+	core_push_departure(g->core, departure, &g->batch);
+}
+
+static void
+batch_document(
+    struct core *core, const struct core_peer *peer, struct str_buf *batch)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Document document = known_document(core);
+
+	if (document.index == 0 || (peer->is_control && peer->replica != 0))
+		return;
+	if (!peer->is_control && !is_near(core, peer))
+		document.text = (ProtobufCBinaryData){0};
+	frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
+	frame.document = &document;
+	channel_batch(batch, &frame);
 }
 
 /*
- * Tells a newcomer all that is known here.  Departures go first, so that
- * nobody takes a departed target for a moment.
+ * Tells a newcomer, or one that wants more than before, what is known here,
+ * in one piece.  Departures go first, so that nobody takes a departed target
+ * for a moment.
  */
 static void
 greet(struct core *core, struct core_peer *peer)
 {
-	struct channel *to = peer->channel;
-	struct greeting g = {.core = core, .to = to};
+	struct greeting g = {.core = core};
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Synced synced = FLEET__SYNCED__INIT;
 
-	core_push_members(core, to);
+	core_push_members(core, &g.batch);
 	roster_each_departure(core->roster, greet_departure, &g);
-	core_push_document(core, peer);
-	roster_each(core->roster, greet_target, &g);
-	for (guint i = 0; i < core->peers->len; i++) {
+	batch_document(core, peer, &g.batch);
+	if (peer->wants_all)
+		roster_each(core->roster, greet_target, &g);
+	for (guint i = 0; peer->wants_all && i < core->peers->len; i++) {
 		const struct core_peer *other = core->peers->pdata[i];
 
 		if (other->greeted && !other->is_control)
-			push_entry(core, other->hello, false, to);
+			push_entry(core, other->hello, false, &g.batch);
 	}
 	frame.body_case = FLEET__FRAME__BODY_SYNCED;
 	frame.synced = &synced;
-	channel_send(to, &frame);
+	channel_batch(&g.batch, &frame);
+	channel_send_batch(peer->channel, &g.batch);
+	str_buf_free(&g.batch);
 }
 
 static Fleet__Hello *
@@ -266,12 +314,14 @@
 on_hello(struct core *core, struct core_peer *peer, const Fleet__Hello *hello)
 {
 	bool first = !peer->greeted;
+	bool more = hello->wants_all && !peer->wants_all;
 
 	if (peer->hello != NULL)
 		fleet__hello__free_unpacked(peer->hello, NULL);
 	peer->hello = copy_hello(hello);
 	peer->greeted = true;
 	peer->is_control = hello->is_control;
+	peer->wants_all = hello->wants_all || hello->is_control;
 	peer->replica = hello->replica;
 	if (first) {
 		log_info("peer_connected",
@@ -279,8 +329,9 @@
 		    " failure_domain=%s",
 		    core->settings.instance, peer_name(peer), peer->is_control,
 		    peer->replica, hello->failure_domain);
-		greet(core, peer);
 	}
+	if (first || more)
+		greet(core, peer);
 	if (!peer->is_control) {
 		push_entry(core, peer->hello, false, NULL);
 		return;
@@ -295,6 +346,21 @@
 	(void)core_neighbour(core, hello->link_address);
 }
 
+static void
+tell_neighbours(struct core *core, const struct roster_target *target)
+{
+	struct str_buf batch = {0};
+	GHashTableIter iter;
+	gpointer value;
+
+	core_push_announcement(core, target, &batch);
+	g_hash_table_iter_init(&iter, core->neighbours);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		channel_send_batch(
+		    ((struct core_neighbour *)value)->channel, &batch);
+	str_buf_free(&batch);
+}
+
 /*
  * Takes what a target said of itself to another instance or to this one.
  */
@@ -312,15 +378,8 @@
 	core->cache_dirty = true;
 	core_push_announcement(core, target, NULL);
 	/* Instances without a disk are no neighbours: they dial, and tell. */
-	if (core->settings.data == NULL) {
-		GHashTableIter iter;
-		gpointer value;
-
-		g_hash_table_iter_init(&iter, core->neighbours);
-		while (g_hash_table_iter_next(&iter, NULL, &value))
-			core_push_announcement(core, target,
-			    ((struct core_neighbour *)value)->channel);
-	}
+	if (core->settings.data == NULL)
+		tell_neighbours(core, target);
 }
 
 static void
@@ -491,7 +550,7 @@
 		break;
 	case FLEET__FRAME__BODY_FETCH:
 		if (peer != NULL && peer->greeted)
-			send_document(core, peer, true);
+			send_document(core, peer);
 		break;
 	case FLEET__FRAME__BODY_ENTRY:
 	case FLEET__FRAME__BODY_PING:
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -202,7 +202,7 @@
 		    core->settings.instance, index, core->state.version,
 		    core->state.text.len, term);
 		core->cache_dirty = true;
-		core_push_document(core, NULL);
+		core_push_document(core);
 	}
 	if (effect.has_departed) {
 		core->cache_dirty = true;
@@ -240,7 +240,7 @@
 	log_info("snapshot", "instance=%s index=%" PRIu64 " version=%" PRIu64,
 	    core->settings.instance, index, core->state.version);
 	if (status == STATUS_OK && core->listener != NULL) {
-		core_push_document(core, NULL);
+		core_push_document(core);
 		roster_each_departure(core->roster, push_one_departure, core);
 	}
 	return status;
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -296,7 +296,7 @@
 		exchange_refuse(x, 503, NO_DOCUMENT_RETRY_US, "no weight");
 		return;
 	}
-	x->service = fleet_service(flow, part->name);
+	x->service = fleet_pick(flow, part->name);
 	set_deadlines(x);
 	schedule_ask(x, false);
 }
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -10,6 +10,14 @@
 	/* An instance that few have told of yet is served by who knows it. */
 	SYNC_WAIT_MS = 2000,
 	CONTROLS_MAX = 16,
+	/* One more than may be lost at once without any loss of news. */
+	PRIMARIES = 2,
+	SUSPECT_MS = 1000, /* as long as a silent channel lives */
+	SUSPECT_MAX_MS = 8000,
+	/* Targets of one scheduler: what a tenth of a core keeps count of. */
+	PART_TARGETS = 40,
+	PARTS_MAX = 64,
+	PART_NAME_BYTES = 192,
 	/* Two of the leader's heartbeats: by then the near one has applied it. */
 	FETCH_AFTER_MS = 200,
 	TARGET_KEPT_MS = 60 * 1000 /* as control keeps it */
@@ -17,6 +25,8 @@
 
 /* Of the questions counted, what is left after each look at the fleet. */
 #define ASKS_KEPT 0.8
+/* Part of a service's slack of repeats for the one that schedules it. */
+#define SCHEDULER_SLACK 0.7
 
 static uint64_t
 mix(uint64_t a, uint64_t b)
@@ -73,6 +83,21 @@
 	return best;
 }
 
+/*
+ * Takes a silent entry out of the choice of schedulers, longer each time.
+ */
+void
+fleet_suspect(struct flow *flow, struct fellow *fellow)
+{
+	fellow->timeouts = 0;
+	fellow->suspect_for_us = fellow->suspect_for_us == 0
+	    ? SUSPECT_MS * US_PER_MS
+	    : fellow->suspect_for_us * 2;
+	if (fellow->suspect_for_us > SUSPECT_MAX_MS * US_PER_MS)
+		fellow->suspect_for_us = SUSPECT_MAX_MS * US_PER_MS;
+	fellow->suspect_until_us = flow_now_us(flow) + fellow->suspect_for_us;
+}
+
 /*
  * Returns how many other entries are connected.
  */
@@ -120,6 +145,101 @@
 	return service;
 }
 
+static struct service *
+part_of(struct flow *flow, const char *name, unsigned parts, unsigned part)
+{
+	char text[PART_NAME_BYTES];
+
+	if (parts <= 1)
+		return fleet_service(flow, name);
+	snprintf(text, sizeof(text), "%s#%u/%u", name, part, parts);
+	return fleet_service(flow, text);
+}
+
+static struct service_size *
+size_of(struct flow *flow, const char *name)
+{
+	struct service_size *size = g_hash_table_lookup(flow->sizes, name);
+
+	if (size == NULL) {
+		size = g_new0(struct service_size, 1);
+		size->parts = 1;
+		g_hash_table_insert(flow->sizes, g_strdup(name), size);
+	}
+	return size;
+}
+
+/*
+ * Returns the part of a service's targets that the next request goes to.
+ */
+struct service *
+fleet_pick(struct flow *flow, const char *name)
+{
+	struct service_size *size = size_of(flow, name);
+
+	return part_of(flow, name, size->parts, size->next++ % size->parts);
+}
+
+/*
+ * Puts a target into its part.
+ */
+static void
+place_pool(struct flow *flow, struct pool *pool)
+{
+	const struct roster_target *target =
+	    roster_find(flow->roster, pool->id);
+	unsigned parts = size_of(flow, pool->service)->parts;
+
+	pool->of = part_of(flow, pool->service, parts,
+	    (unsigned)(str_hash(str_from(pool->id)) % parts));
+	pool->of->targets++;
+	if (target != NULL)
+		placement_add_target(pool->of->placement, pool->id,
+		    pool->failure_domain, target->slots, target->warm_us,
+		    flow_now_us(flow));
+}
+
+static void
+unplace_pool(struct pool *pool)
+{
+	placement_remove_target(pool->of->placement, pool->id);
+	pool->of->targets--;
+}
+
+/*
+ * Splits a service's targets into more or fewer parts as their number
+ * changes; a quarter of slack on the way down keeps it from changing often.
+ */
+static void
+resize(struct flow *flow, const char *name, int change)
+{
+	struct service_size *size = size_of(flow, name);
+	unsigned parts = size->parts;
+	GHashTableIter iter;
+	gpointer value;
+
+	size->targets += (unsigned)change;
+	while (parts < PARTS_MAX && size->targets >= 2 * parts * PART_TARGETS)
+		parts *= 2;
+	while (parts > 1 && size->targets * 4 < 3 * parts * PART_TARGETS)
+		parts /= 2;
+	if (parts == size->parts)
+		return;
+	log_info("service_parts",
+	    "instance=%s service=%s targets=%u parts=%u before=%u",
+	    flow->settings.instance, name, size->targets, parts, size->parts);
+	size->parts = parts;
+	g_hash_table_iter_init(&iter, flow->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool *pool = value;
+
+		if (strcmp(pool->service, name) != 0)
+			continue;
+		unplace_pool(pool);
+		place_pool(flow, pool);
+	}
+}
+
 /*
  * A target has announced itself: it gets requests from now on.
  */
@@ -127,29 +247,27 @@
 on_target_added(void *ctx, struct roster_target *target)
 {
 	struct flow *flow = ctx;
-	struct service *service = fleet_service(flow, target->service);
 	struct pool *pool = mem_calloc(1, sizeof(*pool));
 
 	pool->flow = flow;
 	pool->id = str_dup(str_from(target->id));
 	pool->address = str_dup(str_from(target->address));
 	pool->service = str_dup(str_from(target->service));
-	pool->of = service;
 	pool->failure_domain =
 	    (uint32_t)str_hash(str_from(target->failure_domain));
 	g_queue_init(&pool->idle);
 	g_queue_init(&pool->all);
+	place_pool(flow, pool);
 	g_hash_table_replace(flow->pools, pool->id, pool);
-	service->targets++;
-	placement_add_target(service->placement, target->id,
-	    pool->failure_domain, target->slots, target->warm_us,
-	    flow_now_us(flow));
-	log_info("target",
-	    "instance=%s target=%s service=%s address=%s started=%" PRIu64
-	    " sequence=%" PRIu64 " slots=%u targets=%u",
-	    flow->settings.instance, target->id, target->service,
-	    target->address, target->started_ms, target->sequence,
-	    target->slots, g_hash_table_size(flow->pools));
+	resize(flow, pool->service, 1);
+	if (flow_may_log(flow))
+		log_info("target",
+		    "instance=%s target=%s service=%s address=%s "
+		    "started=%" PRIu64 " sequence=%" PRIu64
+		    " slots=%u targets=%u",
+		    flow->settings.instance, target->id, target->service,
+		    target->address, target->started_ms, target->sequence,
+		    target->slots, g_hash_table_size(flow->pools));
 }
 
 /*
@@ -159,18 +277,18 @@
 on_target_removed(void *ctx, struct roster_target *target)
 {
 	struct flow *flow = ctx;
-	struct service *service =
-	    g_hash_table_lookup(flow->services, target->service);
+	struct pool *pool = g_hash_table_lookup(flow->pools, target->id);
 
-	if (service != NULL) {
-		placement_remove_target(service->placement, target->id);
-		service->targets--;
-	}
+	if (pool != NULL)
+		unplace_pool(pool);
 	g_hash_table_remove(flow->pools, target->id);
-	log_info("target_gone",
-	    "instance=%s target=%s service=%s started=%" PRIu64 " targets=%u",
-	    flow->settings.instance, target->id, target->service,
-	    target->started_ms, g_hash_table_size(flow->pools));
+	resize(flow, target->service, -1);
+	if (flow_may_log(flow))
+		log_info("target_gone",
+		    "instance=%s target=%s service=%s started=%" PRIu64
+		    " targets=%u",
+		    flow->settings.instance, target->id, target->service,
+		    target->started_ms, g_hash_table_size(flow->pools));
 }
 
 static void
@@ -326,7 +444,7 @@
 }
 
 static void
-send_hello(struct flow *flow, struct channel *channel)
+send_hello(struct flow *flow, const struct control *control)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Hello hello = FLEET__HELLO__INIT;
@@ -338,9 +456,68 @@
 	hello.ready = flow->ready && !flow->stopping;
 	hello.processor_millis = flow->settings.processor_millis;
 	hello.started_ms = flow->started_ms;
+	hello.wants_all = control->primary;
 	frame.body_case = FLEET__FRAME__BODY_HELLO;
 	frame.hello = &hello;
-	channel_send(channel, &frame);
+	channel_send(control->channel, &frame);
+}
+
+static unsigned
+count_primaries(const struct flow *flow)
+{
+	unsigned count = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flow->controls);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += ((const struct control *)value)->primary ? 1 : 0;
+	return count;
+}
+
+/*
+ * Returns the open control instance that is next to tell of targets and
+ * entries: ranked by a hash, so that entries spread over all.
+ */
+static struct control *
+next_primary(const struct flow *flow)
+{
+	uint64_t own = str_hash(str_from(flow->settings.datagram_address));
+	struct control *best = NULL;
+	uint64_t best_rank = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flow->controls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct control *control = value;
+		uint64_t rank = mix(
+		    own, str_hash(str_from(channel_address(control->channel))));
+
+		if (control->primary || !channel_is_open(control->channel) ||
+		    (best != NULL && rank <= best_rank))
+			continue;
+		best = control;
+		best_rank = rank;
+	}
+	return best;
+}
+
+/*
+ * Keeps PRIMARIES control instances that tell of targets and entries; edits
+ * and departures come from all.
+ */
+static void
+choose_primaries(struct flow *flow)
+{
+	struct control *control;
+
+	while (count_primaries(flow) < PRIMARIES &&
+	    (control = next_primary(flow)) != NULL) {
+		control->primary = true;
+		if (control->synced)
+			send_hello(flow, control);
+	}
 }
 
 static void
@@ -354,7 +531,8 @@
 	control->opened_us = flow_now_us(flow);
 	log_info("control_connected", "instance=%s control=%s",
 	    flow->settings.instance, channel_address(channel));
-	send_hello(flow, channel);
+	choose_primaries(flow);
+	send_hello(flow, control);
 }
 
 static void
@@ -368,6 +546,27 @@
 		((struct fellow *)value)->sources &= ~(1u << bit);
 }
 
+/*
+ * The host of a lost control instance may be lost with all that runs there.
+ */
+static void
+suspect_host(struct flow *flow, const char *address)
+{
+	struct sockaddr_in at;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!address_parse(address, &at))
+		return;
+	g_hash_table_iter_init(&iter, flow->fellows);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct fellow *fellow = value;
+
+		if (fellow->datagram.sin_addr.s_addr == at.sin_addr.s_addr)
+			fleet_suspect(flow, fellow);
+	}
+}
+
 /*
  * A control instance is gone: who only it told of counts as gone too, unless
  * none is left that could tell.
@@ -383,11 +582,14 @@
 
 	log_warn("control_lost", "instance=%s control=%s reason=\"%s\"",
 	    flow->settings.instance, channel_address(channel), reason);
+	suspect_host(flow, channel_address(channel));
 	if (flow->named_by == channel)
 		flow->named_by = NULL;
 	if (control == NULL)
 		return;
 	control->synced = false;
+	control->primary = false;
+	choose_primaries(flow);
 	g_hash_table_iter_init(&iter, flow->controls);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		open += ((struct control *)value)->synced ? 1 : 0;
@@ -439,7 +641,7 @@
 
 	g_hash_table_iter_init(&iter, flow->controls);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		send_hello(flow, ((struct control *)value)->channel);
+		send_hello(flow, value);
 }
 
 /*
@@ -463,6 +665,25 @@
 	    SYNC_WAIT_MS * US_PER_MS;
 }
 
+/*
+ * Gives a placement its share of the service's repeats: most to the one that
+ * schedules, a little to each entry that may have to decide alone.
+ */
+static void
+set_limits(struct flow *flow, struct service *service)
+{
+	const char *part = strrchr(service->name, '/');
+	double parts = part != NULL ? g_ascii_strtod(part + 1, NULL) : 1;
+	struct repeat_limits limits = flow->settings.repeats;
+
+	if (schedule_is_active(service))
+		limits.slack *= SCHEDULER_SLACK / parts;
+	else
+		limits.slack *=
+		    (1 - SCHEDULER_SLACK) / parts / (fleet_size(flow) + 1);
+	placement_set_limits(service->placement, &limits);
+}
+
 static void
 update_owners(struct flow *flow)
 {
@@ -481,6 +702,7 @@
 			    flow->settings.instance, service->name, owner,
 			    fleet_size(flow));
 		service->owner = owner;
+		set_limits(flow, service);
 		service->asks *= ASKS_KEPT;
 	}
 }
@@ -552,6 +774,8 @@
 	flow->roster = roster_new(&callbacks);
 	flow->services =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	flow->sizes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	flow->fellows =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, fellow_free);
 	flow->controls = g_hash_table_new_full(
@@ -569,5 +793,6 @@
 	g_hash_table_destroy(flow->controls);
 	g_hash_table_destroy(flow->fellows);
 	g_hash_table_destroy(flow->services);
+	g_hash_table_destroy(flow->sizes);
 	roster_free(flow->roster);
 }
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -156,7 +156,10 @@
 	unsigned ask_tries;
 };
 
-/* A service: its placement here, and the part that this entry has in it. */
+/*
+ * A service, or a part of its targets where there are many: its placement
+ * here, and the part that this entry has in it.
+ */
 struct service {
 	struct flow *flow;
 	char *name;
@@ -166,6 +169,13 @@
 	bool owner; /* this entry is its scheduler */
 };
 
+/* How many targets a service has, and into how many parts they are split. */
+struct service_size {
+	unsigned targets;
+	unsigned parts; /* a power of two */
+	unsigned next; /* part of the next request */
+};
+
 /* Another entry, as control instances tell. */
 struct fellow {
 	char *address; /* for datagrams; the key */
@@ -175,6 +185,7 @@
 	bool ready;
 	struct sockaddr_in datagram;
 	uint64_t suspect_until_us;
+	uint64_t suspect_for_us; /* doubles while it stays silent */
 	unsigned timeouts;
 };
 
@@ -183,6 +194,7 @@
 	struct channel *channel;
 	unsigned bit;
 	bool synced;
+	bool primary; /* tells of targets and entries, too */
 	uint64_t opened_us;
 };
 
@@ -213,7 +225,8 @@
 	struct roster *roster;
 	GHashTable *pools; /* target id -> struct pool */
 	GQueue connecting; /* of struct upstream, the oldest first */
-	GHashTable *services; /* name -> struct service */
+	GHashTable *services; /* name, or name#part -> struct service */
+	GHashTable *sizes; /* name -> struct service_size */
 	GHashTable *fellows; /* datagram address -> struct fellow */
 	GHashTable *controls; /* link address -> struct control */
 	unsigned control_bits;
@@ -269,6 +282,11 @@
 fleet_scheduler(struct flow *flow, const struct service *service);
 unsigned fleet_size(const struct flow *flow);
 
+/* Takes a silent entry out of the choice of schedulers for a while. */
+void fleet_suspect(struct flow *flow, struct fellow *fellow);
+/* Part of a service's targets that a request of ours goes to. */
+struct service *fleet_pick(struct flow *flow, const char *name);
+
 /* flow_caller.c */
 enum status callers_open(struct flow *flow);
 void callers_stop(struct flow *flow);
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -12,7 +12,6 @@
 	ANSWER_MS = 20,
 	HELD_MS =
 	    60, /* a held request is asked for again, if a word was lost */
-	SUSPECT_MS = 1000, /* as long as a silent channel lives */
 	SUSPECT_TIMEOUTS = 3, /* in a row, each of two questions */
 	PLACE_TICK_MS = 10, /* a seventh of the shortest work */
 	/* Asked less often than this, an entry only helps out: it does not probe. */
@@ -190,13 +189,11 @@
 	}
 	fellow = g_hash_table_lookup(flow->fellows, x->asked_of);
 	if (fellow != NULL && ++fellow->timeouts >= SUSPECT_TIMEOUTS) {
-		fellow->timeouts = 0;
-		fellow->suspect_until_us =
-		    flow_now_us(flow) + SUSPECT_MS * US_PER_MS;
+		fleet_suspect(flow, fellow);
 		log_warn("scheduler_silent",
-		    "instance=%s service=%s scheduler=%s for_ms=%d",
+		    "instance=%s service=%s scheduler=%s for_ms=%llu",
 		    flow->settings.instance, x->service->name, fellow->instance,
-		    SUSPECT_MS);
+		    (unsigned long long)(fellow->suspect_for_us / US_PER_MS));
 	}
 	counter_add(flow->fallbacks, 1);
 	schedule_forget(x);
@@ -271,7 +268,8 @@
 }
 
 static void
-send_grant(struct flow *flow, const struct remote_call *call, uint64_t expected_us)
+send_grant(
+    struct flow *flow, const struct remote_call *call, uint64_t expected_us)
 {
 	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
 	Fleet__Grant grant = FLEET__GRANT__INIT;
@@ -466,8 +464,10 @@
 	if (x == NULL)
 		return NULL;
 	fellow = g_hash_table_lookup(flow->fellows, x->asked_of);
-	if (fellow != NULL)
+	if (fellow != NULL) {
 		fellow->timeouts = 0;
+		fellow->suspect_for_us = 0;
+	}
 	uv_timer_stop(&x->ask_timer);
 	return x;
 }
--- a/src/net/channel.c
+++ b/src/net/channel.c
@@ -5,6 +5,7 @@
 
 #include "base/logger.h"
 #include "base/memory.h"
+#include "base/refcount.h"
 #include "net/address.h"
 
 enum {
@@ -43,9 +44,15 @@
 	struct channel_callbacks callbacks;
 };
 
+struct packed_frame {
+	struct refcount ref;
+	size_t len;
+	uint8_t bytes[];
+};
+
 struct write {
 	uv_write_t request;
-	uint8_t bytes[];
+	struct packed_frame *packed;
 };
 
 static void on_timer(uv_timer_t *timer);
@@ -184,7 +191,10 @@
 static void
 on_written(uv_write_t *request, int status ATTR_UNUSED)
 {
-	mem_free(request);
+	struct write *write = (struct write *)request;
+
+	channel_packed_put(write->packed);
+	mem_free(write);
 }
 
 /*
@@ -361,33 +371,113 @@
 		uv_close((uv_handle_t *)&listener->tcp, on_tcp_closed);
 }
 
+static void
+put_length(uint8_t *at, size_t len)
+{
+	for (int i = 0; i < HEADER_BYTES; i++)
+		at[i] = (uint8_t)(len >> (24 - 8 * i));
+}
+
 /*
- * Sends a frame, or drops it when the channel is not open.  A peer that
- * reads too slowly for QUEUE_MAX_BYTES loses its connection.
+ * Returns a frame as it goes over the wire, with one reference.
  */
-void
-channel_send(struct channel *channel, const Fleet__Frame *frame)
+struct packed_frame *
+channel_pack(const Fleet__Frame *frame)
 {
 	size_t len = fleet__frame__get_packed_size(frame);
+	struct packed_frame *packed =
+	    mem_alloc(sizeof(*packed) + HEADER_BYTES + len);
+
+	refcount_init(&packed->ref);
+	packed->len = HEADER_BYTES + len;
+	put_length(packed->bytes, len);
+	fleet__frame__pack(frame, packed->bytes + HEADER_BYTES);
+	return packed;
+}
+
+/*
+ * Puts a reference.
+ */
+void
+channel_packed_put(struct packed_frame *packed)
+{
+	if (refcount_put(&packed->ref))
+		mem_free(packed);
+}
+
+/*
+ * Sends a packed frame, or drops it when the channel is not open.  A peer
+ * that reads too slowly for QUEUE_MAX_BYTES loses its connection.
+ */
+void
+channel_send_packed(struct channel *channel, struct packed_frame *packed)
+{
 	struct write *write;
 	uv_buf_t buf;
 
 	if (!channel->open)
 		return;
-	if (uv_stream_get_write_queue_size((uv_stream_t *)channel->tcp) + len >
+	if (uv_stream_get_write_queue_size((uv_stream_t *)channel->tcp) +
+		packed->len >
 	    QUEUE_MAX_BYTES) {
 		fail(channel, "peer reads too slowly");
 		return;
 	}
-	write = mem_alloc(sizeof(*write) + HEADER_BYTES + len);
-	for (int i = 0; i < HEADER_BYTES; i++)
-		write->bytes[i] = (uint8_t)(len >> (24 - 8 * i));
-	fleet__frame__pack(frame, write->bytes + HEADER_BYTES);
-	buf = uv_buf_init((char *)write->bytes, (unsigned)(HEADER_BYTES + len));
+	write = mem_calloc(1, sizeof(*write));
+	write->packed = packed;
+	refcount_get(&packed->ref);
+	buf = uv_buf_init((char *)packed->bytes, (unsigned)packed->len);
 	channel->sent_ms = uv_now(channel->loop);
 	if (uv_write(&write->request, (uv_stream_t *)channel->tcp, &buf, 1,
-		on_written) != 0)
+		on_written) != 0) {
+		channel_packed_put(packed);
 		mem_free(write);
+	}
+}
+
+/*
+ * Sends a frame to one channel.
+ */
+void
+channel_send(struct channel *channel, const Fleet__Frame *frame)
+{
+	struct packed_frame *packed;
+
+	if (!channel->open)
+		return;
+	packed = channel_pack(frame);
+	channel_send_packed(channel, packed);
+	channel_packed_put(packed);
+}
+
+/*
+ * Appends a frame to a batch.
+ */
+void
+channel_batch(struct str_buf *batch, const Fleet__Frame *frame)
+{
+	size_t len = fleet__frame__get_packed_size(frame);
+	uint8_t *bytes = mem_alloc(HEADER_BYTES + len);
+
+	put_length(bytes, len);
+	fleet__frame__pack(frame, bytes + HEADER_BYTES);
+	str_buf_append(batch, str_of((const char *)bytes, HEADER_BYTES + len));
+	mem_free(bytes);
+}
+
+/*
+ * Sends a batch of frames in one piece.
+ */
+void
+channel_send_batch(struct channel *channel, const struct str_buf *batch)
+{
+	struct packed_frame *packed = mem_alloc(sizeof(*packed) + batch->len);
+
+	refcount_init(&packed->ref);
+	packed->len = batch->len;
+	memcpy(packed->bytes, batch->data, batch->len);
+	channel_send_packed(channel, packed);
+	channel_packed_put(packed);
 }
 
 /*
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -12,6 +12,7 @@
 
 #include "base/attr.h"
 #include "base/status.h"
+#include "base/str.h"
 #include "wire/fleet.pb-c.h"
 
 struct channel;
@@ -38,6 +39,18 @@
 /* Drops the frame when the channel is not open. */
 void channel_send(
     struct channel *channel, const Fleet__Frame *frame) ATTR_NONNULL_ALL;
+/* A frame made ready once for several channels. */
+struct packed_frame;
+struct packed_frame *
+channel_pack(const Fleet__Frame *frame) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
+void channel_packed_put(struct packed_frame *packed);
+void channel_send_packed(
+    struct channel *channel, struct packed_frame *packed) ATTR_NONNULL_ALL;
+/* Appends a frame to a batch, and sends a batch as a whole. */
+void channel_batch(
+    struct str_buf *batch, const Fleet__Frame *frame) ATTR_NONNULL_ALL;
+void channel_send_batch(
+    struct channel *channel, const struct str_buf *batch) ATTR_NONNULL_ALL;
 bool channel_is_open(const struct channel *channel) ATTR_NONNULL_ALL;
 const char *channel_address(const struct channel *channel) ATTR_NONNULL_ALL;
 /* Ends it for good, without a call to closed(). */
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -48,6 +48,17 @@
 	return p;
 }
 
+/*
+ * Changes the ratio and the slack of repeats; the window stays.
+ */
+void
+placement_set_limits(
+    struct placement *p, const struct repeat_limits *limits)
+{
+	p->budget.limits.ratio = limits->ratio;
+	p->budget.limits.slack = limits->slack;
+}
+
 /*
  * Frees a placement; who waits is not told.
  */
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -87,6 +87,9 @@
 struct placement *placement_new(const struct placement_callbacks *callbacks,
     const struct repeat_limits *limits, uint64_t seed,
     uint64_t now_us) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
+/* Changes what repeats are allowed; what was counted stays. */
+void placement_set_limits(struct placement *placement,
+    const struct repeat_limits *limits) ATTR_NONNULL_ALL;
 void placement_free(struct placement *placement);
 
 void placement_add_target(struct placement *placement, const char *id,
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1177,7 +1177,7 @@
   assert(message->base.descriptor == &fleet__datagram__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor fleet__hello__field_descriptors[10] =
+static const ProtobufCFieldDescriptor fleet__hello__field_descriptors[11] =
 {
   {
     "is_control",
@@ -1299,6 +1299,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants_all",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Hello, wants_all),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__hello__field_indices_by_name[] = {
   3,   /* field[3] = caller_address */
@@ -1311,11 +1323,12 @@
   7,   /* field[7] = ready */
   6,   /* field[6] = replica */
   9,   /* field[9] = started_ms */
+  10,   /* field[10] = wants_all */
 };
 static const ProtobufCIntRange fleet__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor fleet__hello__descriptor =
 {
@@ -1325,7 +1338,7 @@
   "Fleet__Hello",
   "fleet",
   sizeof(Fleet__Hello),
-  10,
+  11,
   fleet__hello__field_descriptors,
   fleet__hello__field_indices_by_name,
   1,  fleet__hello__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -87,10 +87,14 @@
    * Unix time of the process's start
    */
   uint64_t started_ms;
+  /*
+   * targets and entries too, not only edits
+   */
+  protobuf_c_boolean wants_all;
 };
 #define FLEET__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__hello__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Fleet__Announcement
