Close only what callers have left during a stop; keep what a lost instance told

Change: during a stop idle connections are closed after 2.5 s without use, and none with unread bytes; what a lost control instance told holds until another has told all; silent entries are asked for a sign and left out until they give it; only the scheduler by an entry's own view probes.

--- a/src/flow/flow_caller.c
+++ b/src/flow/flow_caller.c
@@ -13,6 +13,9 @@
 	OUTPUT_MAX_BYTES = 512 << 10, /* unread by the caller */
 	/* Callers stop using addresses after three times an answer's time. */
 	LISTEN_ON_MS = 3500,
+	CLOSE_IDLE_MS = 2500, /* more than an answer to a lookup is kept */
+	CLOSE_ALL_MS = 4500,
+	END_MS = 5500, /* half a second before the least grace, 6 s */
 	SPARE_DESCRIPTORS = 700 /* files, targets' and other connections */
 };
 
@@ -487,6 +490,19 @@
 	uv_read_start((uv_stream_t *)&caller->tcp, on_alloc, on_read);
 }
 
+/*
+ * Returns how long a connection may be idle.  During a stop a request may be
+ * on its way on any of them: callers leave by themselves once the entry is
+ * no longer named, and only what they have left is closed.
+ */
+static uint64_t
+idle_limit_ms(const struct flow *flow, uint64_t now_ms)
+{
+	if (!flow->stopping)
+		return flow->routes->limits.idle_timeout_ms;
+	return now_ms - flow->stopping_ms > CLOSE_ALL_MS ? 0 : CLOSE_IDLE_MS;
+}
+
 /*
  * Looks after a connection's times: of its head, between requests, and after
  * its last answer.
@@ -507,8 +523,8 @@
 	}
 	if (routes == NULL)
 		return;
-	if (idle &&
-	    (flow->stopping || idle_ms > routes->limits.idle_timeout_ms)) {
+	if (idle && idle_ms > idle_limit_ms(flow, now_ms) &&
+	    !address_has_input(&caller->tcp)) {
 		/* Nothing is in hand: a request that crosses is not read. */
 		caller->final = true;
 		linger(caller);
@@ -541,7 +557,8 @@
 		flow->listening = false;
 		uv_close((uv_handle_t *)&flow->listener, NULL);
 	}
-	if (!flow->listening && flow->callers.length == 0) {
+	if (!flow->listening &&
+	    (flow->callers.length == 0 || now - flow->stopping_ms > END_MS)) {
 		flow->stopped(flow->stopped_ctx);
 		flow->stopped = NULL;
 	}
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -12,8 +12,7 @@
 	CONTROLS_MAX = 16,
 	/* One more than may be lost at once without any loss of news. */
 	PRIMARIES = 2,
-	SUSPECT_MS = 1000, /* as long as a silent channel lives */
-	SUSPECT_MAX_MS = 8000,
+	SIGN_MS = 300, /* a fifth of the silence that ends a channel */
 	/* Targets of one scheduler: what a tenth of a core keeps count of. */
 	PART_TARGETS = 40,
 	PARTS_MAX = 64,
@@ -23,8 +22,6 @@
 	TARGET_KEPT_MS = 60 * 1000 /* as control keeps it */
 };
 
-/* Of the questions counted, what is left after each look at the fleet. */
-#define ASKS_KEPT 0.8
 /* Part of a service's slack of repeats for the one that schedules it. */
 #define SCHEDULER_SLACK 0.7
 
@@ -56,7 +53,6 @@
 fleet_scheduler(struct flow *flow, const struct service *service)
 {
 	uint64_t name = str_hash(str_from(service->name));
-	uint64_t now = flow_now_us(flow);
 	unsigned best_millis = flow->settings.processor_millis;
 	uint64_t best_rank =
 	    mix(name, str_hash(str_from(flow->settings.datagram_address)));
@@ -71,7 +67,7 @@
 		struct fellow *fellow = value;
 		uint64_t rank = mix(name, str_hash(str_from(fellow->address)));
 
-		if (!is_live(fellow) || now < fellow->suspect_until_us ||
+		if (!is_live(fellow) || fellow->suspect ||
 		    fellow->processor_millis < best_millis ||
 		    (fellow->processor_millis == best_millis &&
 			rank <= best_rank))
@@ -84,18 +80,35 @@
 }
 
 /*
- * Takes a silent entry out of the choice of schedulers, longer each time.
+ * Takes a silent entry out of the choice of schedulers until it gives a sign,
+ * so that all entries come to the same choice again.
  */
 void
 fleet_suspect(struct flow *flow, struct fellow *fellow)
 {
 	fellow->timeouts = 0;
-	fellow->suspect_for_us = fellow->suspect_for_us == 0
-	    ? SUSPECT_MS * US_PER_MS
-	    : fellow->suspect_for_us * 2;
-	if (fellow->suspect_for_us > SUSPECT_MAX_MS * US_PER_MS)
-		fellow->suspect_for_us = SUSPECT_MAX_MS * US_PER_MS;
-	fellow->suspect_until_us = flow_now_us(flow) + fellow->suspect_for_us;
+	if (!fellow->suspect)
+		log_warn("entry_silent", "instance=%s entry=%s",
+		    flow->settings.instance, fellow->instance);
+	fellow->suspect = true;
+	fellow->sign_us = flow_now_us(flow);
+}
+
+static void
+ask_signs(struct flow *flow, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flow->fellows);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct fellow *fellow = value;
+
+		if (!fellow->suspect || now_us < fellow->sign_us)
+			continue;
+		fellow->sign_us = now_us + SIGN_MS * US_PER_MS;
+		schedule_ask_sign(flow, fellow);
+	}
 }
 
 /*
@@ -403,6 +416,37 @@
 		(void)control_of(flow, m->address[i]);
 }
 
+static void
+forget_source(struct flow *flow, unsigned bit)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flow->fellows);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct fellow *)value)->sources &= ~(1u << bit);
+}
+
+/*
+ * Forgets what only lost control instances have told, now that another one
+ * has told all.
+ */
+static void
+forget_stale(struct flow *flow)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flow->controls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct control *control = value;
+
+		if (control->stale && !control->synced)
+			forget_source(flow, control->bit);
+		control->stale = false;
+	}
+}
+
 static struct control *
 control_by_channel(struct flow *flow, const struct channel *channel)
 {
@@ -435,6 +479,8 @@
 		break;
 	case FLEET__FRAME__BODY_SYNCED:
 		control->synced = true;
+		if (control->primary)
+			forget_stale(flow);
 		if (flow->first_synced_us == 0)
 			flow->first_synced_us = flow_now_us(flow);
 		break;
@@ -535,17 +581,6 @@
 	send_hello(flow, control);
 }
 
-static void
-forget_source(struct flow *flow, unsigned bit)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, flow->fellows);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct fellow *)value)->sources &= ~(1u << bit);
-}
-
 /*
  * The host of a lost control instance may be lost with all that runs there.
  */
@@ -568,18 +603,14 @@
 }
 
 /*
- * A control instance is gone: who only it told of counts as gone too, unless
- * none is left that could tell.
+ * A control instance is gone.  Whom it told of stays until another has told
+ * all that it knows.
  */
 static void
 on_closed(void *ctx, struct channel *channel, const char *reason)
 {
 	struct flow *flow = ctx;
 	struct control *control = control_by_channel(flow, channel);
-	unsigned open = 0;
-	GHashTableIter iter;
-	gpointer value;
-
 	log_warn("control_lost", "instance=%s control=%s reason=\"%s\"",
 	    flow->settings.instance, channel_address(channel), reason);
 	suspect_host(flow, channel_address(channel));
@@ -588,13 +619,9 @@
 	if (control == NULL)
 		return;
 	control->synced = false;
+	control->stale = control->stale || control->primary;
 	control->primary = false;
 	choose_primaries(flow);
-	g_hash_table_iter_init(&iter, flow->controls);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		open += ((struct control *)value)->synced ? 1 : 0;
-	if (open > 0)
-		forget_source(flow, control->bit);
 }
 
 static void
@@ -703,7 +730,6 @@
 			    fleet_size(flow));
 		service->owner = owner;
 		set_limits(flow, service);
-		service->asks *= ASKS_KEPT;
 	}
 }
 
@@ -755,6 +781,7 @@
 	}
 	update_owners(flow);
 	fetch_document(flow, now);
+	ask_signs(flow, now);
 	if (now > TARGET_KEPT_MS * US_PER_MS)
 		roster_expire(flow->roster, now - TARGET_KEPT_MS * US_PER_MS);
 }
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -164,7 +164,6 @@
 	struct flow *flow;
 	char *name;
 	struct placement *placement;
-	double asks; /* of other entries, fading */
 	unsigned targets;
 	bool owner; /* this entry is its scheduler */
 };
@@ -184,8 +183,8 @@
 	unsigned sources; /* bit per channel that tells of it as connected */
 	bool ready;
 	struct sockaddr_in datagram;
-	uint64_t suspect_until_us;
-	uint64_t suspect_for_us; /* doubles while it stays silent */
+	bool suspect; /* silent; asked for a sign now and then */
+	uint64_t sign_us; /* when it is asked next */
 	unsigned timeouts;
 };
 
@@ -195,6 +194,7 @@
 	unsigned bit;
 	bool synced;
 	bool primary; /* tells of targets and entries, too */
+	bool stale; /* lost; what it told holds until another has told all */
 	uint64_t opened_us;
 };
 
@@ -282,7 +282,7 @@
 fleet_scheduler(struct flow *flow, const struct service *service);
 unsigned fleet_size(const struct flow *flow);
 
-/* Takes a silent entry out of the choice of schedulers for a while. */
+/* Takes a silent entry out of the choice until it gives a sign. */
 void fleet_suspect(struct flow *flow, struct fellow *fellow);
 /* Part of a service's targets that a request of ours goes to. */
 struct service *fleet_pick(struct flow *flow, const char *name);
@@ -342,6 +342,9 @@
 /* Whether this entry keeps the service's counts and probes its targets. */
 bool schedule_is_active(const struct service *service);
 
+/* Asks a silent entry for a sign. */
+void schedule_ask_sign(struct flow *flow, const struct fellow *fellow);
+
 /* flow_probe.c */
 void probe_open(struct flow *flow);
 void probe_close(struct flow *flow);
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -14,8 +14,6 @@
 	    60, /* a held request is asked for again, if a word was lost */
 	SUSPECT_TIMEOUTS = 3, /* in a row, each of two questions */
 	PLACE_TICK_MS = 10, /* a seventh of the shortest work */
-	/* Asked less often than this, an entry only helps out: it does not probe. */
-	ACTIVE_ASKS = 8,
 	DATAGRAM_BYTES = 1400
 };
 
@@ -190,10 +188,6 @@
 	fellow = g_hash_table_lookup(flow->fellows, x->asked_of);
 	if (fellow != NULL && ++fellow->timeouts >= SUSPECT_TIMEOUTS) {
 		fleet_suspect(flow, fellow);
-		log_warn("scheduler_silent",
-		    "instance=%s service=%s scheduler=%s for_ms=%llu",
-		    flow->settings.instance, x->service->name, fellow->instance,
-		    (unsigned long long)(fellow->suspect_for_us / US_PER_MS));
 	}
 	counter_add(flow->fallbacks, 1);
 	schedule_forget(x);
@@ -349,13 +343,13 @@
 }
 
 /*
- * Returns whether this entry schedules a service: by its own view, or since
- * others ask it.
+ * Returns whether this entry schedules a service.  One that is only asked by
+ * some, whose view differs, leaves probing to the other.
  */
 bool
 schedule_is_active(const struct service *service)
 {
-	return service->owner || service->asks >= ACTIVE_ASKS;
+	return service->owner;
 }
 
 /*
@@ -397,7 +391,6 @@
 	     i++)
 		request.excluded[request.excluded_count++] = ask->excluded[i];
 	request.user = call;
-	service->asks += 1;
 	if (call->granted != NULL) {
 		send_grant(flow, call, 0);
 		return;
@@ -466,12 +459,47 @@
 	fellow = g_hash_table_lookup(flow->fellows, x->asked_of);
 	if (fellow != NULL) {
 		fellow->timeouts = 0;
-		fellow->suspect_for_us = 0;
+		fellow->suspect = false;
 	}
 	uv_timer_stop(&x->ask_timer);
 	return x;
 }
 
+static void
+send_sign(struct flow *flow, const struct sockaddr_in *to, bool reply)
+{
+	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
+	Fleet__Sign sign = FLEET__SIGN__INIT;
+
+	sign.address = (char *)flow->settings.datagram_address;
+	sign.reply = reply;
+	datagram.body_case = FLEET__DATAGRAM__BODY_SIGN;
+	datagram.sign = &sign;
+	send_datagram(flow, to, &datagram);
+}
+
+/*
+ * Asks a silent entry for a sign.
+ */
+void
+schedule_ask_sign(struct flow *flow, const struct fellow *fellow)
+{
+	send_sign(flow, &fellow->datagram, false);
+}
+
+static void
+on_sign(
+    struct flow *flow, const struct sockaddr_in *from, const Fleet__Sign *sign)
+{
+	struct fellow *fellow =
+	    g_hash_table_lookup(flow->fellows, sign->address);
+
+	if (fellow != NULL)
+		fellow->suspect = false;
+	if (!sign->reply && !flow->stopping)
+		send_sign(flow, from, true);
+}
+
 static void
 on_datagram_body(
     struct flow *flow, const struct sockaddr_in *from, const Fleet__Datagram *d)
@@ -512,6 +540,9 @@
 	case FLEET__DATAGRAM__BODY_DONE:
 		on_done(flow, from, d->done);
 		break;
+	case FLEET__DATAGRAM__BODY_SIGN:
+		on_sign(flow, from, d->sign);
+		break;
 	case FLEET__DATAGRAM__BODY__NOT_SET:
 	case _FLEET__DATAGRAM__BODY__CASE_IS_INT_SIZE:
 		break;
--- a/src/net/address.c
+++ b/src/net/address.c
@@ -63,3 +63,17 @@
 		return true;
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
 }
+
+/*
+ * Looks for unread bytes: timers run before input, so that an idle
+ * connection may have a request waiting.
+ */
+bool
+address_has_input(const uv_tcp_t *tcp)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return uv_fileno((const uv_handle_t *)tcp, &fd) == 0 &&
+	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -29,4 +29,7 @@
  */
 bool address_was_reset(const uv_tcp_t *tcp) ATTR_NONNULL_ALL;
 
+/* Whether bytes wait on a connection that the loop has not read yet. */
+bool address_has_input(const uv_tcp_t *tcp) ATTR_NONNULL_ALL;
+
 #endif
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &fleet__done__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   fleet__sign__init
+                     (Fleet__Sign         *message)
+{
+  static const Fleet__Sign init_value = FLEET__SIGN__INIT;
+  *message = init_value;
+}
+size_t fleet__sign__get_packed_size
+                     (const Fleet__Sign *message)
+{
+  assert(message->base.descriptor == &fleet__sign__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__sign__pack
+                     (const Fleet__Sign *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__sign__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__sign__pack_to_buffer
+                     (const Fleet__Sign *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__sign__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__Sign *
+       fleet__sign__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__Sign *)
+     protobuf_c_message_unpack (&fleet__sign__descriptor,
+                                allocator, len, data);
+}
+void   fleet__sign__free_unpacked
+                     (Fleet__Sign *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__sign__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   fleet__datagram__init
                      (Fleet__Datagram         *message)
 {
@@ -3069,7 +3114,58 @@
   (ProtobufCMessageInit) fleet__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__datagram__field_descriptors[6] =
+static const ProtobufCFieldDescriptor fleet__sign__field_descriptors[2] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Sign, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Sign, reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fleet__sign__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  1,   /* field[1] = reply */
+};
+static const ProtobufCIntRange fleet__sign__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor fleet__sign__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.Sign",
+  "Sign",
+  "Fleet__Sign",
+  "fleet",
+  sizeof(Fleet__Sign),
+  2,
+  fleet__sign__field_descriptors,
+  fleet__sign__field_indices_by_name,
+  1,  fleet__sign__number_ranges,
+  (ProtobufCMessageInit) fleet__sign__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__datagram__field_descriptors[7] =
 {
   {
     "ask",
@@ -3143,6 +3239,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sign",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Fleet__Datagram, body_case),
+    offsetof(Fleet__Datagram, sign),
+    &fleet__sign__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__datagram__field_indices_by_name[] = {
   0,   /* field[0] = ask */
@@ -3151,11 +3259,12 @@
   1,   /* field[1] = grant */
   3,   /* field[3] = held */
   2,   /* field[2] = reject */
+  6,   /* field[6] = sign */
 };
 static const ProtobufCIntRange fleet__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor fleet__datagram__descriptor =
 {
@@ -3165,7 +3274,7 @@
   "Fleet__Datagram",
   "fleet",
   sizeof(Fleet__Datagram),
-  6,
+  7,
   fleet__datagram__field_descriptors,
   fleet__datagram__field_indices_by_name,
   1,  fleet__datagram__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Fleet__Held Fleet__Held;
 typedef struct Fleet__Cancel Fleet__Cancel;
 typedef struct Fleet__Done Fleet__Done;
+typedef struct Fleet__Sign Fleet__Sign;
 typedef struct Fleet__Datagram Fleet__Datagram;
 
 
@@ -490,6 +491,23 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Asks an entry that was silent whether it is there, or says so.
+ */
+struct  Fleet__Sign
+{
+  ProtobufCMessage base;
+  /*
+   * of the sender
+   */
+  char *address;
+  protobuf_c_boolean reply;
+};
+#define FLEET__SIGN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__sign__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   FLEET__DATAGRAM__BODY__NOT_SET = 0,
   FLEET__DATAGRAM__BODY_ASK = 1,
@@ -497,7 +515,8 @@
   FLEET__DATAGRAM__BODY_REJECT = 3,
   FLEET__DATAGRAM__BODY_HELD = 4,
   FLEET__DATAGRAM__BODY_CANCEL = 5,
-  FLEET__DATAGRAM__BODY_DONE = 6
+  FLEET__DATAGRAM__BODY_DONE = 6,
+  FLEET__DATAGRAM__BODY_SIGN = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLEET__DATAGRAM__BODY__CASE)
 } Fleet__Datagram__BodyCase;
 
@@ -512,6 +531,7 @@
     Fleet__Held *held;
     Fleet__Cancel *cancel;
     Fleet__Done *done;
+    Fleet__Sign *sign;
   };
 };
 #define FLEET__DATAGRAM__INIT \
@@ -994,6 +1014,25 @@
 void   fleet__done__free_unpacked
                      (Fleet__Done *message,
                       ProtobufCAllocator *allocator);
+/* Fleet__Sign methods */
+void   fleet__sign__init
+                     (Fleet__Sign         *message);
+size_t fleet__sign__get_packed_size
+                     (const Fleet__Sign   *message);
+size_t fleet__sign__pack
+                     (const Fleet__Sign   *message,
+                      uint8_t             *out);
+size_t fleet__sign__pack_to_buffer
+                     (const Fleet__Sign   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Sign *
+       fleet__sign__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__sign__free_unpacked
+                     (Fleet__Sign *message,
+                      ProtobufCAllocator *allocator);
 /* Fleet__Datagram methods */
 void   fleet__datagram__init
                      (Fleet__Datagram         *message);
@@ -1090,6 +1129,9 @@
 typedef void (*Fleet__Done_Closure)
                  (const Fleet__Done *message,
                   void *closure_data);
+typedef void (*Fleet__Sign_Closure)
+                 (const Fleet__Sign *message,
+                  void *closure_data);
 typedef void (*Fleet__Datagram_Closure)
                  (const Fleet__Datagram *message,
                   void *closure_data);
@@ -1125,6 +1167,7 @@
 extern const ProtobufCMessageDescriptor fleet__held__descriptor;
 extern const ProtobufCMessageDescriptor fleet__cancel__descriptor;
 extern const ProtobufCMessageDescriptor fleet__done__descriptor;
+extern const ProtobufCMessageDescriptor fleet__sign__descriptor;
 extern const ProtobufCMessageDescriptor fleet__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
