Count a target's requests by probes alone; leave quick slots to what can be in time

Change: only a probe's count is compared; what eight probes in a row don't find is given up; a late request goes to the slowest target that makes its deadline; work three times overdue counts as a failure of its target.

--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -52,8 +52,7 @@
  * Changes the ratio and the slack of repeats; the window stays.
  */
 void
-placement_set_limits(
-    struct placement *p, const struct repeat_limits *limits)
+placement_set_limits(struct placement *p, const struct repeat_limits *limits)
 {
 	p->budget.limits.ratio = limits->ratio;
 	p->budget.limits.slack = limits->slack;
@@ -276,7 +275,8 @@
 	    now_us + (uint64_t)(expected_wait(p, call, now_us) + work) <=
 		r->objective_us)
 		return;
-	if (best != NULL && now_us + (uint64_t)finish <= r->deadline_us) {
+	best = placement_slowest(p, call, now_us, &finish);
+	if (best != NULL) {
 		grant(p, call, best, finish, now_us);
 		return;
 	}
@@ -382,16 +382,57 @@
 take_load(struct placement *p, struct target *t, const struct target_load *load,
     uint64_t now_us)
 {
-	unsigned occupied = load->running + load->waiting;
-
 	if (load->slots > 0)
 		t->slots = load->slots;
-	t->external = occupied > t->in_flight ? occupied - t->in_flight : 0;
 	t->slowness = load->slowness > 0 ? load->slowness / 100.0 : 1;
 	t->reported_us = now_us;
 	p->mean_slowness += mean_share * (t->slowness - p->mean_slowness);
 }
 
+/*
+ * Gives up the oldest send at a target: word of its end was lost.
+ */
+static void
+drop_oldest_send(struct placement *p, struct target *t)
+{
+	struct send *oldest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, p->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct call *call = value;
+
+		for (unsigned i = 0; i < call->send_count; i++) {
+			struct send *send = &call->sends[i];
+
+			if (send->target == t &&
+			    (oldest == NULL ||
+				send->granted_us < oldest->granted_us))
+				oldest = send;
+		}
+	}
+	if (oldest != NULL)
+		oldest->target = NULL;
+	if (t->in_flight > 0)
+		t->in_flight--;
+}
+
+/*
+ * Compares a target's own count with ours.  Only a probe's is used: a
+ * response may still count the request that it answers.
+ */
+static void
+take_count(struct placement *p, struct target *t, unsigned occupied)
+{
+	t->external = occupied > t->in_flight ? occupied - t->in_flight : 0;
+	t->over_reports = occupied < t->in_flight ? t->over_reports + 1 : 0;
+	if (t->over_reports < OVER_REPORTS_MAX)
+		return;
+	t->over_reports = 0;
+	drop_oldest_send(p, t);
+}
+
 /*
  * Adds up the work that a send has had since the last look.
  */
@@ -450,11 +491,27 @@
 	grant(p, call, best, finish, now_us);
 }
 
+/*
+ * Counts a send that is far overdue as a failure of its target, once: one
+ * that hangs would otherwise show only at the deadline.
+ */
+static void
+note_overdue(const struct placement *p, const struct call *call,
+    struct send *send, uint64_t now_us)
+{
+	if (send->overdue ||
+	    send->progress_us <
+		OVERDUE_TIMES * work_estimate(&p->work, call->request.route))
+		return;
+	send->overdue = true;
+	target_note(send->target, 1, now_us);
+}
+
 /*
  * Looks at the calls of one target whose speed is known anew.
  */
 static void
-look_at_sends(struct placement *p, const struct target *t, uint64_t now_us)
+look_at_sends(struct placement *p, struct target *t, uint64_t now_us)
 {
 	GPtrArray *list = g_ptr_array_new();
 	GHashTableIter iter;
@@ -468,6 +525,7 @@
 			if (call->sends[i].target != t)
 				continue;
 			advance_send(p, &call->sends[i], now_us);
+			note_overdue(p, call, &call->sends[i], now_us);
 			g_ptr_array_add(list, call->request.user);
 		}
 	}
@@ -581,6 +639,8 @@
 	t->silent = load == NULL;
 	if (load != NULL) {
 		take_load(p, t, load, now_us);
+		if (load->slots > 0)
+			take_count(p, t, load->running + load->waiting);
 		t->down_until_us = 0;
 	}
 	look_at_sends(p, t, now_us);
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -19,6 +19,10 @@
 	FULL_US = 30 * 1000, /* a third of the shortest work */
 	EXPIRED_US = 500 * 1000, /* past its deadline, a call is forgotten */
 	RETRY_AFTER_MIN_US = 50 * 1000,
+	/* Probes in a row, 50 ms apart: far above any transit of a message. */
+	OVER_REPORTS_MAX = 8,
+	/* Work this many times overdue will hardly be answered. */
+	OVERDUE_TIMES = 3,
 	/* Below the shortest time that a target keeps an idle connection. */
 	WARM_S = 6
 };
@@ -30,7 +34,9 @@
 	uint32_t slots;
 	uint64_t warm_us;
 	unsigned in_flight;
-	unsigned external; /* others' requests, by the last report */
+	unsigned external; /* others' requests, by the last probe */
+	unsigned
+	    over_reports; /* probes in a row that found less than we count */
 	double slowness; /* reported; 1 is usual */
 	uint64_t reported_us; /* 0: never */
 	double failing; /* share of failures lately */
@@ -48,6 +54,7 @@
 	uint64_t granted_us;
 	uint64_t updated_us;
 	double progress_us; /* of work done, at usual speed */
+	bool overdue; /* counted as a failure of its target already */
 };
 
 struct call {
@@ -84,6 +91,9 @@
 double target_finish(const struct placement *p, const struct target *t,
     const struct call *call, uint64_t now_us);
 void target_note_use(struct target *t, uint32_t asker, uint64_t now_us);
+/* The slowest target that still makes the deadline; NULL: none. */
+struct target *placement_slowest(const struct placement *p,
+    const struct call *call, uint64_t now_us, double *finish_us);
 struct target *placement_best(const struct placement *p,
     const struct call *call, uint64_t now_us, double *finish_us);
 
--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -230,3 +230,35 @@
 	*finish_us = finish[home ? 1 : 0];
 	return best[home ? 1 : 0];
 }
+
+/*
+ * Returns the target for a call that can no longer be in time: the slowest
+ * that still makes its deadline, so that quick slots stay free for calls that
+ * can be in time.
+ */
+struct target *
+placement_slowest(const struct placement *p, const struct call *call,
+    uint64_t now_us, double *finish_us)
+{
+	double left = call->request.deadline_us > now_us
+	    ? (double)(call->request.deadline_us - now_us)
+	    : 0;
+	struct target *slowest = NULL;
+
+	*finish_us = 0;
+	for (guint i = 0; i < p->order->len; i++) {
+		struct target *t = p->order->pdata[i];
+		double finish;
+
+		if (!target_is_usable(p, t, now_us) ||
+		    !target_has_room(t, now_us) || is_excluded(call, t))
+			continue;
+		finish = target_finish(p, t, call, now_us) +
+		    failure_cost(t, call, now_us);
+		if (finish > left || finish <= *finish_us)
+			continue;
+		slowest = t;
+		*finish_us = finish;
+	}
+	return slowest;
+}
