Let a new scheduler of a service spend only what its predecessor had to leave

A scheduler that took over knew nothing of the repeats before it and spent a window's worth again. Change: for one window a successor allows 0.09 of its share.

--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -728,6 +728,9 @@
 			    "instance=%s service=%s here=%d entries=%u",
 			    flow->settings.instance, service->name, owner,
 			    fleet_size(flow));
+		if (owner && !service->owner)
+			placement_succeed(
+			    service->placement, flow_now_us(flow));
 		service->owner = owner;
 		set_limits(flow, service);
 	}
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -60,6 +60,16 @@
 	p->budget.limits.slack = limits->slack;
 }
 
+/*
+ * Notes that this placement takes over: what its predecessor has spent of
+ * the repeats is not known.
+ */
+void
+placement_succeed(struct placement *p, uint64_t now_us)
+{
+	repeat_budget_succeed(&p->budget, now_us);
+}
+
 /*
  * Frees a placement; who waits is not told.
  */
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -90,6 +90,9 @@
 /* Changes what repeats are allowed; what was counted stays. */
 void placement_set_limits(struct placement *placement,
     const struct repeat_limits *limits) ATTR_NONNULL_ALL;
+/* This placement takes over from another instance's. */
+void placement_succeed(
+    struct placement *placement, uint64_t now_us) ATTR_NONNULL_ALL;
 void placement_free(struct placement *placement);
 
 void placement_add_target(struct placement *placement, const char *id,
--- a/src/placement/repeat_budget.c
+++ b/src/placement/repeat_budget.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Half of what the share of 0.85 leaves, as a lead may change twice. */
+static const double successor_share = 0.09;
+
 /*
  * Starts with nothing counted.
  */
@@ -11,7 +14,7 @@
 {
 	memset(budget, 0, sizeof(*budget));
 	budget->limits = *limits;
-	budget->opened_us = now_us;
+	budget->succeeded_us = now_us;
 	budget->slice = now_us / (limits->window_us / REPEAT_SLICES);
 }
 
@@ -57,9 +60,17 @@
 }
 
 /*
- * Returns whether one more repeat stays within the share of the limits.  A
- * budget that has not seen a whole window may follow another's, which has
- * spent an unknown part: it allows half.
+ * Notes that this budget takes over from another.
+ */
+void
+repeat_budget_succeed(struct repeat_budget *budget, uint64_t now_us)
+{
+	budget->succeeded_us = now_us;
+}
+
+/*
+ * Returns whether one more repeat stays within the share of the limits.  For
+ * one window a successor allows only what its predecessor had to leave.
  */
 bool
 repeat_budget_allows(
@@ -68,8 +79,8 @@
 	double limit;
 
 	(void)advance(budget, now_us);
-	if (now_us - budget->opened_us < budget->limits.window_us)
-		share /= 2;
+	if (now_us - budget->succeeded_us < budget->limits.window_us)
+		share *= successor_share;
 	limit = budget->limits.ratio * (double)budget->request_sum +
 	    budget->limits.slack;
 	return (double)(budget->repeat_sum + 1) <= share * limit;
