--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,10 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 PACKAGES = $(shell cat cmake/packages.txt)
-SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'test/*.[ch]' | grep -v 'pb-c')
-TIDY_SOURCES = $(filter src/%.c,$(SOURCES))
+SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'platform/*.[ch]' 'test/*.[ch]' | grep -v 'pb-c')
+TIDY_SOURCES = $(filter src/%.c platform/%.c,$(SOURCES))
 
-.PHONY: document-page all help packages build demo check test bench capacity format \
+.PHONY: platform-names document-page all help packages build demo check test bench capacity format \
 	format-check tidy cppcheck layers lines install clean asan generate
 
 all: build
@@ -26,7 +26,7 @@
 test: build		## unit, fuzz and functional tests
 	@ctest --test-dir $(BUILD) -j $(JOBS) --output-on-failure
 
-check: format-check layers test	## what a commit must pass
+check: format-check layers platform-names test	## what a commit must pass
 
 asan:			## the tests under AddressSanitizer and UBSan
 	@cmake -S . -B build-asan -DCMAKE_C_COMPILER=clang \
@@ -54,7 +54,10 @@
 	@cppcheck --quiet --enable=warning,portability,performance \
 	    --std=c11 --inline-suppr --error-exitcode=1 -j $(JOBS) -Isrc \
 	    --suppress=missingIncludeSystem --suppress=*:*pb-c* \
-	    --suppress=normalCheckLevelMaxBranches src
+	    -I. --suppress=normalCheckLevelMaxBranches src platform
+
+platform-names:		## the provider's names stand in platform/ alone
+	@cmake/check-platform.sh
 
 layers:			## includes point one way: programs, rules, base
 	@cmake/check-layers.sh
@@ -64,7 +67,7 @@
 
 generate:		## regenerate the committed codecs
 	protoc-c --proto_path=src/wire --c_out=src/wire \
-	    src/wire/wire.proto src/wire/state.proto
+	    src/wire/wire.proto src/wire/state.proto src/wire/fleet.proto
 	protoc-c --proto_path=src/replica --c_out=src/replica \
 	    src/replica/replica.proto
 	protoc-c --proto_path=src/claim --c_out=src/claim src/claim/claim.proto
--- a/cmake/check-layers.sh
+++ b/cmake/check-layers.sh
@@ -1,10 +1,10 @@
 #!/bin/bash
 # Fails when an include points from a lower layer to a higher one:
-# programs -> link -> rules and aggregates -> wire, base.
+# platform -> programs -> link, net -> rules and aggregates -> wire, base.
 set -u
 cd "$(dirname "$0")/.." || exit 2
-programs='entry|control|ctl|load|target'
-rules='document|registry|replica|claim|balance|limit|retry|refusal|burn'
+programs='entry|control|ctl|load|target|core|flow'
+rules='document|registry|replica|claim|balance|limit|retry|refusal|burn|routing|roster|placement'
 bad=0
 check() {	# folders that may not include the second set
 	local hits
@@ -15,14 +15,15 @@
 		bad=1
 	fi
 }
-check base "$programs|$rules|link|wire"
-check wire "$programs|$rules|link"
+check base "$programs|$rules|link|net|wire|platform"
+check wire "$programs|$rules|link|net|platform"
 for folder in ${rules//|/ }; do
-	check "$folder" "$programs|link"
+	check "$folder" "$programs|link|net|platform"
 done
-check link "$programs"
+check link "$programs|platform"
+check net "$programs|$rules|link|platform"
 for folder in ${programs//|/ }; do
 	others=$(echo "$programs" | tr '|' '\n' | grep -v "^$folder$" | paste -sd'|')
-	check "$folder" "$others"
+	check "$folder" "$others|platform"
 done
 exit $bad
--- a/src/claim/claim.pb-c.c
+++ b/src/claim/claim.pb-c.c
@@ -7,531 +7,370 @@
 #endif
 
 #include "claim.pb-c.h"
-void   claim__ledger_header__init
-                     (Claim__LedgerHeader         *message)
+void
+claim__ledger_header__init(Claim__LedgerHeader *message)
 {
-  static const Claim__LedgerHeader init_value = CLAIM__LEDGER_HEADER__INIT;
-  *message = init_value;
+	static const Claim__LedgerHeader init_value =
+	    CLAIM__LEDGER_HEADER__INIT;
+	*message = init_value;
 }
-size_t claim__ledger_header__get_packed_size
-                     (const Claim__LedgerHeader *message)
+size_t
+claim__ledger_header__get_packed_size(const Claim__LedgerHeader *message)
 {
-  assert(message->base.descriptor == &claim__ledger_header__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &claim__ledger_header__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t claim__ledger_header__pack
-                     (const Claim__LedgerHeader *message,
-                      uint8_t       *out)
+size_t
+claim__ledger_header__pack(const Claim__LedgerHeader *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &claim__ledger_header__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &claim__ledger_header__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t claim__ledger_header__pack_to_buffer
-                     (const Claim__LedgerHeader *message,
-                      ProtobufCBuffer *buffer)
+size_t
+claim__ledger_header__pack_to_buffer(
+    const Claim__LedgerHeader *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &claim__ledger_header__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &claim__ledger_header__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Claim__LedgerHeader *
-       claim__ledger_header__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+claim__ledger_header__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Claim__LedgerHeader *)
-     protobuf_c_message_unpack (&claim__ledger_header__descriptor,
-                                allocator, len, data);
+	return (Claim__LedgerHeader *)protobuf_c_message_unpack(
+	    &claim__ledger_header__descriptor, allocator, len, data);
 }
-void   claim__ledger_header__free_unpacked
-                     (Claim__LedgerHeader *message,
-                      ProtobufCAllocator *allocator)
+void
+claim__ledger_header__free_unpacked(
+    Claim__LedgerHeader *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &claim__ledger_header__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &claim__ledger_header__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   claim__service_record__init
-                     (Claim__ServiceRecord         *message)
+void
+claim__service_record__init(Claim__ServiceRecord *message)
 {
-  static const Claim__ServiceRecord init_value = CLAIM__SERVICE_RECORD__INIT;
-  *message = init_value;
+	static const Claim__ServiceRecord init_value =
+	    CLAIM__SERVICE_RECORD__INIT;
+	*message = init_value;
 }
-size_t claim__service_record__get_packed_size
-                     (const Claim__ServiceRecord *message)
+size_t
+claim__service_record__get_packed_size(const Claim__ServiceRecord *message)
 {
-  assert(message->base.descriptor == &claim__service_record__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &claim__service_record__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t claim__service_record__pack
-                     (const Claim__ServiceRecord *message,
-                      uint8_t       *out)
+size_t
+claim__service_record__pack(const Claim__ServiceRecord *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &claim__service_record__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &claim__service_record__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t claim__service_record__pack_to_buffer
-                     (const Claim__ServiceRecord *message,
-                      ProtobufCBuffer *buffer)
+size_t
+claim__service_record__pack_to_buffer(
+    const Claim__ServiceRecord *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &claim__service_record__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &claim__service_record__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Claim__ServiceRecord *
-       claim__service_record__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+claim__service_record__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Claim__ServiceRecord *)
-     protobuf_c_message_unpack (&claim__service_record__descriptor,
-                                allocator, len, data);
+	return (Claim__ServiceRecord *)protobuf_c_message_unpack(
+	    &claim__service_record__descriptor, allocator, len, data);
 }
-void   claim__service_record__free_unpacked
-                     (Claim__ServiceRecord *message,
-                      ProtobufCAllocator *allocator)
+void
+claim__service_record__free_unpacked(
+    Claim__ServiceRecord *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &claim__service_record__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &claim__service_record__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   claim__claim_record__init
-                     (Claim__ClaimRecord         *message)
+void
+claim__claim_record__init(Claim__ClaimRecord *message)
 {
-  static const Claim__ClaimRecord init_value = CLAIM__CLAIM_RECORD__INIT;
-  *message = init_value;
+	static const Claim__ClaimRecord init_value = CLAIM__CLAIM_RECORD__INIT;
+	*message = init_value;
 }
-size_t claim__claim_record__get_packed_size
-                     (const Claim__ClaimRecord *message)
+size_t
+claim__claim_record__get_packed_size(const Claim__ClaimRecord *message)
 {
-  assert(message->base.descriptor == &claim__claim_record__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &claim__claim_record__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t claim__claim_record__pack
-                     (const Claim__ClaimRecord *message,
-                      uint8_t       *out)
+size_t
+claim__claim_record__pack(const Claim__ClaimRecord *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &claim__claim_record__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &claim__claim_record__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t claim__claim_record__pack_to_buffer
-                     (const Claim__ClaimRecord *message,
-                      ProtobufCBuffer *buffer)
+size_t
+claim__claim_record__pack_to_buffer(
+    const Claim__ClaimRecord *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &claim__claim_record__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &claim__claim_record__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Claim__ClaimRecord *
-       claim__claim_record__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+claim__claim_record__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Claim__ClaimRecord *)
-     protobuf_c_message_unpack (&claim__claim_record__descriptor,
-                                allocator, len, data);
+	return (Claim__ClaimRecord *)protobuf_c_message_unpack(
+	    &claim__claim_record__descriptor, allocator, len, data);
 }
-void   claim__claim_record__free_unpacked
-                     (Claim__ClaimRecord *message,
-                      ProtobufCAllocator *allocator)
+void
+claim__claim_record__free_unpacked(
+    Claim__ClaimRecord *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &claim__claim_record__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &claim__claim_record__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor claim__ledger_header__field_descriptors[5] =
-{
-  {
-    "version",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Claim__LedgerHeader, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "now_us",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Claim__LedgerHeader, now_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "services",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Claim__LedgerHeader, services),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "claims",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Claim__LedgerHeader, claims),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sweep",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Claim__LedgerHeader, sweep),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+    claim__ledger_header__field_descriptors[5] = {
+	{
+	    "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__LedgerHeader, version), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "now_us", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__LedgerHeader, now_us), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "services", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__LedgerHeader, services), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "claims", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__LedgerHeader, claims), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "sweep", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__LedgerHeader, sweep), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned claim__ledger_header__field_indices_by_name[] = {
-  3,   /* field[3] = claims */
-  1,   /* field[1] = now_us */
-  2,   /* field[2] = services */
-  4,   /* field[4] = sweep */
-  0,   /* field[0] = version */
-};
-static const ProtobufCIntRange claim__ledger_header__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
+    3, /* field[3] = claims */
+    1, /* field[1] = now_us */
+    2, /* field[2] = services */
+    4, /* field[4] = sweep */
+    0, /* field[0] = version */
 };
-const ProtobufCMessageDescriptor claim__ledger_header__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "claim.LedgerHeader",
-  "LedgerHeader",
-  "Claim__LedgerHeader",
-  "claim",
-  sizeof(Claim__LedgerHeader),
-  5,
-  claim__ledger_header__field_descriptors,
-  claim__ledger_header__field_indices_by_name,
-  1,  claim__ledger_header__number_ranges,
-  (ProtobufCMessageInit) claim__ledger_header__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange claim__ledger_header__number_ranges[1 + 1] = {
+    {1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor claim__ledger_header__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "claim.LedgerHeader", "LedgerHeader",
+    "Claim__LedgerHeader", "claim", sizeof(Claim__LedgerHeader), 5,
+    claim__ledger_header__field_descriptors,
+    claim__ledger_header__field_indices_by_name, 1,
+    claim__ledger_header__number_ranges,
+    (ProtobufCMessageInit)claim__ledger_header__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor claim__service_record__field_descriptors[1] =
-{
-  {
-    "name",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ServiceRecord, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+    claim__service_record__field_descriptors[1] = {
+	{
+	    "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ServiceRecord, name), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned claim__service_record__field_indices_by_name[] = {
-  0,   /* field[0] = name */
-};
-static const ProtobufCIntRange claim__service_record__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
+    0, /* field[0] = name */
 };
-const ProtobufCMessageDescriptor claim__service_record__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "claim.ServiceRecord",
-  "ServiceRecord",
-  "Claim__ServiceRecord",
-  "claim",
-  sizeof(Claim__ServiceRecord),
-  1,
-  claim__service_record__field_descriptors,
-  claim__service_record__field_indices_by_name,
-  1,  claim__service_record__number_ranges,
-  (ProtobufCMessageInit) claim__service_record__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange claim__service_record__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor claim__service_record__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "claim.ServiceRecord",
+    "ServiceRecord", "Claim__ServiceRecord", "claim",
+    sizeof(Claim__ServiceRecord), 1, claim__service_record__field_descriptors,
+    claim__service_record__field_indices_by_name, 1,
+    claim__service_record__number_ranges,
+    (ProtobufCMessageInit)claim__service_record__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor claim__claim_record__field_descriptors[16] =
-{
-  {
-    "service",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, service),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "tenant",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, tenant),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "key",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, key),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "state",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, state),
-    &claim__claim_state__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "entry",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, entry),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "attempt",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, attempt),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "digest",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "retention_us",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, retention_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "expires_us",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, expires_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "has_answer",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, has_answer),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "http_status",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, http_status),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "content_type",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, content_type),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, body),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "kept",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, kept),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "has_digest",
-    16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Claim__ClaimRecord, has_digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+    claim__claim_record__field_descriptors[16] = {
+	{
+	    "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, service), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "tenant", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, tenant), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "key", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, key), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "state", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, state),
+	    &claim__claim_state__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "entry", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, entry), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "incarnation", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, incarnation), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "attempt", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, attempt), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "digest", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, digest), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "retention_us", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, retention_us), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "expires_us", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, expires_us), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "has_answer", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, has_answer), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "http_status", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, http_status), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "content_type", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, content_type), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "body", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, body), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "kept", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, kept), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "has_digest", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(Claim__ClaimRecord, has_digest), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned claim__claim_record__field_indices_by_name[] = {
-  6,   /* field[6] = attempt */
-  13,   /* field[13] = body */
-  12,   /* field[12] = content_type */
-  7,   /* field[7] = digest */
-  4,   /* field[4] = entry */
-  9,   /* field[9] = expires_us */
-  10,   /* field[10] = has_answer */
-  15,   /* field[15] = has_digest */
-  11,   /* field[11] = http_status */
-  5,   /* field[5] = incarnation */
-  14,   /* field[14] = kept */
-  2,   /* field[2] = key */
-  8,   /* field[8] = retention_us */
-  0,   /* field[0] = service */
-  3,   /* field[3] = state */
-  1,   /* field[1] = tenant */
-};
-static const ProtobufCIntRange claim__claim_record__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 16 }
+    6, /* field[6] = attempt */
+    13, /* field[13] = body */
+    12, /* field[12] = content_type */
+    7, /* field[7] = digest */
+    4, /* field[4] = entry */
+    9, /* field[9] = expires_us */
+    10, /* field[10] = has_answer */
+    15, /* field[15] = has_digest */
+    11, /* field[11] = http_status */
+    5, /* field[5] = incarnation */
+    14, /* field[14] = kept */
+    2, /* field[2] = key */
+    8, /* field[8] = retention_us */
+    0, /* field[0] = service */
+    3, /* field[3] = state */
+    1, /* field[1] = tenant */
 };
-const ProtobufCMessageDescriptor claim__claim_record__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "claim.ClaimRecord",
-  "ClaimRecord",
-  "Claim__ClaimRecord",
-  "claim",
-  sizeof(Claim__ClaimRecord),
-  16,
-  claim__claim_record__field_descriptors,
-  claim__claim_record__field_indices_by_name,
-  1,  claim__claim_record__number_ranges,
-  (ProtobufCMessageInit) claim__claim_record__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange claim__claim_record__number_ranges[1 + 1] = {
+    {1, 0}, {0, 16}};
+const ProtobufCMessageDescriptor claim__claim_record__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "claim.ClaimRecord", "ClaimRecord",
+    "Claim__ClaimRecord", "claim", sizeof(Claim__ClaimRecord), 16,
+    claim__claim_record__field_descriptors,
+    claim__claim_record__field_indices_by_name, 1,
+    claim__claim_record__number_ranges,
+    (ProtobufCMessageInit)claim__claim_record__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-static const ProtobufCEnumValue claim__claim_state__enum_values_by_number[4] =
-{
-  { "STATE_OPEN", "CLAIM__CLAIM_STATE__STATE_OPEN", 0 },
-  { "STATE_DONE", "CLAIM__CLAIM_STATE__STATE_DONE", 1 },
-  { "STATE_UNKNOWN", "CLAIM__CLAIM_STATE__STATE_UNKNOWN", 2 },
-  { "STATE_RELEASED", "CLAIM__CLAIM_STATE__STATE_RELEASED", 3 },
+static const ProtobufCEnumValue claim__claim_state__enum_values_by_number[4] = {
+    {"STATE_OPEN", "CLAIM__CLAIM_STATE__STATE_OPEN", 0},
+    {"STATE_DONE", "CLAIM__CLAIM_STATE__STATE_DONE", 1},
+    {"STATE_UNKNOWN", "CLAIM__CLAIM_STATE__STATE_UNKNOWN", 2},
+    {"STATE_RELEASED", "CLAIM__CLAIM_STATE__STATE_RELEASED", 3},
 };
 static const ProtobufCIntRange claim__claim_state__value_ranges[] = {
-{0, 0},{0, 4}
-};
-static const ProtobufCEnumValueIndex claim__claim_state__enum_values_by_name[4] =
-{
-  { "STATE_DONE", 1 },
-  { "STATE_OPEN", 0 },
-  { "STATE_RELEASED", 3 },
-  { "STATE_UNKNOWN", 2 },
+    {0, 0}, {0, 4}};
+static const ProtobufCEnumValueIndex
+    claim__claim_state__enum_values_by_name[4] = {
+	{"STATE_DONE", 1},
+	{"STATE_OPEN", 0},
+	{"STATE_RELEASED", 3},
+	{"STATE_UNKNOWN", 2},
 };
-const ProtobufCEnumDescriptor claim__claim_state__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "claim.ClaimState",
-  "ClaimState",
-  "Claim__ClaimState",
-  "claim",
-  4,
-  claim__claim_state__enum_values_by_number,
-  4,
-  claim__claim_state__enum_values_by_name,
-  1,
-  claim__claim_state__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
+const ProtobufCEnumDescriptor claim__claim_state__descriptor = {
+    PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC, "claim.ClaimState", "ClaimState",
+    "Claim__ClaimState", "claim", 4, claim__claim_state__enum_values_by_number,
+    4, claim__claim_state__enum_values_by_name, 1,
+    claim__claim_state__value_ranges, NULL, NULL, NULL,
+    NULL /* reserved[1234] */
 };
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -177,7 +177,7 @@
 	message.sequence = target->sequence;
 	message.slots = target->slots;
 	if (target->warm_us > now)
-		message.warmup_left_ms =
+		message.warm_in_ms =
 		    (uint32_t)((target->warm_us - now) / US_PER_MS);
 	frame.body_case = FLEET__FRAME__BODY_ANNOUNCEMENT;
 	frame.announcement = &message;
@@ -214,8 +214,8 @@
  * Sends an entry that is connected here or was until now.
  */
 static void
-push_entry(struct core *core, Fleet__Hello *hello, bool gone,
-    struct str_buf *batch)
+push_entry(
+    struct core *core, Fleet__Hello *hello, bool gone, struct str_buf *batch)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Entry entry = FLEET__ENTRY__INIT;
@@ -394,7 +394,7 @@
 	    .started_ms = message->started_ms,
 	    .sequence = message->sequence,
 	    .slots = message->slots,
-	    .warm_us = now + message->warmup_left_ms * US_PER_MS,
+	    .warm_us = now + message->warm_in_ms * US_PER_MS,
 	    .heard_us = now,
 	};
 
--- a/src/core/core_propose.c
+++ b/src/core/core_propose.c
@@ -120,7 +120,7 @@
  * Appends a command on the leader, or settles the waiter.
  */
 static void
-propose_here(struct core *core, struct core_waiter *waiter, struct str command)
+append_here(struct core *core, struct core_waiter *waiter, struct str command)
 {
 	if (core->replica == NULL ||
 	    replica_propose(core->replica, command, &waiter->index,
@@ -132,7 +132,7 @@
  * Proposes a command here or hands it to the leader.
  */
 static void
-propose(struct core *core, Fleet__Command *command, core_done *done, void *ctx)
+hand_in(struct core *core, Fleet__Command *command, core_done *done, void *ctx)
 {
 	struct core_waiter *waiter = new_waiter(core);
 	struct channel *leader = leader_channel(core);
@@ -148,7 +148,7 @@
 	message.command.len =
 	    fleet__command__pack(command, message.command.data);
 	if (leader == NULL) {
-		propose_here(core, waiter,
+		append_here(core, waiter,
 		    str_of((const char *)message.command.data, len));
 	} else {
 		message.request = waiter->request;
@@ -177,7 +177,7 @@
 	departure.started_ms = started_ms;
 	command.body_case = FLEET__COMMAND__BODY_DEPARTURE;
 	command.departure = &departure;
-	propose(core, &command, done, ctx);
+	hand_in(core, &command, done, ctx);
 }
 
 /*
@@ -196,7 +196,7 @@
 	edit.text.len = text.len;
 	command.body_case = FLEET__COMMAND__BODY_EDIT;
 	command.edit = &edit;
-	propose(core, &command, done, ctx);
+	hand_in(core, &command, done, ctx);
 }
 
 /*
@@ -234,14 +234,14 @@
  */
 void
 core_on_propose(
-    struct core *core, struct channel *from, const Fleet__Propose *message)
+    struct core *core, struct channel *from, const Fleet__Propose *propose)
 {
 	struct core_waiter *waiter = new_waiter(core);
 
 	waiter->peer = from;
-	waiter->peer_request = message->request;
-	propose_here(core, waiter,
-	    str_of((const char *)message->command.data, message->command.len));
+	waiter->peer_request = propose->request;
+	append_here(core, waiter,
+	    str_of((const char *)propose->command.data, propose->command.len));
 }
 
 /*
--- a/src/flow/flow_answer.c
+++ b/src/flow/flow_answer.c
@@ -60,10 +60,7 @@
 
 	start_head(x, (int)up->parser.status_code, out);
 	head_forward(&up->head, without, out);
-	if (whole && x->method == HTTP_HEAD && length.data != NULL) {
-		str_buf_printf(
-		    out, "Content-Length: %.*s\r\n", STR_ARG(length));
-	} else if (whole) {
+	if (whole && x->method != HTTP_HEAD) {
 		if (up->parser.status_code != 204 &&
 		    up->parser.status_code != 304)
 			str_buf_printf(
@@ -71,7 +68,7 @@
 	} else if (length.data != NULL) {
 		str_buf_printf(
 		    out, "Content-Length: %.*s\r\n", STR_ARG(length));
-	} else {
+	} else if (!whole) {
 		x->chunked = true;
 		str_buf_append(
 		    out, STR_LITERAL("Transfer-Encoding: chunked\r\n"));
--- a/src/flow/flow_target.c
+++ b/src/flow/flow_target.c
@@ -188,9 +188,9 @@
 	if (up->foreign || (up->attempt == NULL && !up->probe))
 		return 0;
 	str_buf_append(&up->body, str_of(at, len));
-	if (up->body.len > WHOLE_RESPONSE_BYTES && up->attempt != NULL)
-		exchange_on_piece(up->attempt);
-	else if (up->attempt != NULL && up->attempt->exchange->streaming)
+	if (up->attempt != NULL &&
+	    (up->body.len > WHOLE_RESPONSE_BYTES ||
+		up->attempt->exchange->streaming))
 		exchange_on_piece(up->attempt);
 	return up->closing ? 1 : 0;
 }
--- a/src/net/api.c
+++ b/src/net/api.c
@@ -12,6 +12,7 @@
 
 enum {
 	READ_BYTES = 16 << 10,
+	REST_MAX_BYTES = 64 << 10, /* sent behind a call that is in hand */
 	TEXT_MAX_BYTES = 8 << 10, /* target and headers of one call */
 	CONNECTIONS_MAX = 1024, /* a quarter of 4,100 descriptors */
 	IDLE_MS = 30 * 1000, /* above any caller's interval of 1.5 s */
@@ -223,7 +224,7 @@
 static void
 keep_rest(struct connection *c, const char *data, size_t len)
 {
-	if (c->rest_len + len > READ_BYTES * 4) {
+	if (c->rest_len + len > REST_MAX_BYTES) {
 		close_connection(c);
 		return;
 	}
--- a/src/net/channel.c
+++ b/src/net/channel.c
@@ -10,8 +10,9 @@
 #include "base/refcount.h"
 #include "net/address.h"
 
+#define HEADER_BYTES ((size_t)4)
+
 enum {
-	HEADER_BYTES = 4,
 	/* Set in a length: what follows is a deflated run of frames. */
 	DEFLATED_BIT = 0x80,
 	DEFLATE_FROM_BYTES = 1024, /* below that it saves less than it costs */
@@ -438,7 +439,7 @@
 static void
 put_length(uint8_t *at, size_t len)
 {
-	for (int i = 0; i < HEADER_BYTES; i++)
+	for (unsigned i = 0; i < HEADER_BYTES; i++)
 		at[i] = (uint8_t)(len >> (24 - 8 * i));
 }
 
--- a/src/replica/replica.pb-c.c
+++ b/src/replica/replica.pb-c.c
@@ -7,820 +7,581 @@
 #endif
 
 #include "replica.pb-c.h"
-void   replica__entry__init
-                     (Replica__Entry         *message)
+void
+replica__entry__init(Replica__Entry *message)
 {
-  static const Replica__Entry init_value = REPLICA__ENTRY__INIT;
-  *message = init_value;
+	static const Replica__Entry init_value = REPLICA__ENTRY__INIT;
+	*message = init_value;
 }
-size_t replica__entry__get_packed_size
-                     (const Replica__Entry *message)
+size_t
+replica__entry__get_packed_size(const Replica__Entry *message)
 {
-  assert(message->base.descriptor == &replica__entry__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &replica__entry__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t replica__entry__pack
-                     (const Replica__Entry *message,
-                      uint8_t       *out)
+size_t
+replica__entry__pack(const Replica__Entry *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &replica__entry__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &replica__entry__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t replica__entry__pack_to_buffer
-                     (const Replica__Entry *message,
-                      ProtobufCBuffer *buffer)
+size_t
+replica__entry__pack_to_buffer(
+    const Replica__Entry *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &replica__entry__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &replica__entry__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Replica__Entry *
-       replica__entry__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+replica__entry__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Replica__Entry *)
-     protobuf_c_message_unpack (&replica__entry__descriptor,
-                                allocator, len, data);
+	return (Replica__Entry *)protobuf_c_message_unpack(
+	    &replica__entry__descriptor, allocator, len, data);
 }
-void   replica__entry__free_unpacked
-                     (Replica__Entry *message,
-                      ProtobufCAllocator *allocator)
+void
+replica__entry__free_unpacked(
+    Replica__Entry *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &replica__entry__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &replica__entry__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   replica__member__init
-                     (Replica__Member         *message)
+void
+replica__member__init(Replica__Member *message)
 {
-  static const Replica__Member init_value = REPLICA__MEMBER__INIT;
-  *message = init_value;
+	static const Replica__Member init_value = REPLICA__MEMBER__INIT;
+	*message = init_value;
 }
-size_t replica__member__get_packed_size
-                     (const Replica__Member *message)
+size_t
+replica__member__get_packed_size(const Replica__Member *message)
 {
-  assert(message->base.descriptor == &replica__member__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &replica__member__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t replica__member__pack
-                     (const Replica__Member *message,
-                      uint8_t       *out)
+size_t
+replica__member__pack(const Replica__Member *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &replica__member__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &replica__member__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t replica__member__pack_to_buffer
-                     (const Replica__Member *message,
-                      ProtobufCBuffer *buffer)
+size_t
+replica__member__pack_to_buffer(
+    const Replica__Member *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &replica__member__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &replica__member__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Replica__Member *
-       replica__member__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+replica__member__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Replica__Member *)
-     protobuf_c_message_unpack (&replica__member__descriptor,
-                                allocator, len, data);
+	return (Replica__Member *)protobuf_c_message_unpack(
+	    &replica__member__descriptor, allocator, len, data);
 }
-void   replica__member__free_unpacked
-                     (Replica__Member *message,
-                      ProtobufCAllocator *allocator)
+void
+replica__member__free_unpacked(
+    Replica__Member *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &replica__member__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &replica__member__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   replica__members__init
-                     (Replica__Members         *message)
+void
+replica__members__init(Replica__Members *message)
 {
-  static const Replica__Members init_value = REPLICA__MEMBERS__INIT;
-  *message = init_value;
+	static const Replica__Members init_value = REPLICA__MEMBERS__INIT;
+	*message = init_value;
 }
-size_t replica__members__get_packed_size
-                     (const Replica__Members *message)
+size_t
+replica__members__get_packed_size(const Replica__Members *message)
 {
-  assert(message->base.descriptor == &replica__members__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &replica__members__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t replica__members__pack
-                     (const Replica__Members *message,
-                      uint8_t       *out)
+size_t
+replica__members__pack(const Replica__Members *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &replica__members__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &replica__members__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t replica__members__pack_to_buffer
-                     (const Replica__Members *message,
-                      ProtobufCBuffer *buffer)
+size_t
+replica__members__pack_to_buffer(
+    const Replica__Members *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &replica__members__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &replica__members__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Replica__Members *
-       replica__members__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+replica__members__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Replica__Members *)
-     protobuf_c_message_unpack (&replica__members__descriptor,
-                                allocator, len, data);
+	return (Replica__Members *)protobuf_c_message_unpack(
+	    &replica__members__descriptor, allocator, len, data);
 }
-void   replica__members__free_unpacked
-                     (Replica__Members *message,
-                      ProtobufCAllocator *allocator)
+void
+replica__members__free_unpacked(
+    Replica__Members *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &replica__members__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &replica__members__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   replica__group__init
-                     (Replica__Group         *message)
+void
+replica__group__init(Replica__Group *message)
 {
-  static const Replica__Group init_value = REPLICA__GROUP__INIT;
-  *message = init_value;
+	static const Replica__Group init_value = REPLICA__GROUP__INIT;
+	*message = init_value;
 }
-size_t replica__group__get_packed_size
-                     (const Replica__Group *message)
+size_t
+replica__group__get_packed_size(const Replica__Group *message)
 {
-  assert(message->base.descriptor == &replica__group__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &replica__group__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t replica__group__pack
-                     (const Replica__Group *message,
-                      uint8_t       *out)
+size_t
+replica__group__pack(const Replica__Group *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &replica__group__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &replica__group__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t replica__group__pack_to_buffer
-                     (const Replica__Group *message,
-                      ProtobufCBuffer *buffer)
+size_t
+replica__group__pack_to_buffer(
+    const Replica__Group *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &replica__group__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &replica__group__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Replica__Group *
-       replica__group__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+replica__group__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Replica__Group *)
-     protobuf_c_message_unpack (&replica__group__descriptor,
-                                allocator, len, data);
+	return (Replica__Group *)protobuf_c_message_unpack(
+	    &replica__group__descriptor, allocator, len, data);
 }
-void   replica__group__free_unpacked
-                     (Replica__Group *message,
-                      ProtobufCAllocator *allocator)
+void
+replica__group__free_unpacked(
+    Replica__Group *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &replica__group__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &replica__group__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   replica__snapshot__init
-                     (Replica__Snapshot         *message)
+void
+replica__snapshot__init(Replica__Snapshot *message)
 {
-  static const Replica__Snapshot init_value = REPLICA__SNAPSHOT__INIT;
-  *message = init_value;
+	static const Replica__Snapshot init_value = REPLICA__SNAPSHOT__INIT;
+	*message = init_value;
 }
-size_t replica__snapshot__get_packed_size
-                     (const Replica__Snapshot *message)
+size_t
+replica__snapshot__get_packed_size(const Replica__Snapshot *message)
 {
-  assert(message->base.descriptor == &replica__snapshot__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &replica__snapshot__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t replica__snapshot__pack
-                     (const Replica__Snapshot *message,
-                      uint8_t       *out)
+size_t
+replica__snapshot__pack(const Replica__Snapshot *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &replica__snapshot__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &replica__snapshot__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t replica__snapshot__pack_to_buffer
-                     (const Replica__Snapshot *message,
-                      ProtobufCBuffer *buffer)
+size_t
+replica__snapshot__pack_to_buffer(
+    const Replica__Snapshot *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &replica__snapshot__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &replica__snapshot__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Replica__Snapshot *
-       replica__snapshot__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+replica__snapshot__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Replica__Snapshot *)
-     protobuf_c_message_unpack (&replica__snapshot__descriptor,
-                                allocator, len, data);
+	return (Replica__Snapshot *)protobuf_c_message_unpack(
+	    &replica__snapshot__descriptor, allocator, len, data);
 }
-void   replica__snapshot__free_unpacked
-                     (Replica__Snapshot *message,
-                      ProtobufCAllocator *allocator)
+void
+replica__snapshot__free_unpacked(
+    Replica__Snapshot *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &replica__snapshot__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &replica__snapshot__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   replica__message__init
-                     (Replica__Message         *message)
+void
+replica__message__init(Replica__Message *message)
 {
-  static const Replica__Message init_value = REPLICA__MESSAGE__INIT;
-  *message = init_value;
+	static const Replica__Message init_value = REPLICA__MESSAGE__INIT;
+	*message = init_value;
 }
-size_t replica__message__get_packed_size
-                     (const Replica__Message *message)
+size_t
+replica__message__get_packed_size(const Replica__Message *message)
 {
-  assert(message->base.descriptor == &replica__message__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &replica__message__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t replica__message__pack
-                     (const Replica__Message *message,
-                      uint8_t       *out)
+size_t
+replica__message__pack(const Replica__Message *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &replica__message__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &replica__message__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t replica__message__pack_to_buffer
-                     (const Replica__Message *message,
-                      ProtobufCBuffer *buffer)
+size_t
+replica__message__pack_to_buffer(
+    const Replica__Message *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &replica__message__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &replica__message__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Replica__Message *
-       replica__message__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Replica__Message *)
-     protobuf_c_message_unpack (&replica__message__descriptor,
-                                allocator, len, data);
-}
-void   replica__message__free_unpacked
-                     (Replica__Message *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &replica__message__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor replica__entry__field_descriptors[3] =
-{
-  {
-    "term",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Entry, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "kind",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Entry, kind),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Entry, data),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+replica__message__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Replica__Message *)protobuf_c_message_unpack(
+	    &replica__message__descriptor, allocator, len, data);
+}
+void
+replica__message__free_unpacked(
+    Replica__Message *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &replica__message__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+static const ProtobufCFieldDescriptor replica__entry__field_descriptors[3] = {
+    {
+	"term", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Replica__Entry, term), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"kind", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Replica__Entry, kind), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"data", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	0, /* quantifier_offset */
+	offsetof(Replica__Entry, data), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned replica__entry__field_indices_by_name[] = {
-  2,   /* field[2] = data */
-  1,   /* field[1] = kind */
-  0,   /* field[0] = term */
+    2, /* field[2] = data */
+    1, /* field[1] = kind */
+    0, /* field[0] = term */
 };
-static const ProtobufCIntRange replica__entry__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor replica__entry__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "replica.Entry",
-  "Entry",
-  "Replica__Entry",
-  "replica",
-  sizeof(Replica__Entry),
-  3,
-  replica__entry__field_descriptors,
-  replica__entry__field_indices_by_name,
-  1,  replica__entry__number_ranges,
-  (ProtobufCMessageInit) replica__entry__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange replica__entry__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor replica__entry__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "replica.Entry", "Entry",
+    "Replica__Entry", "replica", sizeof(Replica__Entry), 3,
+    replica__entry__field_descriptors, replica__entry__field_indices_by_name, 1,
+    replica__entry__number_ranges, (ProtobufCMessageInit)replica__entry__init,
+    NULL, NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor replica__member__field_descriptors[4] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Member, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "voter",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Member, voter),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Member, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "disk",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Member, disk),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor replica__member__field_descriptors[4] = {
+    {
+	"id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Replica__Member, id), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"voter", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Replica__Member, voter), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"address", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Replica__Member, address), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"disk", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Replica__Member, disk), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned replica__member__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  3,   /* field[3] = disk */
-  0,   /* field[0] = id */
-  1,   /* field[1] = voter */
-};
-static const ProtobufCIntRange replica__member__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
+    2, /* field[2] = address */
+    3, /* field[3] = disk */
+    0, /* field[0] = id */
+    1, /* field[1] = voter */
 };
-const ProtobufCMessageDescriptor replica__member__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "replica.Member",
-  "Member",
-  "Replica__Member",
-  "replica",
-  sizeof(Replica__Member),
-  4,
-  replica__member__field_descriptors,
-  replica__member__field_indices_by_name,
-  1,  replica__member__number_ranges,
-  (ProtobufCMessageInit) replica__member__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange replica__member__number_ranges[1 + 1] = {
+    {1, 0}, {0, 4}};
+const ProtobufCMessageDescriptor replica__member__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "replica.Member", "Member",
+    "Replica__Member", "replica", sizeof(Replica__Member), 4,
+    replica__member__field_descriptors, replica__member__field_indices_by_name,
+    1, replica__member__number_ranges,
+    (ProtobufCMessageInit)replica__member__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor replica__members__field_descriptors[1] =
-{
-  {
-    "members",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Replica__Members, n_members),
-    offsetof(Replica__Members, members),
-    &replica__member__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor replica__members__field_descriptors[1] = {
+    {
+	"members", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Replica__Members, n_members),
+	offsetof(Replica__Members, members), &replica__member__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned replica__members__field_indices_by_name[] = {
-  0,   /* field[0] = members */
+    0, /* field[0] = members */
 };
-static const ProtobufCIntRange replica__members__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor replica__members__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "replica.Members",
-  "Members",
-  "Replica__Members",
-  "replica",
-  sizeof(Replica__Members),
-  1,
-  replica__members__field_descriptors,
-  replica__members__field_indices_by_name,
-  1,  replica__members__number_ranges,
-  (ProtobufCMessageInit) replica__members__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange replica__members__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor replica__members__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "replica.Members", "Members",
+    "Replica__Members", "replica", sizeof(Replica__Members), 1,
+    replica__members__field_descriptors,
+    replica__members__field_indices_by_name, 1, replica__members__number_ranges,
+    (ProtobufCMessageInit)replica__members__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor replica__group__field_descriptors[2] =
-{
-  {
-    "formed",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Group, formed),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "members",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Replica__Group, n_members),
-    offsetof(Replica__Group, members),
-    &replica__member__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor replica__group__field_descriptors[2] = {
+    {
+	"formed", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Replica__Group, formed), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"members", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Replica__Group, n_members), offsetof(Replica__Group, members),
+	&replica__member__descriptor, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned replica__group__field_indices_by_name[] = {
-  0,   /* field[0] = formed */
-  1,   /* field[1] = members */
-};
-static const ProtobufCIntRange replica__group__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
+    0, /* field[0] = formed */
+    1, /* field[1] = members */
 };
-const ProtobufCMessageDescriptor replica__group__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "replica.Group",
-  "Group",
-  "Replica__Group",
-  "replica",
-  sizeof(Replica__Group),
-  2,
-  replica__group__field_descriptors,
-  replica__group__field_indices_by_name,
-  1,  replica__group__number_ranges,
-  (ProtobufCMessageInit) replica__group__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange replica__group__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor replica__group__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "replica.Group", "Group",
+    "Replica__Group", "replica", sizeof(Replica__Group), 2,
+    replica__group__field_descriptors, replica__group__field_indices_by_name, 1,
+    replica__group__number_ranges, (ProtobufCMessageInit)replica__group__init,
+    NULL, NULL, NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor replica__snapshot__field_descriptors[2] =
-{
-  {
-    "members",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Replica__Snapshot, n_members),
-    offsetof(Replica__Snapshot, members),
-    &replica__member__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Snapshot, data),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    {
+	{
+	    "members", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(Replica__Snapshot, n_members),
+	    offsetof(Replica__Snapshot, members), &replica__member__descriptor,
+	    NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "data", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Snapshot, data), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned replica__snapshot__field_indices_by_name[] = {
-  1,   /* field[1] = data */
-  0,   /* field[0] = members */
-};
-static const ProtobufCIntRange replica__snapshot__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
+    1, /* field[1] = data */
+    0, /* field[0] = members */
 };
-const ProtobufCMessageDescriptor replica__snapshot__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "replica.Snapshot",
-  "Snapshot",
-  "Replica__Snapshot",
-  "replica",
-  sizeof(Replica__Snapshot),
-  2,
-  replica__snapshot__field_descriptors,
-  replica__snapshot__field_indices_by_name,
-  1,  replica__snapshot__number_ranges,
-  (ProtobufCMessageInit) replica__snapshot__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange replica__snapshot__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor replica__snapshot__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "replica.Snapshot", "Snapshot",
+    "Replica__Snapshot", "replica", sizeof(Replica__Snapshot), 2,
+    replica__snapshot__field_descriptors,
+    replica__snapshot__field_indices_by_name, 1,
+    replica__snapshot__number_ranges,
+    (ProtobufCMessageInit)replica__snapshot__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor replica__message__field_descriptors[15] =
-{
-  {
-    "kind",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, kind),
-    &replica__kind__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "term",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "from_disk",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, from_disk),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "to_disk",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, to_disk),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "index",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "log_term",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, log_term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "commit",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, commit),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sent_us",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, sent_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reject",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, reject),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "hint",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, hint),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "entries",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Replica__Message, n_entries),
-    offsetof(Replica__Message, entries),
-    &replica__entry__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "offset",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, offset),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "total",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, total),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "chunk",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, chunk),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "group",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Replica__Message, group),
-    &replica__group__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    {
+	{
+	    "kind", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, kind), &replica__kind__descriptor, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "term", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, term), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "from_disk", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, from_disk), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "to_disk", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, to_disk), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "index", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, index), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "log_term", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, log_term), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "commit", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, commit), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "sent_us", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, sent_us), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "reject", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, reject), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "hint", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, hint), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "entries", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(Replica__Message, n_entries),
+	    offsetof(Replica__Message, entries), &replica__entry__descriptor,
+	    NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "offset", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, offset), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "total", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, total), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "chunk", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, chunk), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "group", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, group), &replica__group__descriptor,
+	    NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned replica__message__field_indices_by_name[] = {
-  13,   /* field[13] = chunk */
-  6,   /* field[6] = commit */
-  10,   /* field[10] = entries */
-  2,   /* field[2] = from_disk */
-  14,   /* field[14] = group */
-  9,   /* field[9] = hint */
-  4,   /* field[4] = index */
-  0,   /* field[0] = kind */
-  5,   /* field[5] = log_term */
-  11,   /* field[11] = offset */
-  8,   /* field[8] = reject */
-  7,   /* field[7] = sent_us */
-  1,   /* field[1] = term */
-  3,   /* field[3] = to_disk */
-  12,   /* field[12] = total */
+    13, /* field[13] = chunk */
+    6, /* field[6] = commit */
+    10, /* field[10] = entries */
+    2, /* field[2] = from_disk */
+    14, /* field[14] = group */
+    9, /* field[9] = hint */
+    4, /* field[4] = index */
+    0, /* field[0] = kind */
+    5, /* field[5] = log_term */
+    11, /* field[11] = offset */
+    8, /* field[8] = reject */
+    7, /* field[7] = sent_us */
+    1, /* field[1] = term */
+    3, /* field[3] = to_disk */
+    12, /* field[12] = total */
 };
-static const ProtobufCIntRange replica__message__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 15 }
-};
-const ProtobufCMessageDescriptor replica__message__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "replica.Message",
-  "Message",
-  "Replica__Message",
-  "replica",
-  sizeof(Replica__Message),
-  15,
-  replica__message__field_descriptors,
-  replica__message__field_indices_by_name,
-  1,  replica__message__number_ranges,
-  (ProtobufCMessageInit) replica__message__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange replica__message__number_ranges[1 + 1] = {
+    {1, 0}, {0, 15}};
+const ProtobufCMessageDescriptor replica__message__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "replica.Message", "Message",
+    "Replica__Message", "replica", sizeof(Replica__Message), 15,
+    replica__message__field_descriptors,
+    replica__message__field_indices_by_name, 1, replica__message__number_ranges,
+    (ProtobufCMessageInit)replica__message__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-static const ProtobufCEnumValue replica__kind__enum_values_by_number[11] =
-{
-  { "KIND_NONE", "REPLICA__KIND__KIND_NONE", 0 },
-  { "KIND_APPEND", "REPLICA__KIND__KIND_APPEND", 1 },
-  { "KIND_APPEND_REPLY", "REPLICA__KIND__KIND_APPEND_REPLY", 2 },
-  { "KIND_PRE_VOTE", "REPLICA__KIND__KIND_PRE_VOTE", 3 },
-  { "KIND_PRE_VOTE_REPLY", "REPLICA__KIND__KIND_PRE_VOTE_REPLY", 4 },
-  { "KIND_VOTE", "REPLICA__KIND__KIND_VOTE", 5 },
-  { "KIND_VOTE_REPLY", "REPLICA__KIND__KIND_VOTE_REPLY", 6 },
-  { "KIND_SNAPSHOT", "REPLICA__KIND__KIND_SNAPSHOT", 7 },
-  { "KIND_SNAPSHOT_REPLY", "REPLICA__KIND__KIND_SNAPSHOT_REPLY", 8 },
-  { "KIND_JOIN", "REPLICA__KIND__KIND_JOIN", 9 },
-  { "KIND_JOIN_REPLY", "REPLICA__KIND__KIND_JOIN_REPLY", 10 },
+static const ProtobufCEnumValue replica__kind__enum_values_by_number[11] = {
+    {"KIND_NONE", "REPLICA__KIND__KIND_NONE", 0},
+    {"KIND_APPEND", "REPLICA__KIND__KIND_APPEND", 1},
+    {"KIND_APPEND_REPLY", "REPLICA__KIND__KIND_APPEND_REPLY", 2},
+    {"KIND_PRE_VOTE", "REPLICA__KIND__KIND_PRE_VOTE", 3},
+    {"KIND_PRE_VOTE_REPLY", "REPLICA__KIND__KIND_PRE_VOTE_REPLY", 4},
+    {"KIND_VOTE", "REPLICA__KIND__KIND_VOTE", 5},
+    {"KIND_VOTE_REPLY", "REPLICA__KIND__KIND_VOTE_REPLY", 6},
+    {"KIND_SNAPSHOT", "REPLICA__KIND__KIND_SNAPSHOT", 7},
+    {"KIND_SNAPSHOT_REPLY", "REPLICA__KIND__KIND_SNAPSHOT_REPLY", 8},
+    {"KIND_JOIN", "REPLICA__KIND__KIND_JOIN", 9},
+    {"KIND_JOIN_REPLY", "REPLICA__KIND__KIND_JOIN_REPLY", 10},
 };
 static const ProtobufCIntRange replica__kind__value_ranges[] = {
-{0, 0},{0, 11}
-};
-static const ProtobufCEnumValueIndex replica__kind__enum_values_by_name[11] =
-{
-  { "KIND_APPEND", 1 },
-  { "KIND_APPEND_REPLY", 2 },
-  { "KIND_JOIN", 9 },
-  { "KIND_JOIN_REPLY", 10 },
-  { "KIND_NONE", 0 },
-  { "KIND_PRE_VOTE", 3 },
-  { "KIND_PRE_VOTE_REPLY", 4 },
-  { "KIND_SNAPSHOT", 7 },
-  { "KIND_SNAPSHOT_REPLY", 8 },
-  { "KIND_VOTE", 5 },
-  { "KIND_VOTE_REPLY", 6 },
+    {0, 0}, {0, 11}};
+static const ProtobufCEnumValueIndex replica__kind__enum_values_by_name[11] = {
+    {"KIND_APPEND", 1},
+    {"KIND_APPEND_REPLY", 2},
+    {"KIND_JOIN", 9},
+    {"KIND_JOIN_REPLY", 10},
+    {"KIND_NONE", 0},
+    {"KIND_PRE_VOTE", 3},
+    {"KIND_PRE_VOTE_REPLY", 4},
+    {"KIND_SNAPSHOT", 7},
+    {"KIND_SNAPSHOT_REPLY", 8},
+    {"KIND_VOTE", 5},
+    {"KIND_VOTE_REPLY", 6},
 };
-const ProtobufCEnumDescriptor replica__kind__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "replica.Kind",
-  "Kind",
-  "Replica__Kind",
-  "replica",
-  11,
-  replica__kind__enum_values_by_number,
-  11,
-  replica__kind__enum_values_by_name,
-  1,
-  replica__kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
+const ProtobufCEnumDescriptor replica__kind__descriptor = {
+    PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC, "replica.Kind", "Kind", "Replica__Kind",
+    "replica", 11, replica__kind__enum_values_by_number, 11,
+    replica__kind__enum_values_by_name, 1, replica__kind__value_ranges, NULL,
+    NULL, NULL, NULL /* reserved[1234] */
 };
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -7,3311 +7,2347 @@
 #endif
 
 #include "fleet.pb-c.h"
-void   fleet__hello__init
-                     (Fleet__Hello         *message)
+void
+fleet__hello__init(Fleet__Hello *message)
 {
-  static const Fleet__Hello init_value = FLEET__HELLO__INIT;
-  *message = init_value;
+	static const Fleet__Hello init_value = FLEET__HELLO__INIT;
+	*message = init_value;
 }
-size_t fleet__hello__get_packed_size
-                     (const Fleet__Hello *message)
+size_t
+fleet__hello__get_packed_size(const Fleet__Hello *message)
 {
-  assert(message->base.descriptor == &fleet__hello__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__hello__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__hello__pack
-                     (const Fleet__Hello *message,
-                      uint8_t       *out)
+size_t
+fleet__hello__pack(const Fleet__Hello *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__hello__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__hello__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__hello__pack_to_buffer
-                     (const Fleet__Hello *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__hello__pack_to_buffer(
+    const Fleet__Hello *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__hello__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__hello__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Hello *
-       fleet__hello__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__hello__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Hello *)
-     protobuf_c_message_unpack (&fleet__hello__descriptor,
-                                allocator, len, data);
+	return (Fleet__Hello *)protobuf_c_message_unpack(
+	    &fleet__hello__descriptor, allocator, len, data);
 }
-void   fleet__hello__free_unpacked
-                     (Fleet__Hello *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__hello__free_unpacked(
+    Fleet__Hello *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__hello__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__hello__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__announcement__init
-                     (Fleet__Announcement         *message)
+void
+fleet__announcement__init(Fleet__Announcement *message)
 {
-  static const Fleet__Announcement init_value = FLEET__ANNOUNCEMENT__INIT;
-  *message = init_value;
+	static const Fleet__Announcement init_value = FLEET__ANNOUNCEMENT__INIT;
+	*message = init_value;
 }
-size_t fleet__announcement__get_packed_size
-                     (const Fleet__Announcement *message)
+size_t
+fleet__announcement__get_packed_size(const Fleet__Announcement *message)
 {
-  assert(message->base.descriptor == &fleet__announcement__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__announcement__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__announcement__pack
-                     (const Fleet__Announcement *message,
-                      uint8_t       *out)
+size_t
+fleet__announcement__pack(const Fleet__Announcement *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__announcement__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__announcement__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__announcement__pack_to_buffer
-                     (const Fleet__Announcement *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__announcement__pack_to_buffer(
+    const Fleet__Announcement *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__announcement__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__announcement__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Announcement *
-       fleet__announcement__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__announcement__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Announcement *)
-     protobuf_c_message_unpack (&fleet__announcement__descriptor,
-                                allocator, len, data);
+	return (Fleet__Announcement *)protobuf_c_message_unpack(
+	    &fleet__announcement__descriptor, allocator, len, data);
 }
-void   fleet__announcement__free_unpacked
-                     (Fleet__Announcement *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__announcement__free_unpacked(
+    Fleet__Announcement *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__announcement__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__announcement__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__departure__init
-                     (Fleet__Departure         *message)
+void
+fleet__departure__init(Fleet__Departure *message)
 {
-  static const Fleet__Departure init_value = FLEET__DEPARTURE__INIT;
-  *message = init_value;
+	static const Fleet__Departure init_value = FLEET__DEPARTURE__INIT;
+	*message = init_value;
 }
-size_t fleet__departure__get_packed_size
-                     (const Fleet__Departure *message)
+size_t
+fleet__departure__get_packed_size(const Fleet__Departure *message)
 {
-  assert(message->base.descriptor == &fleet__departure__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__departure__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__departure__pack
-                     (const Fleet__Departure *message,
-                      uint8_t       *out)
+size_t
+fleet__departure__pack(const Fleet__Departure *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__departure__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__departure__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__departure__pack_to_buffer
-                     (const Fleet__Departure *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__departure__pack_to_buffer(
+    const Fleet__Departure *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__departure__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__departure__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Departure *
-       fleet__departure__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__departure__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Departure *)
-     protobuf_c_message_unpack (&fleet__departure__descriptor,
-                                allocator, len, data);
+	return (Fleet__Departure *)protobuf_c_message_unpack(
+	    &fleet__departure__descriptor, allocator, len, data);
 }
-void   fleet__departure__free_unpacked
-                     (Fleet__Departure *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__departure__free_unpacked(
+    Fleet__Departure *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__departure__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__departure__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__entry__init
-                     (Fleet__Entry         *message)
+void
+fleet__entry__init(Fleet__Entry *message)
 {
-  static const Fleet__Entry init_value = FLEET__ENTRY__INIT;
-  *message = init_value;
+	static const Fleet__Entry init_value = FLEET__ENTRY__INIT;
+	*message = init_value;
 }
-size_t fleet__entry__get_packed_size
-                     (const Fleet__Entry *message)
+size_t
+fleet__entry__get_packed_size(const Fleet__Entry *message)
 {
-  assert(message->base.descriptor == &fleet__entry__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__entry__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__entry__pack
-                     (const Fleet__Entry *message,
-                      uint8_t       *out)
+size_t
+fleet__entry__pack(const Fleet__Entry *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__entry__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__entry__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__entry__pack_to_buffer
-                     (const Fleet__Entry *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__entry__pack_to_buffer(
+    const Fleet__Entry *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__entry__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__entry__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Entry *
-       fleet__entry__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__entry__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Entry *)
-     protobuf_c_message_unpack (&fleet__entry__descriptor,
-                                allocator, len, data);
+	return (Fleet__Entry *)protobuf_c_message_unpack(
+	    &fleet__entry__descriptor, allocator, len, data);
 }
-void   fleet__entry__free_unpacked
-                     (Fleet__Entry *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__entry__free_unpacked(
+    Fleet__Entry *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__entry__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__entry__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__document__init
-                     (Fleet__Document         *message)
+void
+fleet__document__init(Fleet__Document *message)
 {
-  static const Fleet__Document init_value = FLEET__DOCUMENT__INIT;
-  *message = init_value;
+	static const Fleet__Document init_value = FLEET__DOCUMENT__INIT;
+	*message = init_value;
 }
-size_t fleet__document__get_packed_size
-                     (const Fleet__Document *message)
+size_t
+fleet__document__get_packed_size(const Fleet__Document *message)
 {
-  assert(message->base.descriptor == &fleet__document__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__document__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__document__pack
-                     (const Fleet__Document *message,
-                      uint8_t       *out)
+size_t
+fleet__document__pack(const Fleet__Document *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__document__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__document__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__document__pack_to_buffer
-                     (const Fleet__Document *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__document__pack_to_buffer(
+    const Fleet__Document *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__document__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__document__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Document *
-       fleet__document__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__document__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Document *)
-     protobuf_c_message_unpack (&fleet__document__descriptor,
-                                allocator, len, data);
+	return (Fleet__Document *)protobuf_c_message_unpack(
+	    &fleet__document__descriptor, allocator, len, data);
 }
-void   fleet__document__free_unpacked
-                     (Fleet__Document *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__document__free_unpacked(
+    Fleet__Document *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__document__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__document__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__members__init
-                     (Fleet__Members         *message)
+void
+fleet__members__init(Fleet__Members *message)
 {
-  static const Fleet__Members init_value = FLEET__MEMBERS__INIT;
-  *message = init_value;
+	static const Fleet__Members init_value = FLEET__MEMBERS__INIT;
+	*message = init_value;
 }
-size_t fleet__members__get_packed_size
-                     (const Fleet__Members *message)
+size_t
+fleet__members__get_packed_size(const Fleet__Members *message)
 {
-  assert(message->base.descriptor == &fleet__members__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__members__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__members__pack
-                     (const Fleet__Members *message,
-                      uint8_t       *out)
+size_t
+fleet__members__pack(const Fleet__Members *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__members__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__members__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__members__pack_to_buffer
-                     (const Fleet__Members *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__members__pack_to_buffer(
+    const Fleet__Members *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__members__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__members__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Members *
-       fleet__members__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__members__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Members *)
-     protobuf_c_message_unpack (&fleet__members__descriptor,
-                                allocator, len, data);
+	return (Fleet__Members *)protobuf_c_message_unpack(
+	    &fleet__members__descriptor, allocator, len, data);
 }
-void   fleet__members__free_unpacked
-                     (Fleet__Members *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__members__free_unpacked(
+    Fleet__Members *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__members__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__members__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__edit__init
-                     (Fleet__Edit         *message)
+void
+fleet__edit__init(Fleet__Edit *message)
 {
-  static const Fleet__Edit init_value = FLEET__EDIT__INIT;
-  *message = init_value;
+	static const Fleet__Edit init_value = FLEET__EDIT__INIT;
+	*message = init_value;
 }
-size_t fleet__edit__get_packed_size
-                     (const Fleet__Edit *message)
+size_t
+fleet__edit__get_packed_size(const Fleet__Edit *message)
 {
-  assert(message->base.descriptor == &fleet__edit__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__edit__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__edit__pack
-                     (const Fleet__Edit *message,
-                      uint8_t       *out)
+size_t
+fleet__edit__pack(const Fleet__Edit *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__edit__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__edit__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__edit__pack_to_buffer
-                     (const Fleet__Edit *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__edit__pack_to_buffer(const Fleet__Edit *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__edit__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__edit__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Edit *
-       fleet__edit__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__edit__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Edit *)
-     protobuf_c_message_unpack (&fleet__edit__descriptor,
-                                allocator, len, data);
+	return (Fleet__Edit *)protobuf_c_message_unpack(
+	    &fleet__edit__descriptor, allocator, len, data);
 }
-void   fleet__edit__free_unpacked
-                     (Fleet__Edit *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__edit__free_unpacked(Fleet__Edit *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__edit__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__edit__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__command__init
-                     (Fleet__Command         *message)
+void
+fleet__command__init(Fleet__Command *message)
 {
-  static const Fleet__Command init_value = FLEET__COMMAND__INIT;
-  *message = init_value;
+	static const Fleet__Command init_value = FLEET__COMMAND__INIT;
+	*message = init_value;
 }
-size_t fleet__command__get_packed_size
-                     (const Fleet__Command *message)
+size_t
+fleet__command__get_packed_size(const Fleet__Command *message)
 {
-  assert(message->base.descriptor == &fleet__command__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__command__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__command__pack
-                     (const Fleet__Command *message,
-                      uint8_t       *out)
+size_t
+fleet__command__pack(const Fleet__Command *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__command__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__command__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__command__pack_to_buffer
-                     (const Fleet__Command *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__command__pack_to_buffer(
+    const Fleet__Command *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__command__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__command__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Command *
-       fleet__command__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__command__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Command *)
-     protobuf_c_message_unpack (&fleet__command__descriptor,
-                                allocator, len, data);
+	return (Fleet__Command *)protobuf_c_message_unpack(
+	    &fleet__command__descriptor, allocator, len, data);
 }
-void   fleet__command__free_unpacked
-                     (Fleet__Command *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__command__free_unpacked(
+    Fleet__Command *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__command__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__command__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__propose__init
-                     (Fleet__Propose         *message)
+void
+fleet__propose__init(Fleet__Propose *message)
 {
-  static const Fleet__Propose init_value = FLEET__PROPOSE__INIT;
-  *message = init_value;
+	static const Fleet__Propose init_value = FLEET__PROPOSE__INIT;
+	*message = init_value;
 }
-size_t fleet__propose__get_packed_size
-                     (const Fleet__Propose *message)
+size_t
+fleet__propose__get_packed_size(const Fleet__Propose *message)
 {
-  assert(message->base.descriptor == &fleet__propose__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__propose__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__propose__pack
-                     (const Fleet__Propose *message,
-                      uint8_t       *out)
+size_t
+fleet__propose__pack(const Fleet__Propose *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__propose__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__propose__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__propose__pack_to_buffer
-                     (const Fleet__Propose *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__propose__pack_to_buffer(
+    const Fleet__Propose *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__propose__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__propose__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Propose *
-       fleet__propose__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__propose__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Propose *)
-     protobuf_c_message_unpack (&fleet__propose__descriptor,
-                                allocator, len, data);
+	return (Fleet__Propose *)protobuf_c_message_unpack(
+	    &fleet__propose__descriptor, allocator, len, data);
 }
-void   fleet__propose__free_unpacked
-                     (Fleet__Propose *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__propose__free_unpacked(
+    Fleet__Propose *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__propose__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__propose__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__result__init
-                     (Fleet__Result         *message)
+void
+fleet__result__init(Fleet__Result *message)
 {
-  static const Fleet__Result init_value = FLEET__RESULT__INIT;
-  *message = init_value;
+	static const Fleet__Result init_value = FLEET__RESULT__INIT;
+	*message = init_value;
 }
-size_t fleet__result__get_packed_size
-                     (const Fleet__Result *message)
+size_t
+fleet__result__get_packed_size(const Fleet__Result *message)
 {
-  assert(message->base.descriptor == &fleet__result__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__result__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__result__pack
-                     (const Fleet__Result *message,
-                      uint8_t       *out)
+size_t
+fleet__result__pack(const Fleet__Result *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__result__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__result__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__result__pack_to_buffer
-                     (const Fleet__Result *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__result__pack_to_buffer(
+    const Fleet__Result *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__result__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__result__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Result *
-       fleet__result__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__result__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Result *)
-     protobuf_c_message_unpack (&fleet__result__descriptor,
-                                allocator, len, data);
+	return (Fleet__Result *)protobuf_c_message_unpack(
+	    &fleet__result__descriptor, allocator, len, data);
 }
-void   fleet__result__free_unpacked
-                     (Fleet__Result *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__result__free_unpacked(
+    Fleet__Result *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__result__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__result__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__read__init
-                     (Fleet__Read         *message)
+void
+fleet__read__init(Fleet__Read *message)
 {
-  static const Fleet__Read init_value = FLEET__READ__INIT;
-  *message = init_value;
+	static const Fleet__Read init_value = FLEET__READ__INIT;
+	*message = init_value;
 }
-size_t fleet__read__get_packed_size
-                     (const Fleet__Read *message)
+size_t
+fleet__read__get_packed_size(const Fleet__Read *message)
 {
-  assert(message->base.descriptor == &fleet__read__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__read__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__read__pack
-                     (const Fleet__Read *message,
-                      uint8_t       *out)
+size_t
+fleet__read__pack(const Fleet__Read *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__read__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__read__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__read__pack_to_buffer
-                     (const Fleet__Read *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__read__pack_to_buffer(const Fleet__Read *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__read__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__read__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Read *
-       fleet__read__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__read__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Read *)
-     protobuf_c_message_unpack (&fleet__read__descriptor,
-                                allocator, len, data);
+	return (Fleet__Read *)protobuf_c_message_unpack(
+	    &fleet__read__descriptor, allocator, len, data);
 }
-void   fleet__read__free_unpacked
-                     (Fleet__Read *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__read__free_unpacked(Fleet__Read *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__read__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__read__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__join__init
-                     (Fleet__Join         *message)
+void
+fleet__join__init(Fleet__Join *message)
 {
-  static const Fleet__Join init_value = FLEET__JOIN__INIT;
-  *message = init_value;
+	static const Fleet__Join init_value = FLEET__JOIN__INIT;
+	*message = init_value;
 }
-size_t fleet__join__get_packed_size
-                     (const Fleet__Join *message)
+size_t
+fleet__join__get_packed_size(const Fleet__Join *message)
 {
-  assert(message->base.descriptor == &fleet__join__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__join__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__join__pack
-                     (const Fleet__Join *message,
-                      uint8_t       *out)
+size_t
+fleet__join__pack(const Fleet__Join *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__join__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__join__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__join__pack_to_buffer
-                     (const Fleet__Join *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__join__pack_to_buffer(const Fleet__Join *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__join__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__join__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Join *
-       fleet__join__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__join__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Join *)
-     protobuf_c_message_unpack (&fleet__join__descriptor,
-                                allocator, len, data);
+	return (Fleet__Join *)protobuf_c_message_unpack(
+	    &fleet__join__descriptor, allocator, len, data);
 }
-void   fleet__join__free_unpacked
-                     (Fleet__Join *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__join__free_unpacked(Fleet__Join *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__join__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__join__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__removed__init
-                     (Fleet__Removed         *message)
+void
+fleet__removed__init(Fleet__Removed *message)
 {
-  static const Fleet__Removed init_value = FLEET__REMOVED__INIT;
-  *message = init_value;
+	static const Fleet__Removed init_value = FLEET__REMOVED__INIT;
+	*message = init_value;
 }
-size_t fleet__removed__get_packed_size
-                     (const Fleet__Removed *message)
+size_t
+fleet__removed__get_packed_size(const Fleet__Removed *message)
 {
-  assert(message->base.descriptor == &fleet__removed__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__removed__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__removed__pack
-                     (const Fleet__Removed *message,
-                      uint8_t       *out)
+size_t
+fleet__removed__pack(const Fleet__Removed *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__removed__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__removed__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__removed__pack_to_buffer
-                     (const Fleet__Removed *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__removed__pack_to_buffer(
+    const Fleet__Removed *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__removed__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__removed__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Removed *
-       fleet__removed__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__removed__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Removed *)
-     protobuf_c_message_unpack (&fleet__removed__descriptor,
-                                allocator, len, data);
+	return (Fleet__Removed *)protobuf_c_message_unpack(
+	    &fleet__removed__descriptor, allocator, len, data);
 }
-void   fleet__removed__free_unpacked
-                     (Fleet__Removed *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__removed__free_unpacked(
+    Fleet__Removed *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__removed__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__removed__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__ping__init
-                     (Fleet__Ping         *message)
+void
+fleet__ping__init(Fleet__Ping *message)
 {
-  static const Fleet__Ping init_value = FLEET__PING__INIT;
-  *message = init_value;
+	static const Fleet__Ping init_value = FLEET__PING__INIT;
+	*message = init_value;
 }
-size_t fleet__ping__get_packed_size
-                     (const Fleet__Ping *message)
+size_t
+fleet__ping__get_packed_size(const Fleet__Ping *message)
 {
-  assert(message->base.descriptor == &fleet__ping__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__ping__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__ping__pack
-                     (const Fleet__Ping *message,
-                      uint8_t       *out)
+size_t
+fleet__ping__pack(const Fleet__Ping *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__ping__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__ping__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__ping__pack_to_buffer
-                     (const Fleet__Ping *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__ping__pack_to_buffer(const Fleet__Ping *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__ping__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__ping__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Ping *
-       fleet__ping__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__ping__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Ping *)
-     protobuf_c_message_unpack (&fleet__ping__descriptor,
-                                allocator, len, data);
+	return (Fleet__Ping *)protobuf_c_message_unpack(
+	    &fleet__ping__descriptor, allocator, len, data);
 }
-void   fleet__ping__free_unpacked
-                     (Fleet__Ping *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__ping__free_unpacked(Fleet__Ping *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__ping__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__ping__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__synced__init
-                     (Fleet__Synced         *message)
+void
+fleet__synced__init(Fleet__Synced *message)
 {
-  static const Fleet__Synced init_value = FLEET__SYNCED__INIT;
-  *message = init_value;
+	static const Fleet__Synced init_value = FLEET__SYNCED__INIT;
+	*message = init_value;
 }
-size_t fleet__synced__get_packed_size
-                     (const Fleet__Synced *message)
+size_t
+fleet__synced__get_packed_size(const Fleet__Synced *message)
 {
-  assert(message->base.descriptor == &fleet__synced__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__synced__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__synced__pack
-                     (const Fleet__Synced *message,
-                      uint8_t       *out)
+size_t
+fleet__synced__pack(const Fleet__Synced *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__synced__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__synced__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__synced__pack_to_buffer
-                     (const Fleet__Synced *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__synced__pack_to_buffer(
+    const Fleet__Synced *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__synced__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__synced__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Synced *
-       fleet__synced__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__synced__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Synced *)
-     protobuf_c_message_unpack (&fleet__synced__descriptor,
-                                allocator, len, data);
+	return (Fleet__Synced *)protobuf_c_message_unpack(
+	    &fleet__synced__descriptor, allocator, len, data);
 }
-void   fleet__synced__free_unpacked
-                     (Fleet__Synced *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__synced__free_unpacked(
+    Fleet__Synced *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__synced__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__synced__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__fetch__init
-                     (Fleet__Fetch         *message)
+void
+fleet__fetch__init(Fleet__Fetch *message)
 {
-  static const Fleet__Fetch init_value = FLEET__FETCH__INIT;
-  *message = init_value;
+	static const Fleet__Fetch init_value = FLEET__FETCH__INIT;
+	*message = init_value;
 }
-size_t fleet__fetch__get_packed_size
-                     (const Fleet__Fetch *message)
+size_t
+fleet__fetch__get_packed_size(const Fleet__Fetch *message)
 {
-  assert(message->base.descriptor == &fleet__fetch__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__fetch__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__fetch__pack
-                     (const Fleet__Fetch *message,
-                      uint8_t       *out)
+size_t
+fleet__fetch__pack(const Fleet__Fetch *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__fetch__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__fetch__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__fetch__pack_to_buffer
-                     (const Fleet__Fetch *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__fetch__pack_to_buffer(
+    const Fleet__Fetch *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__fetch__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__fetch__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Fetch *
-       fleet__fetch__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__fetch__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Fetch *)
-     protobuf_c_message_unpack (&fleet__fetch__descriptor,
-                                allocator, len, data);
+	return (Fleet__Fetch *)protobuf_c_message_unpack(
+	    &fleet__fetch__descriptor, allocator, len, data);
 }
-void   fleet__fetch__free_unpacked
-                     (Fleet__Fetch *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__fetch__free_unpacked(
+    Fleet__Fetch *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__fetch__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__fetch__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__cache__init
-                     (Fleet__Cache         *message)
+void
+fleet__cache__init(Fleet__Cache *message)
 {
-  static const Fleet__Cache init_value = FLEET__CACHE__INIT;
-  *message = init_value;
+	static const Fleet__Cache init_value = FLEET__CACHE__INIT;
+	*message = init_value;
 }
-size_t fleet__cache__get_packed_size
-                     (const Fleet__Cache *message)
+size_t
+fleet__cache__get_packed_size(const Fleet__Cache *message)
 {
-  assert(message->base.descriptor == &fleet__cache__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__cache__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__cache__pack
-                     (const Fleet__Cache *message,
-                      uint8_t       *out)
+size_t
+fleet__cache__pack(const Fleet__Cache *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__cache__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__cache__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__cache__pack_to_buffer
-                     (const Fleet__Cache *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__cache__pack_to_buffer(
+    const Fleet__Cache *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__cache__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__cache__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Cache *
-       fleet__cache__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__cache__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Cache *)
-     protobuf_c_message_unpack (&fleet__cache__descriptor,
-                                allocator, len, data);
+	return (Fleet__Cache *)protobuf_c_message_unpack(
+	    &fleet__cache__descriptor, allocator, len, data);
 }
-void   fleet__cache__free_unpacked
-                     (Fleet__Cache *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__cache__free_unpacked(
+    Fleet__Cache *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__cache__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__cache__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__frame__init
-                     (Fleet__Frame         *message)
+void
+fleet__frame__init(Fleet__Frame *message)
 {
-  static const Fleet__Frame init_value = FLEET__FRAME__INIT;
-  *message = init_value;
+	static const Fleet__Frame init_value = FLEET__FRAME__INIT;
+	*message = init_value;
 }
-size_t fleet__frame__get_packed_size
-                     (const Fleet__Frame *message)
+size_t
+fleet__frame__get_packed_size(const Fleet__Frame *message)
 {
-  assert(message->base.descriptor == &fleet__frame__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__frame__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__frame__pack
-                     (const Fleet__Frame *message,
-                      uint8_t       *out)
+size_t
+fleet__frame__pack(const Fleet__Frame *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__frame__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__frame__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__frame__pack_to_buffer
-                     (const Fleet__Frame *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__frame__pack_to_buffer(
+    const Fleet__Frame *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__frame__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__frame__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Frame *
-       fleet__frame__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__frame__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Frame *)
-     protobuf_c_message_unpack (&fleet__frame__descriptor,
-                                allocator, len, data);
+	return (Fleet__Frame *)protobuf_c_message_unpack(
+	    &fleet__frame__descriptor, allocator, len, data);
 }
-void   fleet__frame__free_unpacked
-                     (Fleet__Frame *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__frame__free_unpacked(
+    Fleet__Frame *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__frame__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__frame__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__state__init
-                     (Fleet__State         *message)
+void
+fleet__state__init(Fleet__State *message)
 {
-  static const Fleet__State init_value = FLEET__STATE__INIT;
-  *message = init_value;
+	static const Fleet__State init_value = FLEET__STATE__INIT;
+	*message = init_value;
 }
-size_t fleet__state__get_packed_size
-                     (const Fleet__State *message)
+size_t
+fleet__state__get_packed_size(const Fleet__State *message)
 {
-  assert(message->base.descriptor == &fleet__state__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__state__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__state__pack
-                     (const Fleet__State *message,
-                      uint8_t       *out)
+size_t
+fleet__state__pack(const Fleet__State *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__state__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__state__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__state__pack_to_buffer
-                     (const Fleet__State *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__state__pack_to_buffer(
+    const Fleet__State *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__state__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__state__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__State *
-       fleet__state__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__state__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__State *)
-     protobuf_c_message_unpack (&fleet__state__descriptor,
-                                allocator, len, data);
+	return (Fleet__State *)protobuf_c_message_unpack(
+	    &fleet__state__descriptor, allocator, len, data);
 }
-void   fleet__state__free_unpacked
-                     (Fleet__State *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__state__free_unpacked(
+    Fleet__State *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__state__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__state__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__ask__init
-                     (Fleet__Ask         *message)
+void
+fleet__ask__init(Fleet__Ask *message)
 {
-  static const Fleet__Ask init_value = FLEET__ASK__INIT;
-  *message = init_value;
+	static const Fleet__Ask init_value = FLEET__ASK__INIT;
+	*message = init_value;
 }
-size_t fleet__ask__get_packed_size
-                     (const Fleet__Ask *message)
+size_t
+fleet__ask__get_packed_size(const Fleet__Ask *message)
 {
-  assert(message->base.descriptor == &fleet__ask__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__ask__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__ask__pack
-                     (const Fleet__Ask *message,
-                      uint8_t       *out)
+size_t
+fleet__ask__pack(const Fleet__Ask *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__ask__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__ask__pack_to_buffer
-                     (const Fleet__Ask *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__ask__pack_to_buffer(const Fleet__Ask *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__ask__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Ask *
-       fleet__ask__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__ask__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Ask *)
-     protobuf_c_message_unpack (&fleet__ask__descriptor,
-                                allocator, len, data);
+	return (Fleet__Ask *)protobuf_c_message_unpack(
+	    &fleet__ask__descriptor, allocator, len, data);
 }
-void   fleet__ask__free_unpacked
-                     (Fleet__Ask *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__ask__free_unpacked(Fleet__Ask *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__ask__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__grant__init
-                     (Fleet__Grant         *message)
+void
+fleet__grant__init(Fleet__Grant *message)
 {
-  static const Fleet__Grant init_value = FLEET__GRANT__INIT;
-  *message = init_value;
+	static const Fleet__Grant init_value = FLEET__GRANT__INIT;
+	*message = init_value;
 }
-size_t fleet__grant__get_packed_size
-                     (const Fleet__Grant *message)
+size_t
+fleet__grant__get_packed_size(const Fleet__Grant *message)
 {
-  assert(message->base.descriptor == &fleet__grant__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__grant__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__grant__pack
-                     (const Fleet__Grant *message,
-                      uint8_t       *out)
+size_t
+fleet__grant__pack(const Fleet__Grant *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__grant__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__grant__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__grant__pack_to_buffer
-                     (const Fleet__Grant *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__grant__pack_to_buffer(
+    const Fleet__Grant *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__grant__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__grant__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Grant *
-       fleet__grant__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__grant__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Grant *)
-     protobuf_c_message_unpack (&fleet__grant__descriptor,
-                                allocator, len, data);
+	return (Fleet__Grant *)protobuf_c_message_unpack(
+	    &fleet__grant__descriptor, allocator, len, data);
 }
-void   fleet__grant__free_unpacked
-                     (Fleet__Grant *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__grant__free_unpacked(
+    Fleet__Grant *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__grant__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__grant__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__reject__init
-                     (Fleet__Reject         *message)
+void
+fleet__reject__init(Fleet__Reject *message)
 {
-  static const Fleet__Reject init_value = FLEET__REJECT__INIT;
-  *message = init_value;
+	static const Fleet__Reject init_value = FLEET__REJECT__INIT;
+	*message = init_value;
 }
-size_t fleet__reject__get_packed_size
-                     (const Fleet__Reject *message)
+size_t
+fleet__reject__get_packed_size(const Fleet__Reject *message)
 {
-  assert(message->base.descriptor == &fleet__reject__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__reject__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__reject__pack
-                     (const Fleet__Reject *message,
-                      uint8_t       *out)
+size_t
+fleet__reject__pack(const Fleet__Reject *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__reject__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__reject__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__reject__pack_to_buffer
-                     (const Fleet__Reject *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__reject__pack_to_buffer(
+    const Fleet__Reject *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__reject__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__reject__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Reject *
-       fleet__reject__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__reject__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Reject *)
-     protobuf_c_message_unpack (&fleet__reject__descriptor,
-                                allocator, len, data);
+	return (Fleet__Reject *)protobuf_c_message_unpack(
+	    &fleet__reject__descriptor, allocator, len, data);
 }
-void   fleet__reject__free_unpacked
-                     (Fleet__Reject *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__reject__free_unpacked(
+    Fleet__Reject *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__reject__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__reject__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__held__init
-                     (Fleet__Held         *message)
+void
+fleet__held__init(Fleet__Held *message)
 {
-  static const Fleet__Held init_value = FLEET__HELD__INIT;
-  *message = init_value;
+	static const Fleet__Held init_value = FLEET__HELD__INIT;
+	*message = init_value;
 }
-size_t fleet__held__get_packed_size
-                     (const Fleet__Held *message)
+size_t
+fleet__held__get_packed_size(const Fleet__Held *message)
 {
-  assert(message->base.descriptor == &fleet__held__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__held__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__held__pack
-                     (const Fleet__Held *message,
-                      uint8_t       *out)
+size_t
+fleet__held__pack(const Fleet__Held *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__held__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__held__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__held__pack_to_buffer
-                     (const Fleet__Held *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__held__pack_to_buffer(const Fleet__Held *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__held__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__held__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Held *
-       fleet__held__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__held__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Held *)
-     protobuf_c_message_unpack (&fleet__held__descriptor,
-                                allocator, len, data);
+	return (Fleet__Held *)protobuf_c_message_unpack(
+	    &fleet__held__descriptor, allocator, len, data);
 }
-void   fleet__held__free_unpacked
-                     (Fleet__Held *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__held__free_unpacked(Fleet__Held *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__held__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__held__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__cancel__init
-                     (Fleet__Cancel         *message)
+void
+fleet__cancel__init(Fleet__Cancel *message)
 {
-  static const Fleet__Cancel init_value = FLEET__CANCEL__INIT;
-  *message = init_value;
+	static const Fleet__Cancel init_value = FLEET__CANCEL__INIT;
+	*message = init_value;
 }
-size_t fleet__cancel__get_packed_size
-                     (const Fleet__Cancel *message)
+size_t
+fleet__cancel__get_packed_size(const Fleet__Cancel *message)
 {
-  assert(message->base.descriptor == &fleet__cancel__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__cancel__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__cancel__pack
-                     (const Fleet__Cancel *message,
-                      uint8_t       *out)
+size_t
+fleet__cancel__pack(const Fleet__Cancel *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__cancel__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__cancel__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__cancel__pack_to_buffer
-                     (const Fleet__Cancel *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__cancel__pack_to_buffer(
+    const Fleet__Cancel *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__cancel__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__cancel__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Cancel *
-       fleet__cancel__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__cancel__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Cancel *)
-     protobuf_c_message_unpack (&fleet__cancel__descriptor,
-                                allocator, len, data);
+	return (Fleet__Cancel *)protobuf_c_message_unpack(
+	    &fleet__cancel__descriptor, allocator, len, data);
 }
-void   fleet__cancel__free_unpacked
-                     (Fleet__Cancel *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__cancel__free_unpacked(
+    Fleet__Cancel *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__cancel__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__cancel__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__done__init
-                     (Fleet__Done         *message)
+void
+fleet__done__init(Fleet__Done *message)
 {
-  static const Fleet__Done init_value = FLEET__DONE__INIT;
-  *message = init_value;
+	static const Fleet__Done init_value = FLEET__DONE__INIT;
+	*message = init_value;
 }
-size_t fleet__done__get_packed_size
-                     (const Fleet__Done *message)
+size_t
+fleet__done__get_packed_size(const Fleet__Done *message)
 {
-  assert(message->base.descriptor == &fleet__done__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__done__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__done__pack
-                     (const Fleet__Done *message,
-                      uint8_t       *out)
+size_t
+fleet__done__pack(const Fleet__Done *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__done__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__done__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__done__pack_to_buffer
-                     (const Fleet__Done *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__done__pack_to_buffer(const Fleet__Done *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__done__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__done__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Done *
-       fleet__done__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__done__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Done *)
-     protobuf_c_message_unpack (&fleet__done__descriptor,
-                                allocator, len, data);
+	return (Fleet__Done *)protobuf_c_message_unpack(
+	    &fleet__done__descriptor, allocator, len, data);
 }
-void   fleet__done__free_unpacked
-                     (Fleet__Done *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__done__free_unpacked(Fleet__Done *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__done__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__done__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__sign__init
-                     (Fleet__Sign         *message)
+void
+fleet__sign__init(Fleet__Sign *message)
 {
-  static const Fleet__Sign init_value = FLEET__SIGN__INIT;
-  *message = init_value;
+	static const Fleet__Sign init_value = FLEET__SIGN__INIT;
+	*message = init_value;
 }
-size_t fleet__sign__get_packed_size
-                     (const Fleet__Sign *message)
+size_t
+fleet__sign__get_packed_size(const Fleet__Sign *message)
 {
-  assert(message->base.descriptor == &fleet__sign__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__sign__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__sign__pack
-                     (const Fleet__Sign *message,
-                      uint8_t       *out)
+size_t
+fleet__sign__pack(const Fleet__Sign *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__sign__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__sign__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__sign__pack_to_buffer
-                     (const Fleet__Sign *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__sign__pack_to_buffer(const Fleet__Sign *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__sign__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__sign__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Sign *
-       fleet__sign__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+fleet__sign__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Fleet__Sign *)
-     protobuf_c_message_unpack (&fleet__sign__descriptor,
-                                allocator, len, data);
+	return (Fleet__Sign *)protobuf_c_message_unpack(
+	    &fleet__sign__descriptor, allocator, len, data);
 }
-void   fleet__sign__free_unpacked
-                     (Fleet__Sign *message,
-                      ProtobufCAllocator *allocator)
+void
+fleet__sign__free_unpacked(Fleet__Sign *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__sign__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__sign__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   fleet__datagram__init
-                     (Fleet__Datagram         *message)
+void
+fleet__datagram__init(Fleet__Datagram *message)
 {
-  static const Fleet__Datagram init_value = FLEET__DATAGRAM__INIT;
-  *message = init_value;
+	static const Fleet__Datagram init_value = FLEET__DATAGRAM__INIT;
+	*message = init_value;
 }
-size_t fleet__datagram__get_packed_size
-                     (const Fleet__Datagram *message)
+size_t
+fleet__datagram__get_packed_size(const Fleet__Datagram *message)
 {
-  assert(message->base.descriptor == &fleet__datagram__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &fleet__datagram__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t fleet__datagram__pack
-                     (const Fleet__Datagram *message,
-                      uint8_t       *out)
+size_t
+fleet__datagram__pack(const Fleet__Datagram *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &fleet__datagram__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &fleet__datagram__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t fleet__datagram__pack_to_buffer
-                     (const Fleet__Datagram *message,
-                      ProtobufCBuffer *buffer)
+size_t
+fleet__datagram__pack_to_buffer(
+    const Fleet__Datagram *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &fleet__datagram__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &fleet__datagram__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Fleet__Datagram *
-       fleet__datagram__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Fleet__Datagram *)
-     protobuf_c_message_unpack (&fleet__datagram__descriptor,
-                                allocator, len, data);
-}
-void   fleet__datagram__free_unpacked
-                     (Fleet__Datagram *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &fleet__datagram__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor fleet__hello__field_descriptors[11] =
-{
-  {
-    "is_control",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, is_control),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "instance",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, instance),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "failure_domain",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, failure_domain),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "caller_address",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, caller_address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "datagram_address",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, datagram_address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "link_address",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, link_address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "replica",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, replica),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ready",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, ready),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "processor_millis",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, processor_millis),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "started_ms",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, started_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wants_all",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Hello, wants_all),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+fleet__datagram__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Fleet__Datagram *)protobuf_c_message_unpack(
+	    &fleet__datagram__descriptor, allocator, len, data);
+}
+void
+fleet__datagram__free_unpacked(
+    Fleet__Datagram *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__datagram__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+static const ProtobufCFieldDescriptor fleet__hello__field_descriptors[11] = {
+    {
+	"is_control", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, is_control), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"instance", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, instance), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"failure_domain", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, failure_domain), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"caller_address", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, caller_address), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"datagram_address", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, datagram_address), NULL,
+	&protobuf_c_empty_string, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"link_address", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, link_address), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"replica", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, replica), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"ready", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, ready), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"processor_millis", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, processor_millis), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"started_ms", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, started_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"wants_all", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, wants_all), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__hello__field_indices_by_name[] = {
-  3,   /* field[3] = caller_address */
-  4,   /* field[4] = datagram_address */
-  2,   /* field[2] = failure_domain */
-  1,   /* field[1] = instance */
-  0,   /* field[0] = is_control */
-  5,   /* field[5] = link_address */
-  8,   /* field[8] = processor_millis */
-  7,   /* field[7] = ready */
-  6,   /* field[6] = replica */
-  9,   /* field[9] = started_ms */
-  10,   /* field[10] = wants_all */
-};
-static const ProtobufCIntRange fleet__hello__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 11 }
-};
-const ProtobufCMessageDescriptor fleet__hello__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Hello",
-  "Hello",
-  "Fleet__Hello",
-  "fleet",
-  sizeof(Fleet__Hello),
-  11,
-  fleet__hello__field_descriptors,
-  fleet__hello__field_indices_by_name,
-  1,  fleet__hello__number_ranges,
-  (ProtobufCMessageInit) fleet__hello__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__announcement__field_descriptors[9] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Announcement, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Announcement, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Announcement, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "failure_domain",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Announcement, failure_domain),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "started_ms",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Announcement, started_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sequence",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Announcement, sequence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slots",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Announcement, slots),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "warmup_left_ms",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Announcement, warmup_left_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leaving",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Announcement, leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    3, /* field[3] = caller_address */
+    4, /* field[4] = datagram_address */
+    2, /* field[2] = failure_domain */
+    1, /* field[1] = instance */
+    0, /* field[0] = is_control */
+    5, /* field[5] = link_address */
+    8, /* field[8] = processor_millis */
+    7, /* field[7] = ready */
+    6, /* field[6] = replica */
+    9, /* field[9] = started_ms */
+    10, /* field[10] = wants_all */
+};
+static const ProtobufCIntRange fleet__hello__number_ranges[1 + 1] = {
+    {1, 0}, {0, 11}};
+const ProtobufCMessageDescriptor fleet__hello__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Hello", "Hello",
+    "Fleet__Hello", "fleet", sizeof(Fleet__Hello), 11,
+    fleet__hello__field_descriptors, fleet__hello__field_indices_by_name, 1,
+    fleet__hello__number_ranges, (ProtobufCMessageInit)fleet__hello__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    fleet__announcement__field_descriptors[9] = {
+	{
+	    "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Announcement, id), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Announcement, service), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "address", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Announcement, address), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "failure_domain", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Announcement, failure_domain), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "started_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Announcement, started_ms), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "sequence", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Announcement, sequence), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "slots", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Announcement, slots), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "warm_in_ms", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Announcement, warm_in_ms), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "leaving", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Announcement, leaving), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned fleet__announcement__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  3,   /* field[3] = failure_domain */
-  0,   /* field[0] = id */
-  8,   /* field[8] = leaving */
-  5,   /* field[5] = sequence */
-  1,   /* field[1] = service */
-  6,   /* field[6] = slots */
-  4,   /* field[4] = started_ms */
-  7,   /* field[7] = warmup_left_ms */
-};
-static const ProtobufCIntRange fleet__announcement__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 9 }
-};
-const ProtobufCMessageDescriptor fleet__announcement__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Announcement",
-  "Announcement",
-  "Fleet__Announcement",
-  "fleet",
-  sizeof(Fleet__Announcement),
-  9,
-  fleet__announcement__field_descriptors,
-  fleet__announcement__field_indices_by_name,
-  1,  fleet__announcement__number_ranges,
-  (ProtobufCMessageInit) fleet__announcement__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__departure__field_descriptors[3] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Departure, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "started_ms",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Departure, started_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "recorded_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Departure, recorded_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    2, /* field[2] = address */
+    3, /* field[3] = failure_domain */
+    0, /* field[0] = id */
+    8, /* field[8] = leaving */
+    5, /* field[5] = sequence */
+    1, /* field[1] = service */
+    6, /* field[6] = slots */
+    4, /* field[4] = started_ms */
+    7, /* field[7] = warm_in_ms */
+};
+static const ProtobufCIntRange fleet__announcement__number_ranges[1 + 1] = {
+    {1, 0}, {0, 9}};
+const ProtobufCMessageDescriptor fleet__announcement__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Announcement", "Announcement",
+    "Fleet__Announcement", "fleet", sizeof(Fleet__Announcement), 9,
+    fleet__announcement__field_descriptors,
+    fleet__announcement__field_indices_by_name, 1,
+    fleet__announcement__number_ranges,
+    (ProtobufCMessageInit)fleet__announcement__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__departure__field_descriptors[3] = {
+    {
+	"id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Departure, id), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"started_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Departure, started_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"recorded_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Departure, recorded_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__departure__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  2,   /* field[2] = recorded_ms */
-  1,   /* field[1] = started_ms */
-};
-static const ProtobufCIntRange fleet__departure__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor fleet__departure__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Departure",
-  "Departure",
-  "Fleet__Departure",
-  "fleet",
-  sizeof(Fleet__Departure),
-  3,
-  fleet__departure__field_descriptors,
-  fleet__departure__field_indices_by_name,
-  1,  fleet__departure__number_ranges,
-  (ProtobufCMessageInit) fleet__departure__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__entry__field_descriptors[2] =
-{
-  {
-    "hello",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Entry, hello),
-    &fleet__hello__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "gone",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Entry, gone),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = id */
+    2, /* field[2] = recorded_ms */
+    1, /* field[1] = started_ms */
+};
+static const ProtobufCIntRange fleet__departure__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor fleet__departure__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Departure", "Departure",
+    "Fleet__Departure", "fleet", sizeof(Fleet__Departure), 3,
+    fleet__departure__field_descriptors,
+    fleet__departure__field_indices_by_name, 1, fleet__departure__number_ranges,
+    (ProtobufCMessageInit)fleet__departure__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__entry__field_descriptors[2] = {
+    {
+	"hello", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Entry, hello), &fleet__hello__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"gone", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Entry, gone), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__entry__field_indices_by_name[] = {
-  1,   /* field[1] = gone */
-  0,   /* field[0] = hello */
-};
-static const ProtobufCIntRange fleet__entry__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor fleet__entry__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Entry",
-  "Entry",
-  "Fleet__Entry",
-  "fleet",
-  sizeof(Fleet__Entry),
-  2,
-  fleet__entry__field_descriptors,
-  fleet__entry__field_indices_by_name,
-  1,  fleet__entry__number_ranges,
-  (ProtobufCMessageInit) fleet__entry__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__document__field_descriptors[3] =
-{
-  {
-    "index",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Document, index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "version",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Document, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "text",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Document, text),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = gone */
+    0, /* field[0] = hello */
+};
+static const ProtobufCIntRange fleet__entry__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor fleet__entry__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Entry", "Entry",
+    "Fleet__Entry", "fleet", sizeof(Fleet__Entry), 2,
+    fleet__entry__field_descriptors, fleet__entry__field_indices_by_name, 1,
+    fleet__entry__number_ranges, (ProtobufCMessageInit)fleet__entry__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__document__field_descriptors[3] = {
+    {
+	"index", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Document, index), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Document, version), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"text", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Document, text), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__document__field_indices_by_name[] = {
-  0,   /* field[0] = index */
-  2,   /* field[2] = text */
-  1,   /* field[1] = version */
-};
-static const ProtobufCIntRange fleet__document__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor fleet__document__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Document",
-  "Document",
-  "Fleet__Document",
-  "fleet",
-  sizeof(Fleet__Document),
-  3,
-  fleet__document__field_descriptors,
-  fleet__document__field_indices_by_name,
-  1,  fleet__document__number_ranges,
-  (ProtobufCMessageInit) fleet__document__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__members__field_descriptors[4] =
-{
-  {
-    "address",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Fleet__Members, n_address),
-    offsetof(Fleet__Members, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "voters",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Members, voters),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leader",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Members, leader),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leader_address",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Members, leader_address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = index */
+    2, /* field[2] = text */
+    1, /* field[1] = version */
+};
+static const ProtobufCIntRange fleet__document__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor fleet__document__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Document", "Document",
+    "Fleet__Document", "fleet", sizeof(Fleet__Document), 3,
+    fleet__document__field_descriptors, fleet__document__field_indices_by_name,
+    1, fleet__document__number_ranges,
+    (ProtobufCMessageInit)fleet__document__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__members__field_descriptors[4] = {
+    {
+	"address", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+	offsetof(Fleet__Members, n_address), offsetof(Fleet__Members, address),
+	NULL, &protobuf_c_empty_string, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"voters", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Members, voters), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"leader", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Members, leader), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"leader_address", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Members, leader_address), NULL,
+	&protobuf_c_empty_string, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__members__field_indices_by_name[] = {
-  0,   /* field[0] = address */
-  2,   /* field[2] = leader */
-  3,   /* field[3] = leader_address */
-  1,   /* field[1] = voters */
-};
-static const ProtobufCIntRange fleet__members__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor fleet__members__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Members",
-  "Members",
-  "Fleet__Members",
-  "fleet",
-  sizeof(Fleet__Members),
-  4,
-  fleet__members__field_descriptors,
-  fleet__members__field_indices_by_name,
-  1,  fleet__members__number_ranges,
-  (ProtobufCMessageInit) fleet__members__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__edit__field_descriptors[3] =
-{
-  {
-    "base_version",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Edit, base_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "version",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Edit, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "text",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Edit, text),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = address */
+    2, /* field[2] = leader */
+    3, /* field[3] = leader_address */
+    1, /* field[1] = voters */
+};
+static const ProtobufCIntRange fleet__members__number_ranges[1 + 1] = {
+    {1, 0}, {0, 4}};
+const ProtobufCMessageDescriptor fleet__members__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Members", "Members",
+    "Fleet__Members", "fleet", sizeof(Fleet__Members), 4,
+    fleet__members__field_descriptors, fleet__members__field_indices_by_name, 1,
+    fleet__members__number_ranges, (ProtobufCMessageInit)fleet__members__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__edit__field_descriptors[3] = {
+    {
+	"base_version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Edit, base_version), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Edit, version), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"text", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Edit, text), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__edit__field_indices_by_name[] = {
-  0,   /* field[0] = base_version */
-  2,   /* field[2] = text */
-  1,   /* field[1] = version */
-};
-static const ProtobufCIntRange fleet__edit__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor fleet__edit__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Edit",
-  "Edit",
-  "Fleet__Edit",
-  "fleet",
-  sizeof(Fleet__Edit),
-  3,
-  fleet__edit__field_descriptors,
-  fleet__edit__field_indices_by_name,
-  1,  fleet__edit__number_ranges,
-  (ProtobufCMessageInit) fleet__edit__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__command__field_descriptors[3] =
-{
-  {
-    "edit",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Command, body_case),
-    offsetof(Fleet__Command, edit),
-    &fleet__edit__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "departure",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Command, body_case),
-    offsetof(Fleet__Command, departure),
-    &fleet__departure__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "time_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Command, time_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = base_version */
+    2, /* field[2] = text */
+    1, /* field[1] = version */
+};
+static const ProtobufCIntRange fleet__edit__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor fleet__edit__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Edit", "Edit", "Fleet__Edit",
+    "fleet", sizeof(Fleet__Edit), 3, fleet__edit__field_descriptors,
+    fleet__edit__field_indices_by_name, 1, fleet__edit__number_ranges,
+    (ProtobufCMessageInit)fleet__edit__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__command__field_descriptors[3] = {
+    {
+	"edit", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Command, body_case), offsetof(Fleet__Command, edit),
+	&fleet__edit__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"departure", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Command, body_case),
+	offsetof(Fleet__Command, departure), &fleet__departure__descriptor,
+	NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"time_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Command, time_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__command__field_indices_by_name[] = {
-  1,   /* field[1] = departure */
-  0,   /* field[0] = edit */
-  2,   /* field[2] = time_ms */
-};
-static const ProtobufCIntRange fleet__command__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor fleet__command__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Command",
-  "Command",
-  "Fleet__Command",
-  "fleet",
-  sizeof(Fleet__Command),
-  3,
-  fleet__command__field_descriptors,
-  fleet__command__field_indices_by_name,
-  1,  fleet__command__number_ranges,
-  (ProtobufCMessageInit) fleet__command__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__propose__field_descriptors[2] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Propose, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "command",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Propose, command),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = departure */
+    0, /* field[0] = edit */
+    2, /* field[2] = time_ms */
+};
+static const ProtobufCIntRange fleet__command__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor fleet__command__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Command", "Command",
+    "Fleet__Command", "fleet", sizeof(Fleet__Command), 3,
+    fleet__command__field_descriptors, fleet__command__field_indices_by_name, 1,
+    fleet__command__number_ranges, (ProtobufCMessageInit)fleet__command__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__propose__field_descriptors[2] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Propose, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"command", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Propose, command), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__propose__field_indices_by_name[] = {
-  1,   /* field[1] = command */
-  0,   /* field[0] = request */
-};
-static const ProtobufCIntRange fleet__propose__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor fleet__propose__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Propose",
-  "Propose",
-  "Fleet__Propose",
-  "fleet",
-  sizeof(Fleet__Propose),
-  2,
-  fleet__propose__field_descriptors,
-  fleet__propose__field_indices_by_name,
-  1,  fleet__propose__number_ranges,
-  (ProtobufCMessageInit) fleet__propose__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__result__field_descriptors[3] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Result, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "outcome",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Result, outcome),
-    &fleet__outcome__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "index",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Result, index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = command */
+    0, /* field[0] = request */
+};
+static const ProtobufCIntRange fleet__propose__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor fleet__propose__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Propose", "Propose",
+    "Fleet__Propose", "fleet", sizeof(Fleet__Propose), 2,
+    fleet__propose__field_descriptors, fleet__propose__field_indices_by_name, 1,
+    fleet__propose__number_ranges, (ProtobufCMessageInit)fleet__propose__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__result__field_descriptors[3] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Result, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"outcome", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Result, outcome), &fleet__outcome__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"index", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Result, index), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__result__field_indices_by_name[] = {
-  2,   /* field[2] = index */
-  1,   /* field[1] = outcome */
-  0,   /* field[0] = request */
-};
-static const ProtobufCIntRange fleet__result__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor fleet__result__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Result",
-  "Result",
-  "Fleet__Result",
-  "fleet",
-  sizeof(Fleet__Result),
-  3,
-  fleet__result__field_descriptors,
-  fleet__result__field_indices_by_name,
-  1,  fleet__result__number_ranges,
-  (ProtobufCMessageInit) fleet__result__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__read__field_descriptors[1] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
