-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Read, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    2, /* field[2] = index */
+    1, /* field[1] = outcome */
+    0, /* field[0] = request */
+};
+static const ProtobufCIntRange fleet__result__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor fleet__result__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Result", "Result",
+    "Fleet__Result", "fleet", sizeof(Fleet__Result), 3,
+    fleet__result__field_descriptors, fleet__result__field_indices_by_name, 1,
+    fleet__result__number_ranges, (ProtobufCMessageInit)fleet__result__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__read__field_descriptors[1] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Read, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__read__field_indices_by_name[] = {
-  0,   /* field[0] = request */
-};
-static const ProtobufCIntRange fleet__read__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor fleet__read__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Read",
-  "Read",
-  "Fleet__Read",
-  "fleet",
-  sizeof(Fleet__Read),
-  1,
-  fleet__read__field_descriptors,
-  fleet__read__field_indices_by_name,
-  1,  fleet__read__number_ranges,
-  (ProtobufCMessageInit) fleet__read__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__join__field_descriptors[2] =
-{
-  {
-    "replica",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Join, replica),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Join, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = request */
+};
+static const ProtobufCIntRange fleet__read__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor fleet__read__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Read", "Read", "Fleet__Read",
+    "fleet", sizeof(Fleet__Read), 1, fleet__read__field_descriptors,
+    fleet__read__field_indices_by_name, 1, fleet__read__number_ranges,
+    (ProtobufCMessageInit)fleet__read__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__join__field_descriptors[2] = {
+    {
+	"replica", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Join, replica), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"address", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Join, address), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__join__field_indices_by_name[] = {
-  1,   /* field[1] = address */
-  0,   /* field[0] = replica */
-};
-static const ProtobufCIntRange fleet__join__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor fleet__join__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Join",
-  "Join",
-  "Fleet__Join",
-  "fleet",
-  sizeof(Fleet__Join),
-  2,
-  fleet__join__field_descriptors,
-  fleet__join__field_indices_by_name,
-  1,  fleet__join__number_ranges,
-  (ProtobufCMessageInit) fleet__join__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__removed__field_descriptors[1] =
-{
-  {
-    "replica",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Removed, replica),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = address */
+    0, /* field[0] = replica */
+};
+static const ProtobufCIntRange fleet__join__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor fleet__join__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Join", "Join", "Fleet__Join",
+    "fleet", sizeof(Fleet__Join), 2, fleet__join__field_descriptors,
+    fleet__join__field_indices_by_name, 1, fleet__join__number_ranges,
+    (ProtobufCMessageInit)fleet__join__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__removed__field_descriptors[1] = {
+    {
+	"replica", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Removed, replica), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__removed__field_indices_by_name[] = {
-  0,   /* field[0] = replica */
+    0, /* field[0] = replica */
 };
-static const ProtobufCIntRange fleet__removed__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor fleet__removed__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Removed",
-  "Removed",
-  "Fleet__Removed",
-  "fleet",
-  sizeof(Fleet__Removed),
-  1,
-  fleet__removed__field_descriptors,
-  fleet__removed__field_indices_by_name,
-  1,  fleet__removed__number_ranges,
-  (ProtobufCMessageInit) fleet__removed__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange fleet__removed__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor fleet__removed__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Removed", "Removed",
+    "Fleet__Removed", "fleet", sizeof(Fleet__Removed), 1,
+    fleet__removed__field_descriptors, fleet__removed__field_indices_by_name, 1,
+    fleet__removed__number_ranges, (ProtobufCMessageInit)fleet__removed__init,
+    NULL, NULL, NULL /* reserved[123] */
 };
 #define fleet__ping__field_descriptors NULL
 #define fleet__ping__field_indices_by_name NULL
 #define fleet__ping__number_ranges NULL
-const ProtobufCMessageDescriptor fleet__ping__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Ping",
-  "Ping",
-  "Fleet__Ping",
-  "fleet",
-  sizeof(Fleet__Ping),
-  0,
-  fleet__ping__field_descriptors,
-  fleet__ping__field_indices_by_name,
-  0,  fleet__ping__number_ranges,
-  (ProtobufCMessageInit) fleet__ping__init,
-  NULL,NULL,NULL    /* reserved[123] */
+const ProtobufCMessageDescriptor fleet__ping__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Ping", "Ping", "Fleet__Ping",
+    "fleet", sizeof(Fleet__Ping), 0, fleet__ping__field_descriptors,
+    fleet__ping__field_indices_by_name, 0, fleet__ping__number_ranges,
+    (ProtobufCMessageInit)fleet__ping__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
 #define fleet__synced__field_descriptors NULL
 #define fleet__synced__field_indices_by_name NULL
 #define fleet__synced__number_ranges NULL
-const ProtobufCMessageDescriptor fleet__synced__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Synced",
-  "Synced",
-  "Fleet__Synced",
-  "fleet",
-  sizeof(Fleet__Synced),
-  0,
-  fleet__synced__field_descriptors,
-  fleet__synced__field_indices_by_name,
-  0,  fleet__synced__number_ranges,
-  (ProtobufCMessageInit) fleet__synced__init,
-  NULL,NULL,NULL    /* reserved[123] */
+const ProtobufCMessageDescriptor fleet__synced__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Synced", "Synced",
+    "Fleet__Synced", "fleet", sizeof(Fleet__Synced), 0,
+    fleet__synced__field_descriptors, fleet__synced__field_indices_by_name, 0,
+    fleet__synced__number_ranges, (ProtobufCMessageInit)fleet__synced__init,
+    NULL, NULL, NULL /* reserved[123] */
 };
 #define fleet__fetch__field_descriptors NULL
 #define fleet__fetch__field_indices_by_name NULL
 #define fleet__fetch__number_ranges NULL
-const ProtobufCMessageDescriptor fleet__fetch__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Fetch",
-  "Fetch",
-  "Fleet__Fetch",
-  "fleet",
-  sizeof(Fleet__Fetch),
-  0,
-  fleet__fetch__field_descriptors,
-  fleet__fetch__field_indices_by_name,
-  0,  fleet__fetch__number_ranges,
-  (ProtobufCMessageInit) fleet__fetch__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__cache__field_descriptors[2] =
-{
-  {
-    "document",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Cache, document),
-    &fleet__document__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "announcement",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Cache, n_announcement),
-    offsetof(Fleet__Cache, announcement),
-    &fleet__announcement__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+const ProtobufCMessageDescriptor fleet__fetch__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Fetch", "Fetch",
+    "Fleet__Fetch", "fleet", sizeof(Fleet__Fetch), 0,
+    fleet__fetch__field_descriptors, fleet__fetch__field_indices_by_name, 0,
+    fleet__fetch__number_ranges, (ProtobufCMessageInit)fleet__fetch__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__cache__field_descriptors[2] = {
+    {
+	"document", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Cache, document), &fleet__document__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"announcement", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Cache, n_announcement),
+	offsetof(Fleet__Cache, announcement), &fleet__announcement__descriptor,
+	NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__cache__field_indices_by_name[] = {
-  1,   /* field[1] = announcement */
-  0,   /* field[0] = document */
-};
-static const ProtobufCIntRange fleet__cache__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor fleet__cache__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Cache",
-  "Cache",
-  "Fleet__Cache",
-  "fleet",
-  sizeof(Fleet__Cache),
-  2,
-  fleet__cache__field_descriptors,
-  fleet__cache__field_indices_by_name,
-  1,  fleet__cache__number_ranges,
-  (ProtobufCMessageInit) fleet__cache__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[15] =
-{
-  {
-    "ping",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, ping),
-    &fleet__ping__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "hello",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, hello),
-    &fleet__hello__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "replica",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, replica),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "propose",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, propose),
-    &fleet__propose__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "result",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, result),
-    &fleet__result__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "read",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, read),
-    &fleet__read__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "document",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, document),
-    &fleet__document__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "announcement",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, announcement),
-    &fleet__announcement__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "departure",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, departure),
-    &fleet__departure__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "entry",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, entry),
-    &fleet__entry__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "members",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, members),
-    &fleet__members__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "join",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, join),
-    &fleet__join__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "removed",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, removed),
-    &fleet__removed__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "synced",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, synced),
-    &fleet__synced__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fetch",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Frame, body_case),
-    offsetof(Fleet__Frame, fetch),
-    &fleet__fetch__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = announcement */
+    0, /* field[0] = document */
+};
+static const ProtobufCIntRange fleet__cache__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor fleet__cache__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Cache", "Cache",
+    "Fleet__Cache", "fleet", sizeof(Fleet__Cache), 2,
+    fleet__cache__field_descriptors, fleet__cache__field_indices_by_name, 1,
+    fleet__cache__number_ranges, (ProtobufCMessageInit)fleet__cache__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[15] = {
+    {
+	"ping", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, ping),
+	&fleet__ping__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"hello", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, hello),
+	&fleet__hello__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"replica", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, replica),
+	NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"propose", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, propose),
+	&fleet__propose__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"result", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, result),
+	&fleet__result__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"read", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, read),
+	&fleet__read__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"document", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, document),
+	&fleet__document__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"announcement", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, announcement),
+	&fleet__announcement__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"departure", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, departure),
+	&fleet__departure__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"entry", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, entry),
+	&fleet__entry__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"members", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, members),
+	&fleet__members__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"join", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, join),
+	&fleet__join__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"removed", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, removed),
+	&fleet__removed__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"synced", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, synced),
+	&fleet__synced__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"fetch", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, fetch),
+	&fleet__fetch__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__frame__field_indices_by_name[] = {
-  7,   /* field[7] = announcement */
-  8,   /* field[8] = departure */
-  6,   /* field[6] = document */
-  9,   /* field[9] = entry */
-  14,   /* field[14] = fetch */
-  1,   /* field[1] = hello */
-  11,   /* field[11] = join */
-  10,   /* field[10] = members */
-  0,   /* field[0] = ping */
-  3,   /* field[3] = propose */
-  5,   /* field[5] = read */
-  12,   /* field[12] = removed */
-  2,   /* field[2] = replica */
-  4,   /* field[4] = result */
-  13,   /* field[13] = synced */
-};
-static const ProtobufCIntRange fleet__frame__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 15 }
-};
-const ProtobufCMessageDescriptor fleet__frame__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Frame",
-  "Frame",
-  "Fleet__Frame",
-  "fleet",
-  sizeof(Fleet__Frame),
-  15,
-  fleet__frame__field_descriptors,
-  fleet__frame__field_indices_by_name,
-  1,  fleet__frame__number_ranges,
-  (ProtobufCMessageInit) fleet__frame__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__state__field_descriptors[3] =
-{
-  {
-    "document",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__State, document),
-    &fleet__document__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "accepted",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Fleet__State, n_accepted),
-    offsetof(Fleet__State, accepted),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "departure",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__State, n_departure),
-    offsetof(Fleet__State, departure),
-    &fleet__departure__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    7, /* field[7] = announcement */
+    8, /* field[8] = departure */
+    6, /* field[6] = document */
+    9, /* field[9] = entry */
+    14, /* field[14] = fetch */
+    1, /* field[1] = hello */
+    11, /* field[11] = join */
+    10, /* field[10] = members */
+    0, /* field[0] = ping */
+    3, /* field[3] = propose */
+    5, /* field[5] = read */
+    12, /* field[12] = removed */
+    2, /* field[2] = replica */
+    4, /* field[4] = result */
+    13, /* field[13] = synced */
+};
+static const ProtobufCIntRange fleet__frame__number_ranges[1 + 1] = {
+    {1, 0}, {0, 15}};
+const ProtobufCMessageDescriptor fleet__frame__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Frame", "Frame",
+    "Fleet__Frame", "fleet", sizeof(Fleet__Frame), 15,
+    fleet__frame__field_descriptors, fleet__frame__field_indices_by_name, 1,
+    fleet__frame__number_ranges, (ProtobufCMessageInit)fleet__frame__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__state__field_descriptors[3] = {
+    {
+	"document", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	0, /* quantifier_offset */
+	offsetof(Fleet__State, document), &fleet__document__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"accepted", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
+	offsetof(Fleet__State, n_accepted), offsetof(Fleet__State, accepted),
+	NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"departure", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__State, n_departure), offsetof(Fleet__State, departure),
+	&fleet__departure__descriptor, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__state__field_indices_by_name[] = {
-  1,   /* field[1] = accepted */
-  2,   /* field[2] = departure */
-  0,   /* field[0] = document */
-};
-static const ProtobufCIntRange fleet__state__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor fleet__state__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.State",
-  "State",
-  "Fleet__State",
-  "fleet",
-  sizeof(Fleet__State),
-  3,
-  fleet__state__field_descriptors,
-  fleet__state__field_indices_by_name,
-  1,  fleet__state__number_ranges,
-  (ProtobufCMessageInit) fleet__state__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__ask__field_descriptors[12] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "route",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, route),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rank",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, rank),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "objective_left_ms",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, objective_left_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "deadline_left_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, deadline_left_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "failure_domain",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, failure_domain),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "large",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, large),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "repeat",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, repeat),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "excluded",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Fleet__Ask, n_excluded),
-    offsetof(Fleet__Ask, excluded),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "idempotent",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, idempotent),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sends_left",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Ask, sends_left),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = accepted */
+    2, /* field[2] = departure */
+    0, /* field[0] = document */
+};
+static const ProtobufCIntRange fleet__state__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor fleet__state__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.State", "State",
+    "Fleet__State", "fleet", sizeof(Fleet__State), 3,
+    fleet__state__field_descriptors, fleet__state__field_indices_by_name, 1,
+    fleet__state__number_ranges, (ProtobufCMessageInit)fleet__state__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__ask__field_descriptors[12] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, service), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"route", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, route), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"rank", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, rank), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"objective_left_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, objective_left_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"deadline_left_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, deadline_left_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"failure_domain", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, failure_domain), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"large", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, large), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"repeat", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, repeat), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"excluded", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
+	offsetof(Fleet__Ask, n_excluded), offsetof(Fleet__Ask, excluded), NULL,
+	NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"idempotent", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, idempotent), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"sends_left", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, sends_left), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__ask__field_indices_by_name[] = {
-  5,   /* field[5] = deadline_left_ms */
-  9,   /* field[9] = excluded */
-  6,   /* field[6] = failure_domain */
-  10,   /* field[10] = idempotent */
-  7,   /* field[7] = large */
-  4,   /* field[4] = objective_left_ms */
-  3,   /* field[3] = rank */
-  8,   /* field[8] = repeat */
-  0,   /* field[0] = request */
-  2,   /* field[2] = route */
-  11,   /* field[11] = sends_left */
-  1,   /* field[1] = service */
-};
-static const ProtobufCIntRange fleet__ask__number_ranges[2 + 1] =
-{
-  { 1, 0 },
-  { 11, 9 },
-  { 0, 12 }
-};
-const ProtobufCMessageDescriptor fleet__ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Ask",
-  "Ask",
-  "Fleet__Ask",
-  "fleet",
-  sizeof(Fleet__Ask),
-  12,
-  fleet__ask__field_descriptors,
-  fleet__ask__field_indices_by_name,
-  2,  fleet__ask__number_ranges,
-  (ProtobufCMessageInit) fleet__ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__grant__field_descriptors[4] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Grant, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Grant, target),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "expected_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Grant, expected_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "recheck_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Grant, recheck_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    5, /* field[5] = deadline_left_ms */
+    9, /* field[9] = excluded */
+    6, /* field[6] = failure_domain */
+    10, /* field[10] = idempotent */
+    7, /* field[7] = large */
+    4, /* field[4] = objective_left_ms */
+    3, /* field[3] = rank */
+    8, /* field[8] = repeat */
+    0, /* field[0] = request */
+    2, /* field[2] = route */
+    11, /* field[11] = sends_left */
+    1, /* field[1] = service */
+};
+static const ProtobufCIntRange fleet__ask__number_ranges[2 + 1] = {
+    {1, 0}, {11, 9}, {0, 12}};
+const ProtobufCMessageDescriptor fleet__ask__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Ask", "Ask", "Fleet__Ask",
+    "fleet", sizeof(Fleet__Ask), 12, fleet__ask__field_descriptors,
+    fleet__ask__field_indices_by_name, 2, fleet__ask__number_ranges,
+    (ProtobufCMessageInit)fleet__ask__init, NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__grant__field_descriptors[4] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Grant, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Grant, target), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"expected_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Grant, expected_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"recheck_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Grant, recheck_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__grant__field_indices_by_name[] = {
-  2,   /* field[2] = expected_ms */
-  3,   /* field[3] = recheck_ms */
-  0,   /* field[0] = request */
-  1,   /* field[1] = target */
-};
-static const ProtobufCIntRange fleet__grant__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor fleet__grant__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Grant",
-  "Grant",
-  "Fleet__Grant",
-  "fleet",
-  sizeof(Fleet__Grant),
-  4,
-  fleet__grant__field_descriptors,
-  fleet__grant__field_indices_by_name,
-  1,  fleet__grant__number_ranges,
-  (ProtobufCMessageInit) fleet__grant__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__reject__field_descriptors[3] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Reject, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "retry_after_ms",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Reject, retry_after_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reason",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Reject, reason),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    2, /* field[2] = expected_ms */
+    3, /* field[3] = recheck_ms */
+    0, /* field[0] = request */
+    1, /* field[1] = target */
+};
+static const ProtobufCIntRange fleet__grant__number_ranges[1 + 1] = {
+    {1, 0}, {0, 4}};
+const ProtobufCMessageDescriptor fleet__grant__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Grant", "Grant",
+    "Fleet__Grant", "fleet", sizeof(Fleet__Grant), 4,
+    fleet__grant__field_descriptors, fleet__grant__field_indices_by_name, 1,
+    fleet__grant__number_ranges, (ProtobufCMessageInit)fleet__grant__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__reject__field_descriptors[3] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Reject, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"retry_after_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Reject, retry_after_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"reason", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Reject, reason), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__reject__field_indices_by_name[] = {
-  2,   /* field[2] = reason */
-  0,   /* field[0] = request */
-  1,   /* field[1] = retry_after_ms */
-};
-static const ProtobufCIntRange fleet__reject__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor fleet__reject__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Reject",
-  "Reject",
-  "Fleet__Reject",
-  "fleet",
-  sizeof(Fleet__Reject),
-  3,
-  fleet__reject__field_descriptors,
-  fleet__reject__field_indices_by_name,
-  1,  fleet__reject__number_ranges,
-  (ProtobufCMessageInit) fleet__reject__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__held__field_descriptors[1] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Held, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    2, /* field[2] = reason */
+    0, /* field[0] = request */
+    1, /* field[1] = retry_after_ms */
+};
+static const ProtobufCIntRange fleet__reject__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor fleet__reject__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Reject", "Reject",
+    "Fleet__Reject", "fleet", sizeof(Fleet__Reject), 3,
+    fleet__reject__field_descriptors, fleet__reject__field_indices_by_name, 1,
+    fleet__reject__number_ranges, (ProtobufCMessageInit)fleet__reject__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__held__field_descriptors[1] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Held, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__held__field_indices_by_name[] = {
-  0,   /* field[0] = request */
-};
-static const ProtobufCIntRange fleet__held__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor fleet__held__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Held",
-  "Held",
-  "Fleet__Held",
-  "fleet",
-  sizeof(Fleet__Held),
-  1,
-  fleet__held__field_descriptors,
-  fleet__held__field_indices_by_name,
-  1,  fleet__held__number_ranges,
-  (ProtobufCMessageInit) fleet__held__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__cancel__field_descriptors[1] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Cancel, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = request */
+};
+static const ProtobufCIntRange fleet__held__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor fleet__held__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Held", "Held", "Fleet__Held",
+    "fleet", sizeof(Fleet__Held), 1, fleet__held__field_descriptors,
+    fleet__held__field_indices_by_name, 1, fleet__held__number_ranges,
+    (ProtobufCMessageInit)fleet__held__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__cancel__field_descriptors[1] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Cancel, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__cancel__field_indices_by_name[] = {
-  0,   /* field[0] = request */
-};
-static const ProtobufCIntRange fleet__cancel__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor fleet__cancel__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Cancel",
-  "Cancel",
-  "Fleet__Cancel",
-  "fleet",
-  sizeof(Fleet__Cancel),
-  1,
-  fleet__cancel__field_descriptors,
-  fleet__cancel__field_indices_by_name,
-  1,  fleet__cancel__number_ranges,
-  (ProtobufCMessageInit) fleet__cancel__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__done__field_descriptors[11] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, target),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "route",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, route),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "outcome",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, outcome),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "took_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, took_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "has_load",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, has_load),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "running",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, running),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "waiting",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, waiting),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slots",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, slots),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slowness",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Done, slowness),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = request */
+};
+static const ProtobufCIntRange fleet__cancel__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor fleet__cancel__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Cancel", "Cancel",
+    "Fleet__Cancel", "fleet", sizeof(Fleet__Cancel), 1,
+    fleet__cancel__field_descriptors, fleet__cancel__field_indices_by_name, 1,
+    fleet__cancel__number_ranges, (ProtobufCMessageInit)fleet__cancel__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__done__field_descriptors[11] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, service), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"target", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, target), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"route", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, route), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"outcome", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, outcome), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"took_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, took_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"has_load", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, has_load), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"running", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, running), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"waiting", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, waiting), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"slots", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, slots), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"slowness", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, slowness), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__done__field_indices_by_name[] = {
-  6,   /* field[6] = has_load */
-  4,   /* field[4] = outcome */
-  0,   /* field[0] = request */
-  3,   /* field[3] = route */
-  7,   /* field[7] = running */
-  1,   /* field[1] = service */
-  9,   /* field[9] = slots */
-  10,   /* field[10] = slowness */
-  2,   /* field[2] = target */
-  5,   /* field[5] = took_ms */
-  8,   /* field[8] = waiting */
-};
-static const ProtobufCIntRange fleet__done__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 11 }
-};
-const ProtobufCMessageDescriptor fleet__done__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Done",
-  "Done",
-  "Fleet__Done",
-  "fleet",
-  sizeof(Fleet__Done),
-  11,
-  fleet__done__field_descriptors,
-  fleet__done__field_indices_by_name,
-  1,  fleet__done__number_ranges,
-  (ProtobufCMessageInit) fleet__done__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__sign__field_descriptors[2] =
-{
-  {
-    "address",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Sign, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reply",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Sign, reply),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    6, /* field[6] = has_load */
+    4, /* field[4] = outcome */
+    0, /* field[0] = request */
+    3, /* field[3] = route */
+    7, /* field[7] = running */
+    1, /* field[1] = service */
+    9, /* field[9] = slots */
+    10, /* field[10] = slowness */
+    2, /* field[2] = target */
+    5, /* field[5] = took_ms */
+    8, /* field[8] = waiting */
+};
+static const ProtobufCIntRange fleet__done__number_ranges[1 + 1] = {
+    {1, 0}, {0, 11}};
+const ProtobufCMessageDescriptor fleet__done__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Done", "Done", "Fleet__Done",
+    "fleet", sizeof(Fleet__Done), 11, fleet__done__field_descriptors,
+    fleet__done__field_indices_by_name, 1, fleet__done__number_ranges,
+    (ProtobufCMessageInit)fleet__done__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__sign__field_descriptors[2] = {
+    {
+	"address", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Sign, address), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"reply", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Sign, reply), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__sign__field_indices_by_name[] = {
-  0,   /* field[0] = address */
-  1,   /* field[1] = reply */
-};
-static const ProtobufCIntRange fleet__sign__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor fleet__sign__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Sign",
-  "Sign",
-  "Fleet__Sign",
-  "fleet",
-  sizeof(Fleet__Sign),
-  2,
-  fleet__sign__field_descriptors,
-  fleet__sign__field_indices_by_name,
-  1,  fleet__sign__number_ranges,
-  (ProtobufCMessageInit) fleet__sign__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor fleet__datagram__field_descriptors[7] =
-{
-  {
-    "ask",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Datagram, body_case),
-    offsetof(Fleet__Datagram, ask),
-    &fleet__ask__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "grant",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Datagram, body_case),
-    offsetof(Fleet__Datagram, grant),
-    &fleet__grant__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reject",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Datagram, body_case),
-    offsetof(Fleet__Datagram, reject),
-    &fleet__reject__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "held",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Datagram, body_case),
-    offsetof(Fleet__Datagram, held),
-    &fleet__held__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cancel",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Datagram, body_case),
-    offsetof(Fleet__Datagram, cancel),
-    &fleet__cancel__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "done",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Datagram, body_case),
-    offsetof(Fleet__Datagram, done),
-    &fleet__done__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sign",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Fleet__Datagram, body_case),
-    offsetof(Fleet__Datagram, sign),
-    &fleet__sign__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = address */
+    1, /* field[1] = reply */
+};
+static const ProtobufCIntRange fleet__sign__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor fleet__sign__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Sign", "Sign", "Fleet__Sign",
+    "fleet", sizeof(Fleet__Sign), 2, fleet__sign__field_descriptors,
+    fleet__sign__field_indices_by_name, 1, fleet__sign__number_ranges,
+    (ProtobufCMessageInit)fleet__sign__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__datagram__field_descriptors[7] = {
+    {
+	"ask", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Datagram, body_case), offsetof(Fleet__Datagram, ask),
+	&fleet__ask__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"grant", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Datagram, body_case), offsetof(Fleet__Datagram, grant),
+	&fleet__grant__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"reject", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Datagram, body_case), offsetof(Fleet__Datagram, reject),
+	&fleet__reject__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"held", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Datagram, body_case), offsetof(Fleet__Datagram, held),
+	&fleet__held__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"cancel", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Datagram, body_case), offsetof(Fleet__Datagram, cancel),
+	&fleet__cancel__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"done", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Datagram, body_case), offsetof(Fleet__Datagram, done),
+	&fleet__done__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"sign", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Datagram, body_case), offsetof(Fleet__Datagram, sign),
+	&fleet__sign__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__datagram__field_indices_by_name[] = {
-  0,   /* field[0] = ask */
-  4,   /* field[4] = cancel */
-  5,   /* field[5] = done */
-  1,   /* field[1] = grant */
-  3,   /* field[3] = held */
-  2,   /* field[2] = reject */
-  6,   /* field[6] = sign */
-};
-static const ProtobufCIntRange fleet__datagram__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor fleet__datagram__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "fleet.Datagram",
-  "Datagram",
-  "Fleet__Datagram",
-  "fleet",
-  sizeof(Fleet__Datagram),
-  7,
-  fleet__datagram__field_descriptors,
-  fleet__datagram__field_indices_by_name,
-  1,  fleet__datagram__number_ranges,
-  (ProtobufCMessageInit) fleet__datagram__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCEnumValue fleet__outcome__enum_values_by_number[5] =
-{
-  { "OUTCOME_UNKNOWN", "FLEET__OUTCOME__OUTCOME_UNKNOWN", 0 },
-  { "OUTCOME_ACCEPTED", "FLEET__OUTCOME__OUTCOME_ACCEPTED", 1 },
-  { "OUTCOME_CONFLICT", "FLEET__OUTCOME__OUTCOME_CONFLICT", 2 },
-  { "OUTCOME_STALE", "FLEET__OUTCOME__OUTCOME_STALE", 3 },
-  { "OUTCOME_UNAVAILABLE", "FLEET__OUTCOME__OUTCOME_UNAVAILABLE", 4 },
+    0, /* field[0] = ask */
+    4, /* field[4] = cancel */
+    5, /* field[5] = done */
+    1, /* field[1] = grant */
+    3, /* field[3] = held */
+    2, /* field[2] = reject */
+    6, /* field[6] = sign */
+};
+static const ProtobufCIntRange fleet__datagram__number_ranges[1 + 1] = {
+    {1, 0}, {0, 7}};
+const ProtobufCMessageDescriptor fleet__datagram__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Datagram", "Datagram",
+    "Fleet__Datagram", "fleet", sizeof(Fleet__Datagram), 7,
+    fleet__datagram__field_descriptors, fleet__datagram__field_indices_by_name,
+    1, fleet__datagram__number_ranges,
+    (ProtobufCMessageInit)fleet__datagram__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCEnumValue fleet__outcome__enum_values_by_number[5] = {
+    {"OUTCOME_UNKNOWN", "FLEET__OUTCOME__OUTCOME_UNKNOWN", 0},
+    {"OUTCOME_ACCEPTED", "FLEET__OUTCOME__OUTCOME_ACCEPTED", 1},
+    {"OUTCOME_CONFLICT", "FLEET__OUTCOME__OUTCOME_CONFLICT", 2},
+    {"OUTCOME_STALE", "FLEET__OUTCOME__OUTCOME_STALE", 3},
+    {"OUTCOME_UNAVAILABLE", "FLEET__OUTCOME__OUTCOME_UNAVAILABLE", 4},
 };
 static const ProtobufCIntRange fleet__outcome__value_ranges[] = {
-{0, 0},{0, 5}
-};
-static const ProtobufCEnumValueIndex fleet__outcome__enum_values_by_name[5] =
-{
-  { "OUTCOME_ACCEPTED", 1 },
-  { "OUTCOME_CONFLICT", 2 },
-  { "OUTCOME_STALE", 3 },
-  { "OUTCOME_UNAVAILABLE", 4 },
-  { "OUTCOME_UNKNOWN", 0 },
-};
-const ProtobufCEnumDescriptor fleet__outcome__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "fleet.Outcome",
-  "Outcome",
-  "Fleet__Outcome",
-  "fleet",
-  5,
-  fleet__outcome__enum_values_by_number,
-  5,
-  fleet__outcome__enum_values_by_name,
-  1,
-  fleet__outcome__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
+    {0, 0}, {0, 5}};
+static const ProtobufCEnumValueIndex fleet__outcome__enum_values_by_name[5] = {
+    {"OUTCOME_ACCEPTED", 1},
+    {"OUTCOME_CONFLICT", 2},
+    {"OUTCOME_STALE", 3},
+    {"OUTCOME_UNAVAILABLE", 4},
+    {"OUTCOME_UNKNOWN", 0},
+};
+const ProtobufCEnumDescriptor fleet__outcome__descriptor = {
+    PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC, "fleet.Outcome", "Outcome",
+    "Fleet__Outcome", "fleet", 5, fleet__outcome__enum_values_by_number, 5,
+    fleet__outcome__enum_values_by_name, 1, fleet__outcome__value_ranges, NULL,
+    NULL, NULL, NULL /* reserved[1234] */
 };
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -108,7 +108,7 @@
   uint64_t started_ms;
   uint64_t sequence;
   uint32_t slots;
-  uint32_t warmup_left_ms;
+  uint32_t warm_in_ms;
   protobuf_c_boolean leaving;
 };
 #define FLEET__ANNOUNCEMENT__INIT \
--- a/src/wire/state.pb-c.c
+++ b/src/wire/state.pb-c.c
@@ -7,961 +7,703 @@
 #endif
 
 #include "state.pb-c.h"
-void   state__saved_target__init
-                     (State__SavedTarget         *message)
+void
+state__saved_target__init(State__SavedTarget *message)
 {
-  static const State__SavedTarget init_value = STATE__SAVED_TARGET__INIT;
-  *message = init_value;
+	static const State__SavedTarget init_value = STATE__SAVED_TARGET__INIT;
+	*message = init_value;
 }
-size_t state__saved_target__get_packed_size
-                     (const State__SavedTarget *message)
+size_t
+state__saved_target__get_packed_size(const State__SavedTarget *message)
 {
-  assert(message->base.descriptor == &state__saved_target__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &state__saved_target__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t state__saved_target__pack
-                     (const State__SavedTarget *message,
-                      uint8_t       *out)
+size_t
+state__saved_target__pack(const State__SavedTarget *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &state__saved_target__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &state__saved_target__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t state__saved_target__pack_to_buffer
-                     (const State__SavedTarget *message,
-                      ProtobufCBuffer *buffer)
+size_t
+state__saved_target__pack_to_buffer(
+    const State__SavedTarget *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &state__saved_target__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &state__saved_target__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 State__SavedTarget *
-       state__saved_target__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+state__saved_target__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (State__SavedTarget *)
-     protobuf_c_message_unpack (&state__saved_target__descriptor,
-                                allocator, len, data);
+	return (State__SavedTarget *)protobuf_c_message_unpack(
+	    &state__saved_target__descriptor, allocator, len, data);
 }
-void   state__saved_target__free_unpacked
-                     (State__SavedTarget *message,
-                      ProtobufCAllocator *allocator)
+void
+state__saved_target__free_unpacked(
+    State__SavedTarget *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &state__saved_target__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &state__saved_target__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   state__saved_drained__init
-                     (State__SavedDrained         *message)
+void
+state__saved_drained__init(State__SavedDrained *message)
 {
-  static const State__SavedDrained init_value = STATE__SAVED_DRAINED__INIT;
-  *message = init_value;
+	static const State__SavedDrained init_value =
+	    STATE__SAVED_DRAINED__INIT;
+	*message = init_value;
 }
-size_t state__saved_drained__get_packed_size
-                     (const State__SavedDrained *message)
+size_t
+state__saved_drained__get_packed_size(const State__SavedDrained *message)
 {
-  assert(message->base.descriptor == &state__saved_drained__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &state__saved_drained__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t state__saved_drained__pack
-                     (const State__SavedDrained *message,
-                      uint8_t       *out)
+size_t
+state__saved_drained__pack(const State__SavedDrained *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &state__saved_drained__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &state__saved_drained__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t state__saved_drained__pack_to_buffer
-                     (const State__SavedDrained *message,
-                      ProtobufCBuffer *buffer)
+size_t
+state__saved_drained__pack_to_buffer(
+    const State__SavedDrained *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &state__saved_drained__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &state__saved_drained__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 State__SavedDrained *
-       state__saved_drained__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+state__saved_drained__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (State__SavedDrained *)
-     protobuf_c_message_unpack (&state__saved_drained__descriptor,
-                                allocator, len, data);
+	return (State__SavedDrained *)protobuf_c_message_unpack(
+	    &state__saved_drained__descriptor, allocator, len, data);
 }
-void   state__saved_drained__free_unpacked
-                     (State__SavedDrained *message,
-                      ProtobufCAllocator *allocator)
+void
+state__saved_drained__free_unpacked(
+    State__SavedDrained *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &state__saved_drained__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &state__saved_drained__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   state__saved_registry__init
-                     (State__SavedRegistry         *message)
+void
+state__saved_registry__init(State__SavedRegistry *message)
 {
-  static const State__SavedRegistry init_value = STATE__SAVED_REGISTRY__INIT;
-  *message = init_value;
+	static const State__SavedRegistry init_value =
+	    STATE__SAVED_REGISTRY__INIT;
+	*message = init_value;
 }
-size_t state__saved_registry__get_packed_size
-                     (const State__SavedRegistry *message)
+size_t
+state__saved_registry__get_packed_size(const State__SavedRegistry *message)
 {
-  assert(message->base.descriptor == &state__saved_registry__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &state__saved_registry__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t state__saved_registry__pack
-                     (const State__SavedRegistry *message,
-                      uint8_t       *out)
+size_t
+state__saved_registry__pack(const State__SavedRegistry *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &state__saved_registry__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &state__saved_registry__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t state__saved_registry__pack_to_buffer
-                     (const State__SavedRegistry *message,
-                      ProtobufCBuffer *buffer)
+size_t
+state__saved_registry__pack_to_buffer(
+    const State__SavedRegistry *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &state__saved_registry__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &state__saved_registry__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 State__SavedRegistry *
-       state__saved_registry__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+state__saved_registry__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (State__SavedRegistry *)
-     protobuf_c_message_unpack (&state__saved_registry__descriptor,
-                                allocator, len, data);
+	return (State__SavedRegistry *)protobuf_c_message_unpack(
+	    &state__saved_registry__descriptor, allocator, len, data);
 }
-void   state__saved_registry__free_unpacked
-                     (State__SavedRegistry *message,
-                      ProtobufCAllocator *allocator)
+void
+state__saved_registry__free_unpacked(
+    State__SavedRegistry *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &state__saved_registry__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &state__saved_registry__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   state__saved_section__init
-                     (State__SavedSection         *message)
+void
+state__saved_section__init(State__SavedSection *message)
 {
-  static const State__SavedSection init_value = STATE__SAVED_SECTION__INIT;
-  *message = init_value;
+	static const State__SavedSection init_value =
+	    STATE__SAVED_SECTION__INIT;
+	*message = init_value;
 }
-size_t state__saved_section__get_packed_size
-                     (const State__SavedSection *message)
+size_t
+state__saved_section__get_packed_size(const State__SavedSection *message)
 {
-  assert(message->base.descriptor == &state__saved_section__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &state__saved_section__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t state__saved_section__pack
-                     (const State__SavedSection *message,
-                      uint8_t       *out)
+size_t
+state__saved_section__pack(const State__SavedSection *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &state__saved_section__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &state__saved_section__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t state__saved_section__pack_to_buffer
-                     (const State__SavedSection *message,
-                      ProtobufCBuffer *buffer)
+size_t
+state__saved_section__pack_to_buffer(
+    const State__SavedSection *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &state__saved_section__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &state__saved_section__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 State__SavedSection *
-       state__saved_section__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+state__saved_section__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (State__SavedSection *)
-     protobuf_c_message_unpack (&state__saved_section__descriptor,
-                                allocator, len, data);
+	return (State__SavedSection *)protobuf_c_message_unpack(
+	    &state__saved_section__descriptor, allocator, len, data);
 }
-void   state__saved_section__free_unpacked
-                     (State__SavedSection *message,
-                      ProtobufCAllocator *allocator)
+void
+state__saved_section__free_unpacked(
+    State__SavedSection *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &state__saved_section__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &state__saved_section__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   state__saved_edit__init
-                     (State__SavedEdit         *message)
+void
+state__saved_edit__init(State__SavedEdit *message)
 {
-  static const State__SavedEdit init_value = STATE__SAVED_EDIT__INIT;
-  *message = init_value;
+	static const State__SavedEdit init_value = STATE__SAVED_EDIT__INIT;
+	*message = init_value;
 }
-size_t state__saved_edit__get_packed_size
-                     (const State__SavedEdit *message)
+size_t
+state__saved_edit__get_packed_size(const State__SavedEdit *message)
 {
-  assert(message->base.descriptor == &state__saved_edit__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &state__saved_edit__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t state__saved_edit__pack
-                     (const State__SavedEdit *message,
-                      uint8_t       *out)
+size_t
+state__saved_edit__pack(const State__SavedEdit *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &state__saved_edit__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &state__saved_edit__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t state__saved_edit__pack_to_buffer
-                     (const State__SavedEdit *message,
-                      ProtobufCBuffer *buffer)
+size_t
+state__saved_edit__pack_to_buffer(
+    const State__SavedEdit *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &state__saved_edit__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &state__saved_edit__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 State__SavedEdit *
-       state__saved_edit__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+state__saved_edit__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (State__SavedEdit *)
-     protobuf_c_message_unpack (&state__saved_edit__descriptor,
-                                allocator, len, data);
+	return (State__SavedEdit *)protobuf_c_message_unpack(
+	    &state__saved_edit__descriptor, allocator, len, data);
 }
-void   state__saved_edit__free_unpacked
-                     (State__SavedEdit *message,
-                      ProtobufCAllocator *allocator)
+void
+state__saved_edit__free_unpacked(
+    State__SavedEdit *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &state__saved_edit__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &state__saved_edit__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   state__saved_refusal__init
-                     (State__SavedRefusal         *message)
+void
+state__saved_refusal__init(State__SavedRefusal *message)
 {
-  static const State__SavedRefusal init_value = STATE__SAVED_REFUSAL__INIT;
-  *message = init_value;
+	static const State__SavedRefusal init_value =
+	    STATE__SAVED_REFUSAL__INIT;
+	*message = init_value;
 }
-size_t state__saved_refusal__get_packed_size
-                     (const State__SavedRefusal *message)
+size_t
+state__saved_refusal__get_packed_size(const State__SavedRefusal *message)
 {
-  assert(message->base.descriptor == &state__saved_refusal__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &state__saved_refusal__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t state__saved_refusal__pack
-                     (const State__SavedRefusal *message,
-                      uint8_t       *out)
+size_t
+state__saved_refusal__pack(const State__SavedRefusal *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &state__saved_refusal__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &state__saved_refusal__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t state__saved_refusal__pack_to_buffer
-                     (const State__SavedRefusal *message,
-                      ProtobufCBuffer *buffer)
+size_t
+state__saved_refusal__pack_to_buffer(
+    const State__SavedRefusal *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &state__saved_refusal__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &state__saved_refusal__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 State__SavedRefusal *
-       state__saved_refusal__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+state__saved_refusal__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (State__SavedRefusal *)
-     protobuf_c_message_unpack (&state__saved_refusal__descriptor,
-                                allocator, len, data);
+	return (State__SavedRefusal *)protobuf_c_message_unpack(
+	    &state__saved_refusal__descriptor, allocator, len, data);
 }
-void   state__saved_refusal__free_unpacked
-                     (State__SavedRefusal *message,
-                      ProtobufCAllocator *allocator)
+void
+state__saved_refusal__free_unpacked(
+    State__SavedRefusal *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &state__saved_refusal__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &state__saved_refusal__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   state__saved_document__init
-                     (State__SavedDocument         *message)
+void
+state__saved_document__init(State__SavedDocument *message)
 {
-  static const State__SavedDocument init_value = STATE__SAVED_DOCUMENT__INIT;
-  *message = init_value;
+	static const State__SavedDocument init_value =
+	    STATE__SAVED_DOCUMENT__INIT;
+	*message = init_value;
 }
-size_t state__saved_document__get_packed_size
-                     (const State__SavedDocument *message)
+size_t
+state__saved_document__get_packed_size(const State__SavedDocument *message)
 {
-  assert(message->base.descriptor == &state__saved_document__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &state__saved_document__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t state__saved_document__pack
-                     (const State__SavedDocument *message,
-                      uint8_t       *out)
+size_t
+state__saved_document__pack(const State__SavedDocument *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &state__saved_document__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &state__saved_document__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t state__saved_document__pack_to_buffer
-                     (const State__SavedDocument *message,
-                      ProtobufCBuffer *buffer)
+size_t
+state__saved_document__pack_to_buffer(
+    const State__SavedDocument *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &state__saved_document__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &state__saved_document__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 State__SavedDocument *
-       state__saved_document__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (State__SavedDocument *)
-     protobuf_c_message_unpack (&state__saved_document__descriptor,
-                                allocator, len, data);
-}
-void   state__saved_document__free_unpacked
-                     (State__SavedDocument *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &state__saved_document__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor state__saved_target__field_descriptors[10] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedTarget, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedTarget, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedTarget, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "failure_domain",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedTarget, failure_domain),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "holder",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedTarget, holder),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slots",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedTarget, slots),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "connections",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedTarget, connections),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "state",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedTarget, state),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedTarget, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sequence",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedTarget, sequence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+state__saved_document__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (State__SavedDocument *)protobuf_c_message_unpack(
+	    &state__saved_document__descriptor, allocator, len, data);
+}
+void
+state__saved_document__free_unpacked(
+    State__SavedDocument *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &state__saved_document__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+static const ProtobufCFieldDescriptor
+    state__saved_target__field_descriptors[10] = {
+	{
+	    "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedTarget, id), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedTarget, service), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "address", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedTarget, address), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "failure_domain", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedTarget, failure_domain), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "holder", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedTarget, holder), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "slots", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedTarget, slots), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "connections", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedTarget, connections), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "state", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedTarget, state), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "incarnation", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedTarget, incarnation), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "sequence", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedTarget, sequence), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned state__saved_target__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  6,   /* field[6] = connections */
-  3,   /* field[3] = failure_domain */
-  4,   /* field[4] = holder */
-  0,   /* field[0] = id */
-  8,   /* field[8] = incarnation */
-  9,   /* field[9] = sequence */
-  1,   /* field[1] = service */
-  5,   /* field[5] = slots */
-  7,   /* field[7] = state */
+    2, /* field[2] = address */
+    6, /* field[6] = connections */
+    3, /* field[3] = failure_domain */
+    4, /* field[4] = holder */
+    0, /* field[0] = id */
+    8, /* field[8] = incarnation */
+    9, /* field[9] = sequence */
+    1, /* field[1] = service */
+    5, /* field[5] = slots */
+    7, /* field[7] = state */
 };
-static const ProtobufCIntRange state__saved_target__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
-};
-const ProtobufCMessageDescriptor state__saved_target__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "state.SavedTarget",
-  "SavedTarget",
-  "State__SavedTarget",
-  "state",
-  sizeof(State__SavedTarget),
-  10,
-  state__saved_target__field_descriptors,
-  state__saved_target__field_indices_by_name,
-  1,  state__saved_target__number_ranges,
-  (ProtobufCMessageInit) state__saved_target__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange state__saved_target__number_ranges[1 + 1] = {
+    {1, 0}, {0, 10}};
+const ProtobufCMessageDescriptor state__saved_target__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "state.SavedTarget", "SavedTarget",
+    "State__SavedTarget", "state", sizeof(State__SavedTarget), 10,
+    state__saved_target__field_descriptors,
+    state__saved_target__field_indices_by_name, 1,
+    state__saved_target__number_ranges,
+    (ProtobufCMessageInit)state__saved_target__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__saved_drained__field_descriptors[2] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedDrained, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedDrained, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+    state__saved_drained__field_descriptors[2] = {
+	{
+	    "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedDrained, id), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedDrained, incarnation), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned state__saved_drained__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = incarnation */
-};
-static const ProtobufCIntRange state__saved_drained__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
+    0, /* field[0] = id */
+    1, /* field[1] = incarnation */
 };
-const ProtobufCMessageDescriptor state__saved_drained__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "state.SavedDrained",
-  "SavedDrained",
-  "State__SavedDrained",
-  "state",
-  sizeof(State__SavedDrained),
-  2,
-  state__saved_drained__field_descriptors,
-  state__saved_drained__field_indices_by_name,
-  1,  state__saved_drained__number_ranges,
-  (ProtobufCMessageInit) state__saved_drained__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange state__saved_drained__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor state__saved_drained__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "state.SavedDrained", "SavedDrained",
+    "State__SavedDrained", "state", sizeof(State__SavedDrained), 2,
+    state__saved_drained__field_descriptors,
+    state__saved_drained__field_indices_by_name, 1,
+    state__saved_drained__number_ranges,
+    (ProtobufCMessageInit)state__saved_drained__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__saved_registry__field_descriptors[2] =
-{
-  {
-    "targets",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(State__SavedRegistry, n_targets),
-    offsetof(State__SavedRegistry, targets),
-    &state__saved_target__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "drained",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(State__SavedRegistry, n_drained),
-    offsetof(State__SavedRegistry, drained),
-    &state__saved_drained__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+    state__saved_registry__field_descriptors[2] = {
+	{
+	    "targets", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(State__SavedRegistry, n_targets),
+	    offsetof(State__SavedRegistry, targets),
+	    &state__saved_target__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "drained", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(State__SavedRegistry, n_drained),
+	    offsetof(State__SavedRegistry, drained),
+	    &state__saved_drained__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned state__saved_registry__field_indices_by_name[] = {
-  1,   /* field[1] = drained */
-  0,   /* field[0] = targets */
+    1, /* field[1] = drained */
+    0, /* field[0] = targets */
 };
-static const ProtobufCIntRange state__saved_registry__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor state__saved_registry__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "state.SavedRegistry",
-  "SavedRegistry",
-  "State__SavedRegistry",
-  "state",
-  sizeof(State__SavedRegistry),
-  2,
-  state__saved_registry__field_descriptors,
-  state__saved_registry__field_indices_by_name,
-  1,  state__saved_registry__number_ranges,
-  (ProtobufCMessageInit) state__saved_registry__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange state__saved_registry__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor state__saved_registry__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "state.SavedRegistry",
+    "SavedRegistry", "State__SavedRegistry", "state",
+    sizeof(State__SavedRegistry), 2, state__saved_registry__field_descriptors,
+    state__saved_registry__field_indices_by_name, 1,
+    state__saved_registry__number_ranges,
+    (ProtobufCMessageInit)state__saved_registry__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__saved_section__field_descriptors[3] =
-{
-  {
-    "name",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedSection, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "revision",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedSection, revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "text",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedSection, text),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+    state__saved_section__field_descriptors[3] = {
+	{
+	    "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedSection, name), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "revision", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedSection, revision), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "text", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedSection, text), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned state__saved_section__field_indices_by_name[] = {
-  0,   /* field[0] = name */
-  1,   /* field[1] = revision */
-  2,   /* field[2] = text */
-};
-static const ProtobufCIntRange state__saved_section__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
+    0, /* field[0] = name */
+    1, /* field[1] = revision */
+    2, /* field[2] = text */
 };
-const ProtobufCMessageDescriptor state__saved_section__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "state.SavedSection",
-  "SavedSection",
-  "State__SavedSection",
-  "state",
-  sizeof(State__SavedSection),
-  3,
-  state__saved_section__field_descriptors,
-  state__saved_section__field_indices_by_name,
-  1,  state__saved_section__number_ranges,
-  (ProtobufCMessageInit) state__saved_section__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange state__saved_section__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor state__saved_section__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "state.SavedSection", "SavedSection",
+    "State__SavedSection", "state", sizeof(State__SavedSection), 3,
+    state__saved_section__field_descriptors,
+    state__saved_section__field_indices_by_name, 1,
+    state__saved_section__number_ranges,
+    (ProtobufCMessageInit)state__saved_section__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor state__saved_edit__field_descriptors[8] =
-{
-  {
-    "revision",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedEdit, revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "accepted_us",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedEdit, accepted_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "section",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedEdit, section),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "team",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedEdit, team),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "author",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedEdit, author),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "edit_id",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedEdit, edit_id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "removed",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedEdit, removed),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "digest",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedEdit, digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    {
+	{
+	    "revision", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedEdit, revision), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "accepted_us", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedEdit, accepted_us), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "section", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedEdit, section), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "team", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedEdit, team), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "author", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedEdit, author), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "edit_id", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedEdit, edit_id), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "removed", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedEdit, removed), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "digest", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedEdit, digest), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned state__saved_edit__field_indices_by_name[] = {
-  1,   /* field[1] = accepted_us */
-  4,   /* field[4] = author */
-  7,   /* field[7] = digest */
-  5,   /* field[5] = edit_id */
-  6,   /* field[6] = removed */
-  0,   /* field[0] = revision */
-  2,   /* field[2] = section */
-  3,   /* field[3] = team */
-};
-static const ProtobufCIntRange state__saved_edit__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 8 }
+    1, /* field[1] = accepted_us */
+    4, /* field[4] = author */
+    7, /* field[7] = digest */
+    5, /* field[5] = edit_id */
+    6, /* field[6] = removed */
+    0, /* field[0] = revision */
+    2, /* field[2] = section */
+    3, /* field[3] = team */
 };
-const ProtobufCMessageDescriptor state__saved_edit__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "state.SavedEdit",
-  "SavedEdit",
-  "State__SavedEdit",
-  "state",
-  sizeof(State__SavedEdit),
-  8,
-  state__saved_edit__field_descriptors,
-  state__saved_edit__field_indices_by_name,
-  1,  state__saved_edit__number_ranges,
-  (ProtobufCMessageInit) state__saved_edit__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange state__saved_edit__number_ranges[1 + 1] = {
+    {1, 0}, {0, 8}};
+const ProtobufCMessageDescriptor state__saved_edit__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "state.SavedEdit", "SavedEdit",
+    "State__SavedEdit", "state", sizeof(State__SavedEdit), 8,
+    state__saved_edit__field_descriptors,
+    state__saved_edit__field_indices_by_name, 1,
+    state__saved_edit__number_ranges,
+    (ProtobufCMessageInit)state__saved_edit__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__saved_refusal__field_descriptors[6] =
-{
-  {
-    "team",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedRefusal, team),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "edit_id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedRefusal, edit_id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "digest",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedRefusal, digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "status",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedRefusal, status),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "revision",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedRefusal, revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "message",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedRefusal, message),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+    state__saved_refusal__field_descriptors[6] = {
+	{
+	    "team", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedRefusal, team), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "edit_id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedRefusal, edit_id), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "digest", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedRefusal, digest), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "status", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedRefusal, status), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "revision", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedRefusal, revision), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "message", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedRefusal, message), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned state__saved_refusal__field_indices_by_name[] = {
-  2,   /* field[2] = digest */
-  1,   /* field[1] = edit_id */
-  5,   /* field[5] = message */
-  4,   /* field[4] = revision */
-  3,   /* field[3] = status */
-  0,   /* field[0] = team */
+    2, /* field[2] = digest */
+    1, /* field[1] = edit_id */
+    5, /* field[5] = message */
+    4, /* field[4] = revision */
+    3, /* field[3] = status */
+    0, /* field[0] = team */
 };
-static const ProtobufCIntRange state__saved_refusal__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
+static const ProtobufCIntRange state__saved_refusal__number_ranges[1 + 1] = {
+    {1, 0}, {0, 6}};
+const ProtobufCMessageDescriptor state__saved_refusal__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "state.SavedRefusal", "SavedRefusal",
+    "State__SavedRefusal", "state", sizeof(State__SavedRefusal), 6,
+    state__saved_refusal__field_descriptors,
+    state__saved_refusal__field_indices_by_name, 1,
+    state__saved_refusal__number_ranges,
+    (ProtobufCMessageInit)state__saved_refusal__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
-const ProtobufCMessageDescriptor state__saved_refusal__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "state.SavedRefusal",
-  "SavedRefusal",
-  "State__SavedRefusal",
-  "state",
-  sizeof(State__SavedRefusal),
-  6,
-  state__saved_refusal__field_descriptors,
-  state__saved_refusal__field_indices_by_name,
-  1,  state__saved_refusal__number_ranges,
-  (ProtobufCMessageInit) state__saved_refusal__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor state__saved_document__field_descriptors[5] =
-{
-  {
-    "revision",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(State__SavedDocument, revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sections",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(State__SavedDocument, n_sections),
-    offsetof(State__SavedDocument, sections),
-    &state__saved_section__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "older",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(State__SavedDocument, n_older),
-    offsetof(State__SavedDocument, older),
-    &state__saved_section__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "edits",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(State__SavedDocument, n_edits),
-    offsetof(State__SavedDocument, edits),
-    &state__saved_edit__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "refusals",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(State__SavedDocument, n_refusals),
-    offsetof(State__SavedDocument, refusals),
-    &state__saved_refusal__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+    state__saved_document__field_descriptors[5] = {
+	{
+	    "revision", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(State__SavedDocument, revision), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "sections", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(State__SavedDocument, n_sections),
+	    offsetof(State__SavedDocument, sections),
+	    &state__saved_section__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "older", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(State__SavedDocument, n_older),
+	    offsetof(State__SavedDocument, older),
+	    &state__saved_section__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "edits", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(State__SavedDocument, n_edits),
+	    offsetof(State__SavedDocument, edits),
+	    &state__saved_edit__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "refusals", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(State__SavedDocument, n_refusals),
+	    offsetof(State__SavedDocument, refusals),
+	    &state__saved_refusal__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned state__saved_document__field_indices_by_name[] = {
-  3,   /* field[3] = edits */
-  2,   /* field[2] = older */
-  4,   /* field[4] = refusals */
-  0,   /* field[0] = revision */
-  1,   /* field[1] = sections */
-};
-static const ProtobufCIntRange state__saved_document__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
+    3, /* field[3] = edits */
+    2, /* field[2] = older */
+    4, /* field[4] = refusals */
+    0, /* field[0] = revision */
+    1, /* field[1] = sections */
 };
-const ProtobufCMessageDescriptor state__saved_document__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "state.SavedDocument",
-  "SavedDocument",
-  "State__SavedDocument",
-  "state",
-  sizeof(State__SavedDocument),
-  5,
-  state__saved_document__field_descriptors,
-  state__saved_document__field_indices_by_name,
-  1,  state__saved_document__number_ranges,
-  (ProtobufCMessageInit) state__saved_document__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange state__saved_document__number_ranges[1 + 1] = {
+    {1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor state__saved_document__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "state.SavedDocument",
+    "SavedDocument", "State__SavedDocument", "state",
+    sizeof(State__SavedDocument), 5, state__saved_document__field_descriptors,
+    state__saved_document__field_indices_by_name, 1,
+    state__saved_document__number_ranges,
+    (ProtobufCMessageInit)state__saved_document__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
