--- a/src/wire/wire.pb-c.c
+++ b/src/wire/wire.pb-c.c
@@ -7,3406 +7,2403 @@
 #endif
 
 #include "wire.pb-c.h"
-void   wire__target__init
-                     (Wire__Target         *message)
+void
+wire__target__init(Wire__Target *message)
 {
-  static const Wire__Target init_value = WIRE__TARGET__INIT;
-  *message = init_value;
+	static const Wire__Target init_value = WIRE__TARGET__INIT;
+	*message = init_value;
 }
-size_t wire__target__get_packed_size
-                     (const Wire__Target *message)
+size_t
+wire__target__get_packed_size(const Wire__Target *message)
 {
-  assert(message->base.descriptor == &wire__target__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__target__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__target__pack
-                     (const Wire__Target *message,
-                      uint8_t       *out)
+size_t
+wire__target__pack(const Wire__Target *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__target__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__target__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__target__pack_to_buffer
-                     (const Wire__Target *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__target__pack_to_buffer(
+    const Wire__Target *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__target__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__target__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Target *
-       wire__target__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__target__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Target *)
-     protobuf_c_message_unpack (&wire__target__descriptor,
-                                allocator, len, data);
+	return (Wire__Target *)protobuf_c_message_unpack(
+	    &wire__target__descriptor, allocator, len, data);
 }
-void   wire__target__free_unpacked
-                     (Wire__Target *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__target__free_unpacked(
+    Wire__Target *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__target__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__target__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__section__init
-                     (Wire__Section         *message)
+void
+wire__section__init(Wire__Section *message)
 {
-  static const Wire__Section init_value = WIRE__SECTION__INIT;
-  *message = init_value;
+	static const Wire__Section init_value = WIRE__SECTION__INIT;
+	*message = init_value;
 }
-size_t wire__section__get_packed_size
-                     (const Wire__Section *message)
+size_t
+wire__section__get_packed_size(const Wire__Section *message)
 {
-  assert(message->base.descriptor == &wire__section__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__section__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__section__pack
-                     (const Wire__Section *message,
-                      uint8_t       *out)
+size_t
+wire__section__pack(const Wire__Section *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__section__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__section__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__section__pack_to_buffer
-                     (const Wire__Section *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__section__pack_to_buffer(
+    const Wire__Section *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__section__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__section__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Section *
-       wire__section__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__section__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Section *)
-     protobuf_c_message_unpack (&wire__section__descriptor,
-                                allocator, len, data);
+	return (Wire__Section *)protobuf_c_message_unpack(
+	    &wire__section__descriptor, allocator, len, data);
 }
-void   wire__section__free_unpacked
-                     (Wire__Section *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__section__free_unpacked(
+    Wire__Section *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__section__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__section__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__edit_section__init
-                     (Wire__EditSection         *message)
+void
+wire__edit_section__init(Wire__EditSection *message)
 {
-  static const Wire__EditSection init_value = WIRE__EDIT_SECTION__INIT;
-  *message = init_value;
+	static const Wire__EditSection init_value = WIRE__EDIT_SECTION__INIT;
+	*message = init_value;
 }
-size_t wire__edit_section__get_packed_size
-                     (const Wire__EditSection *message)
+size_t
+wire__edit_section__get_packed_size(const Wire__EditSection *message)
 {
-  assert(message->base.descriptor == &wire__edit_section__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__edit_section__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__edit_section__pack
-                     (const Wire__EditSection *message,
-                      uint8_t       *out)
+size_t
+wire__edit_section__pack(const Wire__EditSection *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__edit_section__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__edit_section__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__edit_section__pack_to_buffer
-                     (const Wire__EditSection *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__edit_section__pack_to_buffer(
+    const Wire__EditSection *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__edit_section__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__edit_section__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__EditSection *
-       wire__edit_section__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__edit_section__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__EditSection *)
-     protobuf_c_message_unpack (&wire__edit_section__descriptor,
-                                allocator, len, data);
+	return (Wire__EditSection *)protobuf_c_message_unpack(
+	    &wire__edit_section__descriptor, allocator, len, data);
 }
-void   wire__edit_section__free_unpacked
-                     (Wire__EditSection *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__edit_section__free_unpacked(
+    Wire__EditSection *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__edit_section__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__edit_section__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__claim_open__init
-                     (Wire__ClaimOpen         *message)
+void
+wire__claim_open__init(Wire__ClaimOpen *message)
 {
-  static const Wire__ClaimOpen init_value = WIRE__CLAIM_OPEN__INIT;
-  *message = init_value;
+	static const Wire__ClaimOpen init_value = WIRE__CLAIM_OPEN__INIT;
+	*message = init_value;
 }
-size_t wire__claim_open__get_packed_size
-                     (const Wire__ClaimOpen *message)
+size_t
+wire__claim_open__get_packed_size(const Wire__ClaimOpen *message)
 {
-  assert(message->base.descriptor == &wire__claim_open__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__claim_open__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__claim_open__pack
-                     (const Wire__ClaimOpen *message,
-                      uint8_t       *out)
+size_t
+wire__claim_open__pack(const Wire__ClaimOpen *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__claim_open__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__claim_open__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__claim_open__pack_to_buffer
-                     (const Wire__ClaimOpen *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__claim_open__pack_to_buffer(
+    const Wire__ClaimOpen *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__claim_open__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__claim_open__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__ClaimOpen *
-       wire__claim_open__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__claim_open__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__ClaimOpen *)
-     protobuf_c_message_unpack (&wire__claim_open__descriptor,
-                                allocator, len, data);
+	return (Wire__ClaimOpen *)protobuf_c_message_unpack(
+	    &wire__claim_open__descriptor, allocator, len, data);
 }
-void   wire__claim_open__free_unpacked
-                     (Wire__ClaimOpen *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__claim_open__free_unpacked(
+    Wire__ClaimOpen *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__claim_open__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__claim_open__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__claim_end__init
-                     (Wire__ClaimEnd         *message)
+void
+wire__claim_end__init(Wire__ClaimEnd *message)
 {
-  static const Wire__ClaimEnd init_value = WIRE__CLAIM_END__INIT;
-  *message = init_value;
+	static const Wire__ClaimEnd init_value = WIRE__CLAIM_END__INIT;
+	*message = init_value;
 }
-size_t wire__claim_end__get_packed_size
-                     (const Wire__ClaimEnd *message)
+size_t
+wire__claim_end__get_packed_size(const Wire__ClaimEnd *message)
 {
-  assert(message->base.descriptor == &wire__claim_end__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__claim_end__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__claim_end__pack
-                     (const Wire__ClaimEnd *message,
-                      uint8_t       *out)
+size_t
+wire__claim_end__pack(const Wire__ClaimEnd *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__claim_end__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__claim_end__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__claim_end__pack_to_buffer
-                     (const Wire__ClaimEnd *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__claim_end__pack_to_buffer(
+    const Wire__ClaimEnd *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__claim_end__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__claim_end__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__ClaimEnd *
-       wire__claim_end__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__claim_end__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__ClaimEnd *)
-     protobuf_c_message_unpack (&wire__claim_end__descriptor,
-                                allocator, len, data);
+	return (Wire__ClaimEnd *)protobuf_c_message_unpack(
+	    &wire__claim_end__descriptor, allocator, len, data);
 }
-void   wire__claim_end__free_unpacked
-                     (Wire__ClaimEnd *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__claim_end__free_unpacked(
+    Wire__ClaimEnd *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__claim_end__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__claim_end__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__target_put__init
-                     (Wire__TargetPut         *message)
+void
+wire__target_put__init(Wire__TargetPut *message)
 {
-  static const Wire__TargetPut init_value = WIRE__TARGET_PUT__INIT;
-  *message = init_value;
+	static const Wire__TargetPut init_value = WIRE__TARGET_PUT__INIT;
+	*message = init_value;
 }
-size_t wire__target_put__get_packed_size
-                     (const Wire__TargetPut *message)
+size_t
+wire__target_put__get_packed_size(const Wire__TargetPut *message)
 {
-  assert(message->base.descriptor == &wire__target_put__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__target_put__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__target_put__pack
-                     (const Wire__TargetPut *message,
-                      uint8_t       *out)
+size_t
+wire__target_put__pack(const Wire__TargetPut *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__target_put__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__target_put__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__target_put__pack_to_buffer
-                     (const Wire__TargetPut *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__target_put__pack_to_buffer(
+    const Wire__TargetPut *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__target_put__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__target_put__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__TargetPut *
-       wire__target_put__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__target_put__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__TargetPut *)
-     protobuf_c_message_unpack (&wire__target_put__descriptor,
-                                allocator, len, data);
+	return (Wire__TargetPut *)protobuf_c_message_unpack(
+	    &wire__target_put__descriptor, allocator, len, data);
 }
-void   wire__target_put__free_unpacked
-                     (Wire__TargetPut *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__target_put__free_unpacked(
+    Wire__TargetPut *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__target_put__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__target_put__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__target_remove__init
-                     (Wire__TargetRemove         *message)
+void
+wire__target_remove__init(Wire__TargetRemove *message)
 {
-  static const Wire__TargetRemove init_value = WIRE__TARGET_REMOVE__INIT;
-  *message = init_value;
+	static const Wire__TargetRemove init_value = WIRE__TARGET_REMOVE__INIT;
+	*message = init_value;
 }
-size_t wire__target_remove__get_packed_size
-                     (const Wire__TargetRemove *message)
+size_t
+wire__target_remove__get_packed_size(const Wire__TargetRemove *message)
 {
-  assert(message->base.descriptor == &wire__target_remove__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__target_remove__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__target_remove__pack
-                     (const Wire__TargetRemove *message,
-                      uint8_t       *out)
+size_t
+wire__target_remove__pack(const Wire__TargetRemove *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__target_remove__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__target_remove__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__target_remove__pack_to_buffer
-                     (const Wire__TargetRemove *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__target_remove__pack_to_buffer(
+    const Wire__TargetRemove *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__target_remove__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__target_remove__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__TargetRemove *
-       wire__target_remove__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__target_remove__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__TargetRemove *)
-     protobuf_c_message_unpack (&wire__target_remove__descriptor,
-                                allocator, len, data);
+	return (Wire__TargetRemove *)protobuf_c_message_unpack(
+	    &wire__target_remove__descriptor, allocator, len, data);
 }
-void   wire__target_remove__free_unpacked
-                     (Wire__TargetRemove *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__target_remove__free_unpacked(
+    Wire__TargetRemove *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__target_remove__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__target_remove__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__entry_lost__init
-                     (Wire__EntryLost         *message)
+void
+wire__entry_lost__init(Wire__EntryLost *message)
 {
-  static const Wire__EntryLost init_value = WIRE__ENTRY_LOST__INIT;
-  *message = init_value;
+	static const Wire__EntryLost init_value = WIRE__ENTRY_LOST__INIT;
+	*message = init_value;
 }
-size_t wire__entry_lost__get_packed_size
-                     (const Wire__EntryLost *message)
+size_t
+wire__entry_lost__get_packed_size(const Wire__EntryLost *message)
 {
-  assert(message->base.descriptor == &wire__entry_lost__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__entry_lost__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__entry_lost__pack
-                     (const Wire__EntryLost *message,
-                      uint8_t       *out)
+size_t
+wire__entry_lost__pack(const Wire__EntryLost *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__entry_lost__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__entry_lost__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__entry_lost__pack_to_buffer
-                     (const Wire__EntryLost *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__entry_lost__pack_to_buffer(
+    const Wire__EntryLost *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__entry_lost__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__entry_lost__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__EntryLost *
-       wire__entry_lost__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__entry_lost__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__EntryLost *)
-     protobuf_c_message_unpack (&wire__entry_lost__descriptor,
-                                allocator, len, data);
+	return (Wire__EntryLost *)protobuf_c_message_unpack(
+	    &wire__entry_lost__descriptor, allocator, len, data);
 }
-void   wire__entry_lost__free_unpacked
-                     (Wire__EntryLost *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__entry_lost__free_unpacked(
+    Wire__EntryLost *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__entry_lost__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__entry_lost__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__command__init
-                     (Wire__Command         *message)
+void
+wire__command__init(Wire__Command *message)
 {
-  static const Wire__Command init_value = WIRE__COMMAND__INIT;
-  *message = init_value;
+	static const Wire__Command init_value = WIRE__COMMAND__INIT;
+	*message = init_value;
 }
-size_t wire__command__get_packed_size
-                     (const Wire__Command *message)
+size_t
+wire__command__get_packed_size(const Wire__Command *message)
 {
-  assert(message->base.descriptor == &wire__command__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__command__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__command__pack
-                     (const Wire__Command *message,
-                      uint8_t       *out)
+size_t
+wire__command__pack(const Wire__Command *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__command__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__command__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__command__pack_to_buffer
-                     (const Wire__Command *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__command__pack_to_buffer(
+    const Wire__Command *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__command__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__command__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Command *
-       wire__command__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__command__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Command *)
-     protobuf_c_message_unpack (&wire__command__descriptor,
-                                allocator, len, data);
+	return (Wire__Command *)protobuf_c_message_unpack(
+	    &wire__command__descriptor, allocator, len, data);
 }
-void   wire__command__free_unpacked
-                     (Wire__Command *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__command__free_unpacked(
+    Wire__Command *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__command__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__command__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__claim_result__init
-                     (Wire__ClaimResult         *message)
+void
+wire__claim_result__init(Wire__ClaimResult *message)
 {
-  static const Wire__ClaimResult init_value = WIRE__CLAIM_RESULT__INIT;
-  *message = init_value;
+	static const Wire__ClaimResult init_value = WIRE__CLAIM_RESULT__INIT;
+	*message = init_value;
 }
-size_t wire__claim_result__get_packed_size
-                     (const Wire__ClaimResult *message)
+size_t
+wire__claim_result__get_packed_size(const Wire__ClaimResult *message)
 {
-  assert(message->base.descriptor == &wire__claim_result__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__claim_result__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__claim_result__pack
-                     (const Wire__ClaimResult *message,
-                      uint8_t       *out)
+size_t
+wire__claim_result__pack(const Wire__ClaimResult *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__claim_result__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__claim_result__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__claim_result__pack_to_buffer
-                     (const Wire__ClaimResult *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__claim_result__pack_to_buffer(
+    const Wire__ClaimResult *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__claim_result__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__claim_result__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__ClaimResult *
-       wire__claim_result__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__claim_result__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__ClaimResult *)
-     protobuf_c_message_unpack (&wire__claim_result__descriptor,
-                                allocator, len, data);
+	return (Wire__ClaimResult *)protobuf_c_message_unpack(
+	    &wire__claim_result__descriptor, allocator, len, data);
 }
-void   wire__claim_result__free_unpacked
-                     (Wire__ClaimResult *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__claim_result__free_unpacked(
+    Wire__ClaimResult *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__claim_result__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__claim_result__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__edit_result__init
-                     (Wire__EditResult         *message)
+void
+wire__edit_result__init(Wire__EditResult *message)
 {
-  static const Wire__EditResult init_value = WIRE__EDIT_RESULT__INIT;
-  *message = init_value;
+	static const Wire__EditResult init_value = WIRE__EDIT_RESULT__INIT;
+	*message = init_value;
 }
-size_t wire__edit_result__get_packed_size
-                     (const Wire__EditResult *message)
+size_t
+wire__edit_result__get_packed_size(const Wire__EditResult *message)
 {
-  assert(message->base.descriptor == &wire__edit_result__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__edit_result__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__edit_result__pack
-                     (const Wire__EditResult *message,
-                      uint8_t       *out)
+size_t
+wire__edit_result__pack(const Wire__EditResult *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__edit_result__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__edit_result__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__edit_result__pack_to_buffer
-                     (const Wire__EditResult *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__edit_result__pack_to_buffer(
+    const Wire__EditResult *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__edit_result__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__edit_result__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__EditResult *
-       wire__edit_result__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__edit_result__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__EditResult *)
-     protobuf_c_message_unpack (&wire__edit_result__descriptor,
-                                allocator, len, data);
+	return (Wire__EditResult *)protobuf_c_message_unpack(
+	    &wire__edit_result__descriptor, allocator, len, data);
 }
-void   wire__edit_result__free_unpacked
-                     (Wire__EditResult *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__edit_result__free_unpacked(
+    Wire__EditResult *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__edit_result__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__edit_result__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__result__init
-                     (Wire__Result         *message)
+void
+wire__result__init(Wire__Result *message)
 {
-  static const Wire__Result init_value = WIRE__RESULT__INIT;
-  *message = init_value;
+	static const Wire__Result init_value = WIRE__RESULT__INIT;
+	*message = init_value;
 }
-size_t wire__result__get_packed_size
-                     (const Wire__Result *message)
+size_t
+wire__result__get_packed_size(const Wire__Result *message)
 {
-  assert(message->base.descriptor == &wire__result__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__result__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__result__pack
-                     (const Wire__Result *message,
-                      uint8_t       *out)
+size_t
+wire__result__pack(const Wire__Result *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__result__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__result__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__result__pack_to_buffer
-                     (const Wire__Result *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__result__pack_to_buffer(
+    const Wire__Result *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__result__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__result__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Result *
-       wire__result__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__result__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Result *)
-     protobuf_c_message_unpack (&wire__result__descriptor,
-                                allocator, len, data);
+	return (Wire__Result *)protobuf_c_message_unpack(
+	    &wire__result__descriptor, allocator, len, data);
 }
-void   wire__result__free_unpacked
-                     (Wire__Result *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__result__free_unpacked(
+    Wire__Result *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__result__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__result__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__entry_info__init
-                     (Wire__EntryInfo         *message)
+void
+wire__entry_info__init(Wire__EntryInfo *message)
 {
-  static const Wire__EntryInfo init_value = WIRE__ENTRY_INFO__INIT;
-  *message = init_value;
+	static const Wire__EntryInfo init_value = WIRE__ENTRY_INFO__INIT;
+	*message = init_value;
 }
-size_t wire__entry_info__get_packed_size
-                     (const Wire__EntryInfo *message)
+size_t
+wire__entry_info__get_packed_size(const Wire__EntryInfo *message)
 {
-  assert(message->base.descriptor == &wire__entry_info__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__entry_info__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__entry_info__pack
-                     (const Wire__EntryInfo *message,
-                      uint8_t       *out)
+size_t
+wire__entry_info__pack(const Wire__EntryInfo *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__entry_info__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__entry_info__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__entry_info__pack_to_buffer
-                     (const Wire__EntryInfo *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__entry_info__pack_to_buffer(
+    const Wire__EntryInfo *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__entry_info__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__entry_info__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__EntryInfo *
-       wire__entry_info__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__entry_info__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__EntryInfo *)
-     protobuf_c_message_unpack (&wire__entry_info__descriptor,
-                                allocator, len, data);
+	return (Wire__EntryInfo *)protobuf_c_message_unpack(
+	    &wire__entry_info__descriptor, allocator, len, data);
 }
-void   wire__entry_info__free_unpacked
-                     (Wire__EntryInfo *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__entry_info__free_unpacked(
+    Wire__EntryInfo *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__entry_info__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__entry_info__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__heartbeat__init
-                     (Wire__Heartbeat         *message)
+void
+wire__heartbeat__init(Wire__Heartbeat *message)
 {
-  static const Wire__Heartbeat init_value = WIRE__HEARTBEAT__INIT;
-  *message = init_value;
+	static const Wire__Heartbeat init_value = WIRE__HEARTBEAT__INIT;
+	*message = init_value;
 }
-size_t wire__heartbeat__get_packed_size
-                     (const Wire__Heartbeat *message)
+size_t
+wire__heartbeat__get_packed_size(const Wire__Heartbeat *message)
 {
-  assert(message->base.descriptor == &wire__heartbeat__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__heartbeat__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__heartbeat__pack
-                     (const Wire__Heartbeat *message,
-                      uint8_t       *out)
+size_t
+wire__heartbeat__pack(const Wire__Heartbeat *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__heartbeat__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__heartbeat__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__heartbeat__pack_to_buffer
-                     (const Wire__Heartbeat *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__heartbeat__pack_to_buffer(
+    const Wire__Heartbeat *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__heartbeat__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__heartbeat__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Heartbeat *
-       wire__heartbeat__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__heartbeat__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Heartbeat *)
-     protobuf_c_message_unpack (&wire__heartbeat__descriptor,
-                                allocator, len, data);
+	return (Wire__Heartbeat *)protobuf_c_message_unpack(
+	    &wire__heartbeat__descriptor, allocator, len, data);
 }
-void   wire__heartbeat__free_unpacked
-                     (Wire__Heartbeat *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__heartbeat__free_unpacked(
+    Wire__Heartbeat *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__heartbeat__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__heartbeat__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__lease__init
-                     (Wire__Lease         *message)
+void
+wire__lease__init(Wire__Lease *message)
 {
-  static const Wire__Lease init_value = WIRE__LEASE__INIT;
-  *message = init_value;
+	static const Wire__Lease init_value = WIRE__LEASE__INIT;
+	*message = init_value;
 }
-size_t wire__lease__get_packed_size
-                     (const Wire__Lease *message)
+size_t
+wire__lease__get_packed_size(const Wire__Lease *message)
 {
-  assert(message->base.descriptor == &wire__lease__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__lease__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__lease__pack
-                     (const Wire__Lease *message,
-                      uint8_t       *out)
+size_t
+wire__lease__pack(const Wire__Lease *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__lease__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__lease__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__lease__pack_to_buffer
-                     (const Wire__Lease *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__lease__pack_to_buffer(const Wire__Lease *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__lease__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__lease__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Lease *
-       wire__lease__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__lease__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Lease *)
-     protobuf_c_message_unpack (&wire__lease__descriptor,
-                                allocator, len, data);
+	return (Wire__Lease *)protobuf_c_message_unpack(
+	    &wire__lease__descriptor, allocator, len, data);
 }
-void   wire__lease__free_unpacked
-                     (Wire__Lease *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__lease__free_unpacked(Wire__Lease *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__lease__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__lease__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__change__init
-                     (Wire__Change         *message)
+void
+wire__change__init(Wire__Change *message)
 {
-  static const Wire__Change init_value = WIRE__CHANGE__INIT;
-  *message = init_value;
+	static const Wire__Change init_value = WIRE__CHANGE__INIT;
+	*message = init_value;
 }
-size_t wire__change__get_packed_size
-                     (const Wire__Change *message)
+size_t
+wire__change__get_packed_size(const Wire__Change *message)
 {
-  assert(message->base.descriptor == &wire__change__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__change__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__change__pack
-                     (const Wire__Change *message,
-                      uint8_t       *out)
+size_t
+wire__change__pack(const Wire__Change *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__change__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__change__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__change__pack_to_buffer
-                     (const Wire__Change *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__change__pack_to_buffer(
+    const Wire__Change *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__change__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__change__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Change *
-       wire__change__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__change__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Change *)
-     protobuf_c_message_unpack (&wire__change__descriptor,
-                                allocator, len, data);
+	return (Wire__Change *)protobuf_c_message_unpack(
+	    &wire__change__descriptor, allocator, len, data);
 }
-void   wire__change__free_unpacked
-                     (Wire__Change *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__change__free_unpacked(
+    Wire__Change *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__change__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__change__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__changes__init
-                     (Wire__Changes         *message)
+void
+wire__changes__init(Wire__Changes *message)
 {
-  static const Wire__Changes init_value = WIRE__CHANGES__INIT;
-  *message = init_value;
+	static const Wire__Changes init_value = WIRE__CHANGES__INIT;
+	*message = init_value;
 }
-size_t wire__changes__get_packed_size
-                     (const Wire__Changes *message)
+size_t
+wire__changes__get_packed_size(const Wire__Changes *message)
 {
-  assert(message->base.descriptor == &wire__changes__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__changes__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__changes__pack
-                     (const Wire__Changes *message,
-                      uint8_t       *out)
+size_t
+wire__changes__pack(const Wire__Changes *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__changes__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__changes__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__changes__pack_to_buffer
-                     (const Wire__Changes *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__changes__pack_to_buffer(
+    const Wire__Changes *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__changes__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__changes__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Changes *
-       wire__changes__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__changes__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Changes *)
-     protobuf_c_message_unpack (&wire__changes__descriptor,
-                                allocator, len, data);
+	return (Wire__Changes *)protobuf_c_message_unpack(
+	    &wire__changes__descriptor, allocator, len, data);
 }
-void   wire__changes__free_unpacked
-                     (Wire__Changes *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__changes__free_unpacked(
+    Wire__Changes *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__changes__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__changes__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__propose__init
-                     (Wire__Propose         *message)
+void
+wire__propose__init(Wire__Propose *message)
 {
-  static const Wire__Propose init_value = WIRE__PROPOSE__INIT;
-  *message = init_value;
+	static const Wire__Propose init_value = WIRE__PROPOSE__INIT;
+	*message = init_value;
 }
-size_t wire__propose__get_packed_size
-                     (const Wire__Propose *message)
+size_t
+wire__propose__get_packed_size(const Wire__Propose *message)
 {
-  assert(message->base.descriptor == &wire__propose__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__propose__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__propose__pack
-                     (const Wire__Propose *message,
-                      uint8_t       *out)
+size_t
+wire__propose__pack(const Wire__Propose *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__propose__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__propose__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__propose__pack_to_buffer
-                     (const Wire__Propose *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__propose__pack_to_buffer(
+    const Wire__Propose *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__propose__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__propose__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Propose *
-       wire__propose__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__propose__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Propose *)
-     protobuf_c_message_unpack (&wire__propose__descriptor,
-                                allocator, len, data);
+	return (Wire__Propose *)protobuf_c_message_unpack(
+	    &wire__propose__descriptor, allocator, len, data);
 }
-void   wire__propose__free_unpacked
-                     (Wire__Propose *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__propose__free_unpacked(
+    Wire__Propose *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__propose__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__propose__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__proposed__init
-                     (Wire__Proposed         *message)
+void
+wire__proposed__init(Wire__Proposed *message)
 {
-  static const Wire__Proposed init_value = WIRE__PROPOSED__INIT;
-  *message = init_value;
+	static const Wire__Proposed init_value = WIRE__PROPOSED__INIT;
+	*message = init_value;
 }
-size_t wire__proposed__get_packed_size
-                     (const Wire__Proposed *message)
+size_t
+wire__proposed__get_packed_size(const Wire__Proposed *message)
 {
-  assert(message->base.descriptor == &wire__proposed__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__proposed__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__proposed__pack
-                     (const Wire__Proposed *message,
-                      uint8_t       *out)
+size_t
+wire__proposed__pack(const Wire__Proposed *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__proposed__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__proposed__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__proposed__pack_to_buffer
-                     (const Wire__Proposed *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__proposed__pack_to_buffer(
+    const Wire__Proposed *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__proposed__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__proposed__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Proposed *
-       wire__proposed__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__proposed__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Proposed *)
-     protobuf_c_message_unpack (&wire__proposed__descriptor,
-                                allocator, len, data);
+	return (Wire__Proposed *)protobuf_c_message_unpack(
+	    &wire__proposed__descriptor, allocator, len, data);
 }
-void   wire__proposed__free_unpacked
-                     (Wire__Proposed *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__proposed__free_unpacked(
+    Wire__Proposed *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__proposed__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__proposed__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__not_leader__init
-                     (Wire__NotLeader         *message)
+void
+wire__not_leader__init(Wire__NotLeader *message)
 {
-  static const Wire__NotLeader init_value = WIRE__NOT_LEADER__INIT;
-  *message = init_value;
+	static const Wire__NotLeader init_value = WIRE__NOT_LEADER__INIT;
+	*message = init_value;
 }
-size_t wire__not_leader__get_packed_size
-                     (const Wire__NotLeader *message)
+size_t
+wire__not_leader__get_packed_size(const Wire__NotLeader *message)
 {
-  assert(message->base.descriptor == &wire__not_leader__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__not_leader__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__not_leader__pack
-                     (const Wire__NotLeader *message,
-                      uint8_t       *out)
+size_t
+wire__not_leader__pack(const Wire__NotLeader *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__not_leader__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__not_leader__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__not_leader__pack_to_buffer
-                     (const Wire__NotLeader *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__not_leader__pack_to_buffer(
+    const Wire__NotLeader *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__not_leader__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__not_leader__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__NotLeader *
-       wire__not_leader__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__not_leader__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__NotLeader *)
-     protobuf_c_message_unpack (&wire__not_leader__descriptor,
-                                allocator, len, data);
+	return (Wire__NotLeader *)protobuf_c_message_unpack(
+	    &wire__not_leader__descriptor, allocator, len, data);
 }
-void   wire__not_leader__free_unpacked
-                     (Wire__NotLeader *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__not_leader__free_unpacked(
+    Wire__NotLeader *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__not_leader__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__not_leader__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__claim_ended__init
-                     (Wire__ClaimEnded         *message)
+void
+wire__claim_ended__init(Wire__ClaimEnded *message)
 {
-  static const Wire__ClaimEnded init_value = WIRE__CLAIM_ENDED__INIT;
-  *message = init_value;
+	static const Wire__ClaimEnded init_value = WIRE__CLAIM_ENDED__INIT;
+	*message = init_value;
 }
-size_t wire__claim_ended__get_packed_size
-                     (const Wire__ClaimEnded *message)
+size_t
+wire__claim_ended__get_packed_size(const Wire__ClaimEnded *message)
 {
-  assert(message->base.descriptor == &wire__claim_ended__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__claim_ended__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__claim_ended__pack
-                     (const Wire__ClaimEnded *message,
-                      uint8_t       *out)
+size_t
+wire__claim_ended__pack(const Wire__ClaimEnded *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__claim_ended__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__claim_ended__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__claim_ended__pack_to_buffer
-                     (const Wire__ClaimEnded *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__claim_ended__pack_to_buffer(
+    const Wire__ClaimEnded *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__claim_ended__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__claim_ended__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__ClaimEnded *
-       wire__claim_ended__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__claim_ended__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__ClaimEnded *)
-     protobuf_c_message_unpack (&wire__claim_ended__descriptor,
-                                allocator, len, data);
+	return (Wire__ClaimEnded *)protobuf_c_message_unpack(
+	    &wire__claim_ended__descriptor, allocator, len, data);
 }
-void   wire__claim_ended__free_unpacked
-                     (Wire__ClaimEnded *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__claim_ended__free_unpacked(
+    Wire__ClaimEnded *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__claim_ended__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__claim_ended__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__query__init
-                     (Wire__Query         *message)
+void
+wire__query__init(Wire__Query *message)
 {
-  static const Wire__Query init_value = WIRE__QUERY__INIT;
-  *message = init_value;
+	static const Wire__Query init_value = WIRE__QUERY__INIT;
+	*message = init_value;
 }
-size_t wire__query__get_packed_size
-                     (const Wire__Query *message)
+size_t
+wire__query__get_packed_size(const Wire__Query *message)
 {
-  assert(message->base.descriptor == &wire__query__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__query__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__query__pack
-                     (const Wire__Query *message,
-                      uint8_t       *out)
+size_t
+wire__query__pack(const Wire__Query *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__query__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__query__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__query__pack_to_buffer
-                     (const Wire__Query *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__query__pack_to_buffer(const Wire__Query *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__query__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__query__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Query *
-       wire__query__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__query__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__Query *)
-     protobuf_c_message_unpack (&wire__query__descriptor,
-                                allocator, len, data);
+	return (Wire__Query *)protobuf_c_message_unpack(
+	    &wire__query__descriptor, allocator, len, data);
 }
-void   wire__query__free_unpacked
-                     (Wire__Query *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__query__free_unpacked(Wire__Query *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__query__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__query__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__query_answer__init
-                     (Wire__QueryAnswer         *message)
+void
+wire__query_answer__init(Wire__QueryAnswer *message)
 {
-  static const Wire__QueryAnswer init_value = WIRE__QUERY_ANSWER__INIT;
-  *message = init_value;
+	static const Wire__QueryAnswer init_value = WIRE__QUERY_ANSWER__INIT;
+	*message = init_value;
 }
-size_t wire__query_answer__get_packed_size
-                     (const Wire__QueryAnswer *message)
+size_t
+wire__query_answer__get_packed_size(const Wire__QueryAnswer *message)
 {
-  assert(message->base.descriptor == &wire__query_answer__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__query_answer__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__query_answer__pack
-                     (const Wire__QueryAnswer *message,
-                      uint8_t       *out)
+size_t
+wire__query_answer__pack(const Wire__QueryAnswer *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__query_answer__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__query_answer__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__query_answer__pack_to_buffer
-                     (const Wire__QueryAnswer *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__query_answer__pack_to_buffer(
+    const Wire__QueryAnswer *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__query_answer__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__query_answer__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__QueryAnswer *
-       wire__query_answer__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+wire__query_answer__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Wire__QueryAnswer *)
-     protobuf_c_message_unpack (&wire__query_answer__descriptor,
-                                allocator, len, data);
+	return (Wire__QueryAnswer *)protobuf_c_message_unpack(
+	    &wire__query_answer__descriptor, allocator, len, data);
 }
-void   wire__query_answer__free_unpacked
-                     (Wire__QueryAnswer *message,
-                      ProtobufCAllocator *allocator)
+void
+wire__query_answer__free_unpacked(
+    Wire__QueryAnswer *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__query_answer__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__query_answer__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
 }
-void   wire__envelope__init
-                     (Wire__Envelope         *message)
+void
+wire__envelope__init(Wire__Envelope *message)
 {
-  static const Wire__Envelope init_value = WIRE__ENVELOPE__INIT;
-  *message = init_value;
+	static const Wire__Envelope init_value = WIRE__ENVELOPE__INIT;
+	*message = init_value;
 }
-size_t wire__envelope__get_packed_size
-                     (const Wire__Envelope *message)
+size_t
+wire__envelope__get_packed_size(const Wire__Envelope *message)
 {
-  assert(message->base.descriptor == &wire__envelope__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &wire__envelope__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
 }
-size_t wire__envelope__pack
-                     (const Wire__Envelope *message,
-                      uint8_t       *out)
+size_t
+wire__envelope__pack(const Wire__Envelope *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &wire__envelope__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &wire__envelope__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t wire__envelope__pack_to_buffer
-                     (const Wire__Envelope *message,
-                      ProtobufCBuffer *buffer)
+size_t
+wire__envelope__pack_to_buffer(
+    const Wire__Envelope *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__envelope__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &wire__envelope__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
 }
 Wire__Envelope *
-       wire__envelope__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Wire__Envelope *)
-     protobuf_c_message_unpack (&wire__envelope__descriptor,
-                                allocator, len, data);
-}
-void   wire__envelope__free_unpacked
-                     (Wire__Envelope *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__envelope__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor wire__target__field_descriptors[10] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Target, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Target, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Target, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "failure_domain",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Target, failure_domain),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slots",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Target, slots),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "connections",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Target, connections),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "state",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Target, state),
-    &wire__target_state__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "holder",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Target, holder),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Target, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sequence",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Target, sequence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+wire__envelope__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Wire__Envelope *)protobuf_c_message_unpack(
+	    &wire__envelope__descriptor, allocator, len, data);
+}
+void
+wire__envelope__free_unpacked(
+    Wire__Envelope *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &wire__envelope__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+static const ProtobufCFieldDescriptor wire__target__field_descriptors[10] = {
+    {
+	"id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__Target, id), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__Target, service), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"address", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__Target, address), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"failure_domain", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__Target, failure_domain), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"slots", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Wire__Target, slots), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"connections", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Wire__Target, connections), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"state", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
+	0, /* quantifier_offset */
+	offsetof(Wire__Target, state), &wire__target_state__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"holder", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__Target, holder), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"incarnation", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Target, incarnation), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"sequence", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Target, sequence), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__target__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  5,   /* field[5] = connections */
-  3,   /* field[3] = failure_domain */
-  7,   /* field[7] = holder */
-  0,   /* field[0] = id */
-  8,   /* field[8] = incarnation */
-  9,   /* field[9] = sequence */
-  1,   /* field[1] = service */
-  4,   /* field[4] = slots */
-  6,   /* field[6] = state */
-};
-static const ProtobufCIntRange wire__target__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
-};
-const ProtobufCMessageDescriptor wire__target__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Target",
-  "Target",
-  "Wire__Target",
-  "wire",
-  sizeof(Wire__Target),
-  10,
-  wire__target__field_descriptors,
-  wire__target__field_indices_by_name,
-  1,  wire__target__number_ranges,
-  (ProtobufCMessageInit) wire__target__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__section__field_descriptors[5] =
-{
-  {
-    "name",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Section, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "revision",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Section, revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "text",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Section, text),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "digest",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Section, digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "removed",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Section, removed),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    2, /* field[2] = address */
+    5, /* field[5] = connections */
+    3, /* field[3] = failure_domain */
+    7, /* field[7] = holder */
+    0, /* field[0] = id */
+    8, /* field[8] = incarnation */
+    9, /* field[9] = sequence */
+    1, /* field[1] = service */
+    4, /* field[4] = slots */
+    6, /* field[6] = state */
+};
+static const ProtobufCIntRange wire__target__number_ranges[1 + 1] = {
+    {1, 0}, {0, 10}};
+const ProtobufCMessageDescriptor wire__target__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Target", "Target",
+    "Wire__Target", "wire", sizeof(Wire__Target), 10,
+    wire__target__field_descriptors, wire__target__field_indices_by_name, 1,
+    wire__target__number_ranges, (ProtobufCMessageInit)wire__target__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__section__field_descriptors[5] = {
+    {
+	"name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__Section, name), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"revision", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Section, revision), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"text", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	0, /* quantifier_offset */
+	offsetof(Wire__Section, text), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"digest", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	0, /* quantifier_offset */
+	offsetof(Wire__Section, digest), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"removed", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Wire__Section, removed), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__section__field_indices_by_name[] = {
-  3,   /* field[3] = digest */
-  0,   /* field[0] = name */
-  4,   /* field[4] = removed */
-  1,   /* field[1] = revision */
-  2,   /* field[2] = text */
-};
-static const ProtobufCIntRange wire__section__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor wire__section__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Section",
-  "Section",
-  "Wire__Section",
-  "wire",
-  sizeof(Wire__Section),
-  5,
-  wire__section__field_descriptors,
-  wire__section__field_indices_by_name,
-  1,  wire__section__number_ranges,
-  (ProtobufCMessageInit) wire__section__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    3, /* field[3] = digest */
+    0, /* field[0] = name */
+    4, /* field[4] = removed */
+    1, /* field[1] = revision */
+    2, /* field[2] = text */
+};
+static const ProtobufCIntRange wire__section__number_ranges[1 + 1] = {
+    {1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor wire__section__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Section", "Section",
+    "Wire__Section", "wire", sizeof(Wire__Section), 5,
+    wire__section__field_descriptors, wire__section__field_indices_by_name, 1,
+    wire__section__number_ranges, (ProtobufCMessageInit)wire__section__init,
+    NULL, NULL, NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor wire__edit_section__field_descriptors[7] =
-{
-  {
-    "section",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EditSection, section),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "base_revision",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EditSection, base_revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "edit_id",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EditSection, edit_id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "team",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EditSection, team),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "author",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EditSection, author),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "text",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EditSection, text),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "remove",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EditSection, remove),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    {
+	{
+	    "section", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__EditSection, section), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "base_revision", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__EditSection, base_revision), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "edit_id", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__EditSection, edit_id), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "team", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__EditSection, team), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "author", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__EditSection, author), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "text", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__EditSection, text), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "remove", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__EditSection, remove), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned wire__edit_section__field_indices_by_name[] = {
-  4,   /* field[4] = author */
-  1,   /* field[1] = base_revision */
-  2,   /* field[2] = edit_id */
-  6,   /* field[6] = remove */
-  0,   /* field[0] = section */
-  3,   /* field[3] = team */
-  5,   /* field[5] = text */
-};
-static const ProtobufCIntRange wire__edit_section__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor wire__edit_section__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.EditSection",
-  "EditSection",
-  "Wire__EditSection",
-  "wire",
-  sizeof(Wire__EditSection),
-  7,
-  wire__edit_section__field_descriptors,
-  wire__edit_section__field_indices_by_name,
-  1,  wire__edit_section__number_ranges,
-  (ProtobufCMessageInit) wire__edit_section__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    4, /* field[4] = author */
+    1, /* field[1] = base_revision */
+    2, /* field[2] = edit_id */
+    6, /* field[6] = remove */
+    0, /* field[0] = section */
+    3, /* field[3] = team */
+    5, /* field[5] = text */
+};
+static const ProtobufCIntRange wire__edit_section__number_ranges[1 + 1] = {
+    {1, 0}, {0, 7}};
+const ProtobufCMessageDescriptor wire__edit_section__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.EditSection", "EditSection",
+    "Wire__EditSection", "wire", sizeof(Wire__EditSection), 7,
+    wire__edit_section__field_descriptors,
+    wire__edit_section__field_indices_by_name, 1,
+    wire__edit_section__number_ranges,
+    (ProtobufCMessageInit)wire__edit_section__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor wire__claim_open__field_descriptors[10] =
-{
-  {
-    "tenant",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimOpen, tenant),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimOpen, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "key",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimOpen, key),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "digest",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimOpen, digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "holder",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimOpen, holder),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "holder_incarnation",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimOpen, holder_incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "attempt",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimOpen, attempt),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "retention_s",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimOpen, retention_s),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "claims_max",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimOpen, claims_max),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "route",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimOpen, route),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    {
+	{
+	    "tenant", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimOpen, tenant), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimOpen, service), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "key", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimOpen, key), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "digest", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimOpen, digest), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "holder", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimOpen, holder), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "holder_incarnation", 6, PROTOBUF_C_LABEL_NONE,
+	    PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+	    offsetof(Wire__ClaimOpen, holder_incarnation), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "attempt", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimOpen, attempt), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "retention_s", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimOpen, retention_s), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "claims_max", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimOpen, claims_max), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "route", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimOpen, route), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned wire__claim_open__field_indices_by_name[] = {
-  6,   /* field[6] = attempt */
-  8,   /* field[8] = claims_max */
-  3,   /* field[3] = digest */
-  4,   /* field[4] = holder */
-  5,   /* field[5] = holder_incarnation */
-  2,   /* field[2] = key */
-  7,   /* field[7] = retention_s */
-  9,   /* field[9] = route */
-  1,   /* field[1] = service */
-  0,   /* field[0] = tenant */
-};
-static const ProtobufCIntRange wire__claim_open__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
-};
-const ProtobufCMessageDescriptor wire__claim_open__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.ClaimOpen",
-  "ClaimOpen",
-  "Wire__ClaimOpen",
-  "wire",
-  sizeof(Wire__ClaimOpen),
-  10,
-  wire__claim_open__field_descriptors,
-  wire__claim_open__field_indices_by_name,
-  1,  wire__claim_open__number_ranges,
-  (ProtobufCMessageInit) wire__claim_open__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__claim_end__field_descriptors[11] =
-{
-  {
-    "tenant",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, tenant),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "key",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, key),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "holder",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, holder),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "holder_incarnation",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, holder_incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "attempt",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, attempt),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ending",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, ending),
-    &wire__claim_ending__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "http_status",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, http_status),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "content_type",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, content_type),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "answer",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, answer),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "answer_kept",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnd, answer_kept),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    6, /* field[6] = attempt */
+    8, /* field[8] = claims_max */
+    3, /* field[3] = digest */
+    4, /* field[4] = holder */
+    5, /* field[5] = holder_incarnation */
+    2, /* field[2] = key */
+    7, /* field[7] = retention_s */
+    9, /* field[9] = route */
+    1, /* field[1] = service */
+    0, /* field[0] = tenant */
+};
+static const ProtobufCIntRange wire__claim_open__number_ranges[1 + 1] = {
+    {1, 0}, {0, 10}};
+const ProtobufCMessageDescriptor wire__claim_open__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.ClaimOpen", "ClaimOpen",
+    "Wire__ClaimOpen", "wire", sizeof(Wire__ClaimOpen), 10,
+    wire__claim_open__field_descriptors,
+    wire__claim_open__field_indices_by_name, 1, wire__claim_open__number_ranges,
+    (ProtobufCMessageInit)wire__claim_open__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__claim_end__field_descriptors[11] = {
+    {
+	"tenant", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, tenant), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, service), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"key", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, key), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"holder", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, holder), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"holder_incarnation", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, holder_incarnation), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"attempt", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, attempt), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"ending", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, ending), &wire__claim_ending__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"http_status", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, http_status), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"content_type", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, content_type), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"answer", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, answer), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"answer_kept", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Wire__ClaimEnd, answer_kept), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__claim_end__field_indices_by_name[] = {
-  9,   /* field[9] = answer */
-  10,   /* field[10] = answer_kept */
-  5,   /* field[5] = attempt */
-  8,   /* field[8] = content_type */
-  6,   /* field[6] = ending */
-  3,   /* field[3] = holder */
-  4,   /* field[4] = holder_incarnation */
-  7,   /* field[7] = http_status */
-  2,   /* field[2] = key */
-  1,   /* field[1] = service */
-  0,   /* field[0] = tenant */
-};
-static const ProtobufCIntRange wire__claim_end__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 11 }
-};
-const ProtobufCMessageDescriptor wire__claim_end__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.ClaimEnd",
-  "ClaimEnd",
-  "Wire__ClaimEnd",
-  "wire",
-  sizeof(Wire__ClaimEnd),
-  11,
-  wire__claim_end__field_descriptors,
-  wire__claim_end__field_indices_by_name,
-  1,  wire__claim_end__number_ranges,
-  (ProtobufCMessageInit) wire__claim_end__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__target_put__field_descriptors[1] =
-{
-  {
-    "target",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Wire__TargetPut, target),
-    &wire__target__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    9, /* field[9] = answer */
+    10, /* field[10] = answer_kept */
+    5, /* field[5] = attempt */
+    8, /* field[8] = content_type */
+    6, /* field[6] = ending */
+    3, /* field[3] = holder */
+    4, /* field[4] = holder_incarnation */
+    7, /* field[7] = http_status */
+    2, /* field[2] = key */
+    1, /* field[1] = service */
+    0, /* field[0] = tenant */
+};
+static const ProtobufCIntRange wire__claim_end__number_ranges[1 + 1] = {
+    {1, 0}, {0, 11}};
+const ProtobufCMessageDescriptor wire__claim_end__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.ClaimEnd", "ClaimEnd",
+    "Wire__ClaimEnd", "wire", sizeof(Wire__ClaimEnd), 11,
+    wire__claim_end__field_descriptors, wire__claim_end__field_indices_by_name,
+    1, wire__claim_end__number_ranges,
+    (ProtobufCMessageInit)wire__claim_end__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__target_put__field_descriptors[1] = {
+    {
+	"target", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	0, /* quantifier_offset */
+	offsetof(Wire__TargetPut, target), &wire__target__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__target_put__field_indices_by_name[] = {
-  0,   /* field[0] = target */
-};
-static const ProtobufCIntRange wire__target_put__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor wire__target_put__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.TargetPut",
-  "TargetPut",
-  "Wire__TargetPut",
-  "wire",
-  sizeof(Wire__TargetPut),
-  1,
-  wire__target_put__field_descriptors,
-  wire__target_put__field_indices_by_name,
-  1,  wire__target_put__number_ranges,
-  (ProtobufCMessageInit) wire__target_put__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__target_remove__field_descriptors[3] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__TargetRemove, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "holder",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__TargetRemove, holder),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__TargetRemove, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = target */
+};
+static const ProtobufCIntRange wire__target_put__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor wire__target_put__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.TargetPut", "TargetPut",
+    "Wire__TargetPut", "wire", sizeof(Wire__TargetPut), 1,
+    wire__target_put__field_descriptors,
+    wire__target_put__field_indices_by_name, 1, wire__target_put__number_ranges,
+    (ProtobufCMessageInit)wire__target_put__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    wire__target_remove__field_descriptors[3] = {
+	{
+	    "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__TargetRemove, id), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "holder", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__TargetRemove, holder), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__TargetRemove, incarnation), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned wire__target_remove__field_indices_by_name[] = {
-  1,   /* field[1] = holder */
-  0,   /* field[0] = id */
-  2,   /* field[2] = incarnation */
-};
-static const ProtobufCIntRange wire__target_remove__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor wire__target_remove__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.TargetRemove",
-  "TargetRemove",
-  "Wire__TargetRemove",
-  "wire",
-  sizeof(Wire__TargetRemove),
-  3,
-  wire__target_remove__field_descriptors,
-  wire__target_remove__field_indices_by_name,
-  1,  wire__target_remove__number_ranges,
-  (ProtobufCMessageInit) wire__target_remove__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__entry_lost__field_descriptors[2] =
-{
-  {
-    "entry",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EntryLost, entry),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EntryLost, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = holder */
+    0, /* field[0] = id */
+    2, /* field[2] = incarnation */
+};
+static const ProtobufCIntRange wire__target_remove__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor wire__target_remove__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.TargetRemove", "TargetRemove",
+    "Wire__TargetRemove", "wire", sizeof(Wire__TargetRemove), 3,
+    wire__target_remove__field_descriptors,
+    wire__target_remove__field_indices_by_name, 1,
+    wire__target_remove__number_ranges,
+    (ProtobufCMessageInit)wire__target_remove__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__entry_lost__field_descriptors[2] = {
+    {
+	"entry", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__EntryLost, entry), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__EntryLost, incarnation), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__entry_lost__field_indices_by_name[] = {
-  0,   /* field[0] = entry */
-  1,   /* field[1] = incarnation */
-};
-static const ProtobufCIntRange wire__entry_lost__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor wire__entry_lost__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.EntryLost",
-  "EntryLost",
-  "Wire__EntryLost",
-  "wire",
-  sizeof(Wire__EntryLost),
-  2,
-  wire__entry_lost__field_descriptors,
-  wire__entry_lost__field_indices_by_name,
-  1,  wire__entry_lost__number_ranges,
-  (ProtobufCMessageInit) wire__entry_lost__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__command__field_descriptors[7] =
-{
-  {
-    "time_us",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Command, time_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "edit",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Command, body_case),
-    offsetof(Wire__Command, edit),
-    &wire__edit_section__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "claim_open",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Command, body_case),
-    offsetof(Wire__Command, claim_open),
-    &wire__claim_open__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "claim_end",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Command, body_case),
-    offsetof(Wire__Command, claim_end),
-    &wire__claim_end__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target_put",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Command, body_case),
-    offsetof(Wire__Command, target_put),
-    &wire__target_put__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target_remove",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Command, body_case),
-    offsetof(Wire__Command, target_remove),
-    &wire__target_remove__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "entry_lost",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Command, body_case),
-    offsetof(Wire__Command, entry_lost),
-    &wire__entry_lost__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = entry */
+    1, /* field[1] = incarnation */
+};
+static const ProtobufCIntRange wire__entry_lost__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor wire__entry_lost__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.EntryLost", "EntryLost",
+    "Wire__EntryLost", "wire", sizeof(Wire__EntryLost), 2,
+    wire__entry_lost__field_descriptors,
+    wire__entry_lost__field_indices_by_name, 1, wire__entry_lost__number_ranges,
+    (ProtobufCMessageInit)wire__entry_lost__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__command__field_descriptors[7] = {
+    {
+	"time_us", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Command, time_us), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"edit", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Command, body_case), offsetof(Wire__Command, edit),
+	&wire__edit_section__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"claim_open", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Command, body_case), offsetof(Wire__Command, claim_open),
+	&wire__claim_open__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"claim_end", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Command, body_case), offsetof(Wire__Command, claim_end),
+	&wire__claim_end__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"target_put", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Command, body_case), offsetof(Wire__Command, target_put),
+	&wire__target_put__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"target_remove", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Command, body_case),
+	offsetof(Wire__Command, target_remove),
+	&wire__target_remove__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"entry_lost", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Command, body_case), offsetof(Wire__Command, entry_lost),
+	&wire__entry_lost__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__command__field_indices_by_name[] = {
-  3,   /* field[3] = claim_end */
-  2,   /* field[2] = claim_open */
-  1,   /* field[1] = edit */
-  6,   /* field[6] = entry_lost */
-  4,   /* field[4] = target_put */
-  5,   /* field[5] = target_remove */
-  0,   /* field[0] = time_us */
-};
-static const ProtobufCIntRange wire__command__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor wire__command__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Command",
-  "Command",
-  "Wire__Command",
-  "wire",
-  sizeof(Wire__Command),
-  7,
-  wire__command__field_descriptors,
-  wire__command__field_indices_by_name,
-  1,  wire__command__number_ranges,
-  (ProtobufCMessageInit) wire__command__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    3, /* field[3] = claim_end */
+    2, /* field[2] = claim_open */
+    1, /* field[1] = edit */
+    6, /* field[6] = entry_lost */
+    4, /* field[4] = target_put */
+    5, /* field[5] = target_remove */
+    0, /* field[0] = time_us */
+};
+static const ProtobufCIntRange wire__command__number_ranges[1 + 1] = {
+    {1, 0}, {0, 7}};
+const ProtobufCMessageDescriptor wire__command__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Command", "Command",
+    "Wire__Command", "wire", sizeof(Wire__Command), 7,
+    wire__command__field_descriptors, wire__command__field_indices_by_name, 1,
+    wire__command__number_ranges, (ProtobufCMessageInit)wire__command__init,
+    NULL, NULL, NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor wire__claim_result__field_descriptors[4] =
-{
-  {
-    "verdict",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimResult, verdict),
-    &wire__claim_verdict__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "http_status",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimResult, http_status),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "content_type",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimResult, content_type),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "answer",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimResult, answer),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    {
+	{
+	    "verdict", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimResult, verdict),
+	    &wire__claim_verdict__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "http_status", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimResult, http_status), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "content_type", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimResult, content_type), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "answer", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimResult, answer), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned wire__claim_result__field_indices_by_name[] = {
-  3,   /* field[3] = answer */
-  2,   /* field[2] = content_type */
-  1,   /* field[1] = http_status */
-  0,   /* field[0] = verdict */
-};
-static const ProtobufCIntRange wire__claim_result__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor wire__claim_result__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.ClaimResult",
-  "ClaimResult",
-  "Wire__ClaimResult",
-  "wire",
-  sizeof(Wire__ClaimResult),
-  4,
-  wire__claim_result__field_descriptors,
-  wire__claim_result__field_indices_by_name,
-  1,  wire__claim_result__number_ranges,
-  (ProtobufCMessageInit) wire__claim_result__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    3, /* field[3] = answer */
+    2, /* field[2] = content_type */
+    1, /* field[1] = http_status */
+    0, /* field[0] = verdict */
+};
+static const ProtobufCIntRange wire__claim_result__number_ranges[1 + 1] = {
+    {1, 0}, {0, 4}};
+const ProtobufCMessageDescriptor wire__claim_result__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.ClaimResult", "ClaimResult",
+    "Wire__ClaimResult", "wire", sizeof(Wire__ClaimResult), 4,
+    wire__claim_result__field_descriptors,
+    wire__claim_result__field_indices_by_name, 1,
+    wire__claim_result__number_ranges,
+    (ProtobufCMessageInit)wire__claim_result__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor wire__edit_result__field_descriptors[2] =
-{
-  {
-    "revision",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EditResult, revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "resend",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EditResult, resend),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    {
+	{
+	    "revision", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__EditResult, revision), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "resend", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__EditResult, resend), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned wire__edit_result__field_indices_by_name[] = {
-  1,   /* field[1] = resend */
-  0,   /* field[0] = revision */
-};
-static const ProtobufCIntRange wire__edit_result__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor wire__edit_result__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.EditResult",
-  "EditResult",
-  "Wire__EditResult",
-  "wire",
-  sizeof(Wire__EditResult),
-  2,
-  wire__edit_result__field_descriptors,
-  wire__edit_result__field_indices_by_name,
-  1,  wire__edit_result__number_ranges,
-  (ProtobufCMessageInit) wire__edit_result__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__result__field_descriptors[5] =
-{
-  {
-    "status",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Result, status),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "message",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Result, message),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "index",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Result, index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "edit",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Result, detail_case),
-    offsetof(Wire__Result, edit),
-    &wire__edit_result__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "claim",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Result, detail_case),
-    offsetof(Wire__Result, claim),
-    &wire__claim_result__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = resend */
+    0, /* field[0] = revision */
+};
+static const ProtobufCIntRange wire__edit_result__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor wire__edit_result__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.EditResult", "EditResult",
+    "Wire__EditResult", "wire", sizeof(Wire__EditResult), 2,
+    wire__edit_result__field_descriptors,
+    wire__edit_result__field_indices_by_name, 1,
+    wire__edit_result__number_ranges,
+    (ProtobufCMessageInit)wire__edit_result__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__result__field_descriptors[5] = {
+    {
+	"status", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Wire__Result, status), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"message", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__Result, message), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"index", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Result, index), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"edit", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Result, detail_case), offsetof(Wire__Result, edit),
+	&wire__edit_result__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"claim", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Result, detail_case), offsetof(Wire__Result, claim),
+	&wire__claim_result__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__result__field_indices_by_name[] = {
-  4,   /* field[4] = claim */
-  3,   /* field[3] = edit */
-  2,   /* field[2] = index */
-  1,   /* field[1] = message */
-  0,   /* field[0] = status */
-};
-static const ProtobufCIntRange wire__result__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor wire__result__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Result",
-  "Result",
-  "Wire__Result",
-  "wire",
-  sizeof(Wire__Result),
-  5,
-  wire__result__field_descriptors,
-  wire__result__field_indices_by_name,
-  1,  wire__result__number_ranges,
-  (ProtobufCMessageInit) wire__result__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__entry_info__field_descriptors[7] =
-{
-  {
-    "name",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EntryInfo, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EntryInfo, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "failure_domain",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EntryInfo, failure_domain),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EntryInfo, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leaving",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EntryInfo, leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "spare_eighths",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EntryInfo, spare_eighths),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "gone",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EntryInfo, gone),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    4, /* field[4] = claim */
+    3, /* field[3] = edit */
+    2, /* field[2] = index */
+    1, /* field[1] = message */
+    0, /* field[0] = status */
+};
+static const ProtobufCIntRange wire__result__number_ranges[1 + 1] = {
+    {1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor wire__result__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Result", "Result",
+    "Wire__Result", "wire", sizeof(Wire__Result), 5,
+    wire__result__field_descriptors, wire__result__field_indices_by_name, 1,
+    wire__result__number_ranges, (ProtobufCMessageInit)wire__result__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__entry_info__field_descriptors[7] = {
+    {
+	"name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__EntryInfo, name), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"address", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__EntryInfo, address), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"failure_domain", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__EntryInfo, failure_domain), NULL,
+	&protobuf_c_empty_string, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"incarnation", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__EntryInfo, incarnation), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"leaving", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Wire__EntryInfo, leaving), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"spare_eighths", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Wire__EntryInfo, spare_eighths), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"gone", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Wire__EntryInfo, gone), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__entry_info__field_indices_by_name[] = {
-  1,   /* field[1] = address */
-  2,   /* field[2] = failure_domain */
-  6,   /* field[6] = gone */
-  3,   /* field[3] = incarnation */
-  4,   /* field[4] = leaving */
-  0,   /* field[0] = name */
-  5,   /* field[5] = spare_eighths */
-};
-static const ProtobufCIntRange wire__entry_info__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor wire__entry_info__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.EntryInfo",
-  "EntryInfo",
-  "Wire__EntryInfo",
-  "wire",
-  sizeof(Wire__EntryInfo),
-  7,
-  wire__entry_info__field_descriptors,
-  wire__entry_info__field_indices_by_name,
-  1,  wire__entry_info__number_ranges,
-  (ProtobufCMessageInit) wire__entry_info__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__heartbeat__field_descriptors[8] =
-{
-  {
-    "entry",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Heartbeat, entry),
-    &wire__entry_info__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "applied_index",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Heartbeat, applied_index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "applied_term",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Heartbeat, applied_term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sent_us",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Heartbeat, sent_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "entries_version",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Heartbeat, entries_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "share_divisor",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Heartbeat, share_divisor),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "lease_live",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Heartbeat, lease_live),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "lease_sent_us",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Heartbeat, lease_sent_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = address */
+    2, /* field[2] = failure_domain */
+    6, /* field[6] = gone */
+    3, /* field[3] = incarnation */
+    4, /* field[4] = leaving */
+    0, /* field[0] = name */
+    5, /* field[5] = spare_eighths */
+};
+static const ProtobufCIntRange wire__entry_info__number_ranges[1 + 1] = {
+    {1, 0}, {0, 7}};
+const ProtobufCMessageDescriptor wire__entry_info__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.EntryInfo", "EntryInfo",
+    "Wire__EntryInfo", "wire", sizeof(Wire__EntryInfo), 7,
+    wire__entry_info__field_descriptors,
+    wire__entry_info__field_indices_by_name, 1, wire__entry_info__number_ranges,
+    (ProtobufCMessageInit)wire__entry_info__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__heartbeat__field_descriptors[8] = {
+    {
+	"entry", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	0, /* quantifier_offset */
+	offsetof(Wire__Heartbeat, entry), &wire__entry_info__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"applied_index", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Heartbeat, applied_index), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"applied_term", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Heartbeat, applied_term), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"sent_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Heartbeat, sent_us), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"entries_version", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Heartbeat, entries_version), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"share_divisor", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Wire__Heartbeat, share_divisor), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"lease_live", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Wire__Heartbeat, lease_live), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"lease_sent_us", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Heartbeat, lease_sent_us), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__heartbeat__field_indices_by_name[] = {
-  1,   /* field[1] = applied_index */
-  2,   /* field[2] = applied_term */
-  4,   /* field[4] = entries_version */
-  0,   /* field[0] = entry */
-  6,   /* field[6] = lease_live */
-  7,   /* field[7] = lease_sent_us */
-  3,   /* field[3] = sent_us */
-  5,   /* field[5] = share_divisor */
-};
-static const ProtobufCIntRange wire__heartbeat__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 8 }
-};
-const ProtobufCMessageDescriptor wire__heartbeat__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Heartbeat",
-  "Heartbeat",
-  "Wire__Heartbeat",
-  "wire",
-  sizeof(Wire__Heartbeat),
-  8,
-  wire__heartbeat__field_descriptors,
-  wire__heartbeat__field_indices_by_name,
-  1,  wire__heartbeat__number_ranges,
-  (ProtobufCMessageInit) wire__heartbeat__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__lease__field_descriptors[10] =
-{
-  {
-    "term",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Lease, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "view_index",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Lease, view_index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "lease_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Lease, lease_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sent_us",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Lease, sent_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "share_divisor",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Lease, share_divisor),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "entries_version",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Lease, entries_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "entries",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Lease, n_entries),
-    offsetof(Wire__Lease, entries),
-    &wire__entry_info__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "safe_ms",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Lease, safe_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "entries_max",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Lease, entries_max),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "entries_base",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Lease, entries_base),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = applied_index */
+    2, /* field[2] = applied_term */
+    4, /* field[4] = entries_version */
+    0, /* field[0] = entry */
+    6, /* field[6] = lease_live */
+    7, /* field[7] = lease_sent_us */
+    3, /* field[3] = sent_us */
+    5, /* field[5] = share_divisor */
+};
+static const ProtobufCIntRange wire__heartbeat__number_ranges[1 + 1] = {
+    {1, 0}, {0, 8}};
+const ProtobufCMessageDescriptor wire__heartbeat__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Heartbeat", "Heartbeat",
+    "Wire__Heartbeat", "wire", sizeof(Wire__Heartbeat), 8,
+    wire__heartbeat__field_descriptors, wire__heartbeat__field_indices_by_name,
+    1, wire__heartbeat__number_ranges,
+    (ProtobufCMessageInit)wire__heartbeat__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__lease__field_descriptors[10] = {
+    {
+	"term", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Lease, term), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"view_index", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Lease, view_index), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"lease_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Lease, lease_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"sent_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Lease, sent_us), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"share_divisor", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Wire__Lease, share_divisor), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"entries_version", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Lease, entries_version), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"entries", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Lease, n_entries), offsetof(Wire__Lease, entries),
+	&wire__entry_info__descriptor, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"safe_ms", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Lease, safe_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"entries_max", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Wire__Lease, entries_max), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"entries_base", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Lease, entries_base), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__lease__field_indices_by_name[] = {
-  6,   /* field[6] = entries */
-  9,   /* field[9] = entries_base */
-  8,   /* field[8] = entries_max */
-  5,   /* field[5] = entries_version */
-  2,   /* field[2] = lease_ms */
-  7,   /* field[7] = safe_ms */
-  3,   /* field[3] = sent_us */
-  4,   /* field[4] = share_divisor */
-  0,   /* field[0] = term */
-  1,   /* field[1] = view_index */
-};
-static const ProtobufCIntRange wire__lease__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
-};
-const ProtobufCMessageDescriptor wire__lease__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Lease",
-  "Lease",
-  "Wire__Lease",
-  "wire",
-  sizeof(Wire__Lease),
-  10,
-  wire__lease__field_descriptors,
-  wire__lease__field_indices_by_name,
-  1,  wire__lease__number_ranges,
-  (ProtobufCMessageInit) wire__lease__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__change__field_descriptors[4] =
-{
-  {
-    "index",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Change, index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "section",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Change, body_case),
-    offsetof(Wire__Change, section),
-    &wire__section__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Change, body_case),
-    offsetof(Wire__Change, target),
-    &wire__target__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target_removed",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Wire__Change, body_case),
-    offsetof(Wire__Change, target_removed),
-    NULL,
-    &protobuf_c_empty_string,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    6, /* field[6] = entries */
+    9, /* field[9] = entries_base */
+    8, /* field[8] = entries_max */
+    5, /* field[5] = entries_version */
+    2, /* field[2] = lease_ms */
+    7, /* field[7] = safe_ms */
+    3, /* field[3] = sent_us */
+    4, /* field[4] = share_divisor */
+    0, /* field[0] = term */
+    1, /* field[1] = view_index */
+};
+static const ProtobufCIntRange wire__lease__number_ranges[1 + 1] = {
+    {1, 0}, {0, 10}};
+const ProtobufCMessageDescriptor wire__lease__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Lease", "Lease", "Wire__Lease",
+    "wire", sizeof(Wire__Lease), 10, wire__lease__field_descriptors,
+    wire__lease__field_indices_by_name, 1, wire__lease__number_ranges,
+    (ProtobufCMessageInit)wire__lease__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__change__field_descriptors[4] = {
+    {
+	"index", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Change, index), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"section", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Change, body_case), offsetof(Wire__Change, section),
+	&wire__section__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"target", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Change, body_case), offsetof(Wire__Change, target),
+	&wire__target__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"target_removed", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	offsetof(Wire__Change, body_case),
+	offsetof(Wire__Change, target_removed), NULL, &protobuf_c_empty_string,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__change__field_indices_by_name[] = {
-  0,   /* field[0] = index */
-  1,   /* field[1] = section */
-  2,   /* field[2] = target */
-  3,   /* field[3] = target_removed */
-};
-static const ProtobufCIntRange wire__change__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor wire__change__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Change",
-  "Change",
-  "Wire__Change",
-  "wire",
-  sizeof(Wire__Change),
-  4,
-  wire__change__field_descriptors,
-  wire__change__field_indices_by_name,
-  1,  wire__change__number_ranges,
-  (ProtobufCMessageInit) wire__change__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__changes__field_descriptors[5] =
-{
-  {
-    "term",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Changes, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "from_index",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Changes, from_index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "to_index",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Changes, to_index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reset",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Changes, reset),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "changes",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Changes, n_changes),
-    offsetof(Wire__Changes, changes),
-    &wire__change__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = index */
+    1, /* field[1] = section */
+    2, /* field[2] = target */
+    3, /* field[3] = target_removed */
+};
+static const ProtobufCIntRange wire__change__number_ranges[1 + 1] = {
+    {1, 0}, {0, 4}};
+const ProtobufCMessageDescriptor wire__change__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Change", "Change",
+    "Wire__Change", "wire", sizeof(Wire__Change), 4,
+    wire__change__field_descriptors, wire__change__field_indices_by_name, 1,
+    wire__change__number_ranges, (ProtobufCMessageInit)wire__change__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__changes__field_descriptors[5] = {
+    {
+	"term", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Changes, term), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"from_index", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Changes, from_index), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"to_index", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Changes, to_index), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"reset", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Wire__Changes, reset), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"changes", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Changes, n_changes), offsetof(Wire__Changes, changes),
+	&wire__change__descriptor, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__changes__field_indices_by_name[] = {
-  4,   /* field[4] = changes */
-  1,   /* field[1] = from_index */
-  3,   /* field[3] = reset */
-  0,   /* field[0] = term */
-  2,   /* field[2] = to_index */
-};
-static const ProtobufCIntRange wire__changes__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor wire__changes__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Changes",
-  "Changes",
-  "Wire__Changes",
-  "wire",
-  sizeof(Wire__Changes),
-  5,
-  wire__changes__field_descriptors,
-  wire__changes__field_indices_by_name,
-  1,  wire__changes__number_ranges,
-  (ProtobufCMessageInit) wire__changes__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__propose__field_descriptors[2] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Propose, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "command",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Propose, command),
-    &wire__command__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    4, /* field[4] = changes */
+    1, /* field[1] = from_index */
+    3, /* field[3] = reset */
+    0, /* field[0] = term */
+    2, /* field[2] = to_index */
+};
+static const ProtobufCIntRange wire__changes__number_ranges[1 + 1] = {
+    {1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor wire__changes__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Changes", "Changes",
+    "Wire__Changes", "wire", sizeof(Wire__Changes), 5,
+    wire__changes__field_descriptors, wire__changes__field_indices_by_name, 1,
+    wire__changes__number_ranges, (ProtobufCMessageInit)wire__changes__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__propose__field_descriptors[2] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Propose, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"command", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	0, /* quantifier_offset */
+	offsetof(Wire__Propose, command), &wire__command__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__propose__field_indices_by_name[] = {
-  1,   /* field[1] = command */
-  0,   /* field[0] = request */
-};
-static const ProtobufCIntRange wire__propose__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor wire__propose__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Propose",
-  "Propose",
-  "Wire__Propose",
-  "wire",
-  sizeof(Wire__Propose),
-  2,
-  wire__propose__field_descriptors,
-  wire__propose__field_indices_by_name,
-  1,  wire__propose__number_ranges,
-  (ProtobufCMessageInit) wire__propose__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__proposed__field_descriptors[2] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Proposed, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "result",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Proposed, result),
-    &wire__result__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = command */
+    0, /* field[0] = request */
+};
+static const ProtobufCIntRange wire__propose__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor wire__propose__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Propose", "Propose",
+    "Wire__Propose", "wire", sizeof(Wire__Propose), 2,
+    wire__propose__field_descriptors, wire__propose__field_indices_by_name, 1,
+    wire__propose__number_ranges, (ProtobufCMessageInit)wire__propose__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__proposed__field_descriptors[2] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Proposed, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"result", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	0, /* quantifier_offset */
+	offsetof(Wire__Proposed, result), &wire__result__descriptor, NULL,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__proposed__field_indices_by_name[] = {
-  0,   /* field[0] = request */
-  1,   /* field[1] = result */
-};
-static const ProtobufCIntRange wire__proposed__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor wire__proposed__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Proposed",
-  "Proposed",
-  "Wire__Proposed",
-  "wire",
-  sizeof(Wire__Proposed),
-  2,
-  wire__proposed__field_descriptors,
-  wire__proposed__field_indices_by_name,
-  1,  wire__proposed__number_ranges,
-  (ProtobufCMessageInit) wire__proposed__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__not_leader__field_descriptors[2] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__NotLeader, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leader",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__NotLeader, leader),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    0, /* field[0] = request */
+    1, /* field[1] = result */
+};
+static const ProtobufCIntRange wire__proposed__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor wire__proposed__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Proposed", "Proposed",
+    "Wire__Proposed", "wire", sizeof(Wire__Proposed), 2,
+    wire__proposed__field_descriptors, wire__proposed__field_indices_by_name, 1,
+    wire__proposed__number_ranges, (ProtobufCMessageInit)wire__proposed__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__not_leader__field_descriptors[2] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__NotLeader, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"leader", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__NotLeader, leader), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__not_leader__field_indices_by_name[] = {
-  1,   /* field[1] = leader */
-  0,   /* field[0] = request */
-};
-static const ProtobufCIntRange wire__not_leader__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor wire__not_leader__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.NotLeader",
-  "NotLeader",
-  "Wire__NotLeader",
-  "wire",
-  sizeof(Wire__NotLeader),
-  2,
-  wire__not_leader__field_descriptors,
-  wire__not_leader__field_indices_by_name,
-  1,  wire__not_leader__number_ranges,
-  (ProtobufCMessageInit) wire__not_leader__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    1, /* field[1] = leader */
+    0, /* field[0] = request */
+};
+static const ProtobufCIntRange wire__not_leader__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor wire__not_leader__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.NotLeader", "NotLeader",
+    "Wire__NotLeader", "wire", sizeof(Wire__NotLeader), 2,
+    wire__not_leader__field_descriptors,
+    wire__not_leader__field_indices_by_name, 1, wire__not_leader__number_ranges,
+    (ProtobufCMessageInit)wire__not_leader__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor wire__claim_ended__field_descriptors[3] =
-{
-  {
-    "tenant",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnded, tenant),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnded, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "key",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ClaimEnded, key),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    {
+	{
+	    "tenant", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimEnded, tenant), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimEnded, service), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "key", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__ClaimEnded, key), NULL, &protobuf_c_empty_string,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned wire__claim_ended__field_indices_by_name[] = {
-  2,   /* field[2] = key */
-  1,   /* field[1] = service */
-  0,   /* field[0] = tenant */
-};
-static const ProtobufCIntRange wire__claim_ended__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor wire__claim_ended__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.ClaimEnded",
-  "ClaimEnded",
-  "Wire__ClaimEnded",
-  "wire",
-  sizeof(Wire__ClaimEnded),
-  3,
-  wire__claim_ended__field_descriptors,
-  wire__claim_ended__field_indices_by_name,
-  1,  wire__claim_ended__number_ranges,
-  (ProtobufCMessageInit) wire__claim_ended__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__query__field_descriptors[3] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Query, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "what",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Query, what),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "argument",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Query, argument),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    2, /* field[2] = key */
+    1, /* field[1] = service */
+    0, /* field[0] = tenant */
+};
+static const ProtobufCIntRange wire__claim_ended__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor wire__claim_ended__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.ClaimEnded", "ClaimEnded",
+    "Wire__ClaimEnded", "wire", sizeof(Wire__ClaimEnded), 3,
+    wire__claim_ended__field_descriptors,
+    wire__claim_ended__field_indices_by_name, 1,
+    wire__claim_ended__number_ranges,
+    (ProtobufCMessageInit)wire__claim_ended__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__query__field_descriptors[3] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Wire__Query, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"what", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__Query, what), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"argument", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Wire__Query, argument), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__query__field_indices_by_name[] = {
-  2,   /* field[2] = argument */
-  0,   /* field[0] = request */
-  1,   /* field[1] = what */
-};
-static const ProtobufCIntRange wire__query__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor wire__query__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Query",
-  "Query",
-  "Wire__Query",
-  "wire",
-  sizeof(Wire__Query),
-  3,
-  wire__query__field_descriptors,
-  wire__query__field_indices_by_name,
-  1,  wire__query__number_ranges,
-  (ProtobufCMessageInit) wire__query__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    2, /* field[2] = argument */
+    0, /* field[0] = request */
+    1, /* field[1] = what */
+};
+static const ProtobufCIntRange wire__query__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor wire__query__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Query", "Query", "Wire__Query",
+    "wire", sizeof(Wire__Query), 3, wire__query__field_descriptors,
+    wire__query__field_indices_by_name, 1, wire__query__number_ranges,
+    (ProtobufCMessageInit)wire__query__init, NULL, NULL,
+    NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor wire__query_answer__field_descriptors[2] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__QueryAnswer, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "json",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Wire__QueryAnswer, json),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    {
+	{
+	    "request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__QueryAnswer, request), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "json", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	    0, /* quantifier_offset */
+	    offsetof(Wire__QueryAnswer, json), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned wire__query_answer__field_indices_by_name[] = {
-  1,   /* field[1] = json */
-  0,   /* field[0] = request */
-};
-static const ProtobufCIntRange wire__query_answer__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor wire__query_answer__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.QueryAnswer",
-  "QueryAnswer",
-  "Wire__QueryAnswer",
-  "wire",
-  sizeof(Wire__QueryAnswer),
-  2,
-  wire__query_answer__field_descriptors,
-  wire__query_answer__field_indices_by_name,
-  1,  wire__query_answer__number_ranges,
-  (ProtobufCMessageInit) wire__query_answer__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[10] =
-{
-  {
-    "replica",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, replica),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "heartbeat",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, heartbeat),
-    &wire__heartbeat__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "lease",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, lease),
-    &wire__lease__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "changes",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, changes),
-    &wire__changes__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "propose",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, propose),
-    &wire__propose__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "proposed",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, proposed),
-    &wire__proposed__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "not_leader",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, not_leader),
-    &wire__not_leader__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "claim_ended",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, claim_ended),
-    &wire__claim_ended__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "query",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, query),
-    &wire__query__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "query_answer",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, query_answer),
-    &wire__query_answer__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    1, /* field[1] = json */
+    0, /* field[0] = request */
+};
+static const ProtobufCIntRange wire__query_answer__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor wire__query_answer__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.QueryAnswer", "QueryAnswer",
+    "Wire__QueryAnswer", "wire", sizeof(Wire__QueryAnswer), 2,
+    wire__query_answer__field_descriptors,
+    wire__query_answer__field_indices_by_name, 1,
+    wire__query_answer__number_ranges,
+    (ProtobufCMessageInit)wire__query_answer__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[10] = {
+    {
+	"replica", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	offsetof(Wire__Envelope, body_case), offsetof(Wire__Envelope, replica),
+	NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"heartbeat", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Envelope, body_case),
+	offsetof(Wire__Envelope, heartbeat), &wire__heartbeat__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"lease", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Envelope, body_case), offsetof(Wire__Envelope, lease),
+	&wire__lease__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"changes", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Envelope, body_case), offsetof(Wire__Envelope, changes),
+	&wire__changes__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"propose", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Envelope, body_case), offsetof(Wire__Envelope, propose),
+	&wire__propose__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"proposed", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Envelope, body_case), offsetof(Wire__Envelope, proposed),
+	&wire__proposed__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"not_leader", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Envelope, body_case),
+	offsetof(Wire__Envelope, not_leader), &wire__not_leader__descriptor,
+	NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"claim_ended", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Envelope, body_case),
+	offsetof(Wire__Envelope, claim_ended), &wire__claim_ended__descriptor,
+	NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"query", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Envelope, body_case), offsetof(Wire__Envelope, query),
+	&wire__query__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"query_answer", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Wire__Envelope, body_case),
+	offsetof(Wire__Envelope, query_answer), &wire__query_answer__descriptor,
+	NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
-  3,   /* field[3] = changes */
-  7,   /* field[7] = claim_ended */
-  1,   /* field[1] = heartbeat */
-  2,   /* field[2] = lease */
-  6,   /* field[6] = not_leader */
-  4,   /* field[4] = propose */
-  5,   /* field[5] = proposed */
-  8,   /* field[8] = query */
-  9,   /* field[9] = query_answer */
-  0,   /* field[0] = replica */
-};
-static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
-};
-const ProtobufCMessageDescriptor wire__envelope__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Envelope",
-  "Envelope",
-  "Wire__Envelope",
-  "wire",
-  sizeof(Wire__Envelope),
-  10,
-  wire__envelope__field_descriptors,
-  wire__envelope__field_indices_by_name,
-  1,  wire__envelope__number_ranges,
-  (ProtobufCMessageInit) wire__envelope__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCEnumValue wire__target_state__enum_values_by_number[3] =
-{
-  { "TARGET_READY", "WIRE__TARGET_STATE__TARGET_READY", 0 },
-  { "TARGET_COLD", "WIRE__TARGET_STATE__TARGET_COLD", 1 },
-  { "TARGET_DRAINING", "WIRE__TARGET_STATE__TARGET_DRAINING", 2 },
+    3, /* field[3] = changes */
+    7, /* field[7] = claim_ended */
+    1, /* field[1] = heartbeat */
+    2, /* field[2] = lease */
+    6, /* field[6] = not_leader */
+    4, /* field[4] = propose */
+    5, /* field[5] = proposed */
+    8, /* field[8] = query */
+    9, /* field[9] = query_answer */
+    0, /* field[0] = replica */
+};
+static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] = {
+    {1, 0}, {0, 10}};
+const ProtobufCMessageDescriptor wire__envelope__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "wire.Envelope", "Envelope",
+    "Wire__Envelope", "wire", sizeof(Wire__Envelope), 10,
+    wire__envelope__field_descriptors, wire__envelope__field_indices_by_name, 1,
+    wire__envelope__number_ranges, (ProtobufCMessageInit)wire__envelope__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
+static const ProtobufCEnumValue wire__target_state__enum_values_by_number[3] = {
+    {"TARGET_READY", "WIRE__TARGET_STATE__TARGET_READY", 0},
+    {"TARGET_COLD", "WIRE__TARGET_STATE__TARGET_COLD", 1},
+    {"TARGET_DRAINING", "WIRE__TARGET_STATE__TARGET_DRAINING", 2},
 };
 static const ProtobufCIntRange wire__target_state__value_ranges[] = {
-{0, 0},{0, 3}
-};
-static const ProtobufCEnumValueIndex wire__target_state__enum_values_by_name[3] =
-{
-  { "TARGET_COLD", 1 },
-  { "TARGET_DRAINING", 2 },
-  { "TARGET_READY", 0 },
-};
-const ProtobufCEnumDescriptor wire__target_state__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "wire.TargetState",
-  "TargetState",
-  "Wire__TargetState",
-  "wire",
-  3,
-  wire__target_state__enum_values_by_number,
-  3,
-  wire__target_state__enum_values_by_name,
-  1,
-  wire__target_state__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCEnumValue wire__claim_ending__enum_values_by_number[3] =
-{
-  { "CLAIM_ANSWERED", "WIRE__CLAIM_ENDING__CLAIM_ANSWERED", 0 },
-  { "CLAIM_NOT_RUN", "WIRE__CLAIM_ENDING__CLAIM_NOT_RUN", 1 },
-  { "CLAIM_UNKNOWN", "WIRE__CLAIM_ENDING__CLAIM_UNKNOWN", 2 },
+    {0, 0}, {0, 3}};
+static const ProtobufCEnumValueIndex
+    wire__target_state__enum_values_by_name[3] = {
+	{"TARGET_COLD", 1},
+	{"TARGET_DRAINING", 2},
+	{"TARGET_READY", 0},
+};
+const ProtobufCEnumDescriptor wire__target_state__descriptor = {
+    PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC, "wire.TargetState", "TargetState",
+    "Wire__TargetState", "wire", 3, wire__target_state__enum_values_by_number,
+    3, wire__target_state__enum_values_by_name, 1,
+    wire__target_state__value_ranges, NULL, NULL, NULL,
+    NULL /* reserved[1234] */
+};
+static const ProtobufCEnumValue wire__claim_ending__enum_values_by_number[3] = {
+    {"CLAIM_ANSWERED", "WIRE__CLAIM_ENDING__CLAIM_ANSWERED", 0},
+    {"CLAIM_NOT_RUN", "WIRE__CLAIM_ENDING__CLAIM_NOT_RUN", 1},
+    {"CLAIM_UNKNOWN", "WIRE__CLAIM_ENDING__CLAIM_UNKNOWN", 2},
 };
 static const ProtobufCIntRange wire__claim_ending__value_ranges[] = {
-{0, 0},{0, 3}
-};
-static const ProtobufCEnumValueIndex wire__claim_ending__enum_values_by_name[3] =
-{
-  { "CLAIM_ANSWERED", 0 },
-  { "CLAIM_NOT_RUN", 1 },
-  { "CLAIM_UNKNOWN", 2 },
-};
-const ProtobufCEnumDescriptor wire__claim_ending__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "wire.ClaimEnding",
-  "ClaimEnding",
-  "Wire__ClaimEnding",
-  "wire",
-  3,
-  wire__claim_ending__enum_values_by_number,
-  3,
-  wire__claim_ending__enum_values_by_name,
-  1,
-  wire__claim_ending__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
+    {0, 0}, {0, 3}};
+static const ProtobufCEnumValueIndex
+    wire__claim_ending__enum_values_by_name[3] = {
+	{"CLAIM_ANSWERED", 0},
+	{"CLAIM_NOT_RUN", 1},
+	{"CLAIM_UNKNOWN", 2},
+};
+const ProtobufCEnumDescriptor wire__claim_ending__descriptor = {
+    PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC, "wire.ClaimEnding", "ClaimEnding",
+    "Wire__ClaimEnding", "wire", 3, wire__claim_ending__enum_values_by_number,
+    3, wire__claim_ending__enum_values_by_name, 1,
+    wire__claim_ending__value_ranges, NULL, NULL, NULL,
+    NULL /* reserved[1234] */
 };
 static const ProtobufCEnumValue wire__claim_verdict__enum_values_by_number[7] =
-{
-  { "CLAIM_GRANTED", "WIRE__CLAIM_VERDICT__CLAIM_GRANTED", 0 },
-  { "CLAIM_IN_PROGRESS", "WIRE__CLAIM_VERDICT__CLAIM_IN_PROGRESS", 1 },
-  { "CLAIM_DONE", "WIRE__CLAIM_VERDICT__CLAIM_DONE", 2 },
-  { "CLAIM_DONE_NOT_KEPT", "WIRE__CLAIM_VERDICT__CLAIM_DONE_NOT_KEPT", 3 },
-  { "CLAIM_OUTCOME_UNKNOWN", "WIRE__CLAIM_VERDICT__CLAIM_OUTCOME_UNKNOWN", 4 },
-  { "CLAIM_KEY_REUSED", "WIRE__CLAIM_VERDICT__CLAIM_KEY_REUSED", 5 },
-  { "CLAIM_LEDGER_FULL", "WIRE__CLAIM_VERDICT__CLAIM_LEDGER_FULL", 6 },
+    {
+	{"CLAIM_GRANTED", "WIRE__CLAIM_VERDICT__CLAIM_GRANTED", 0},
+	{"CLAIM_IN_PROGRESS", "WIRE__CLAIM_VERDICT__CLAIM_IN_PROGRESS", 1},
+	{"CLAIM_DONE", "WIRE__CLAIM_VERDICT__CLAIM_DONE", 2},
+	{"CLAIM_DONE_NOT_KEPT", "WIRE__CLAIM_VERDICT__CLAIM_DONE_NOT_KEPT", 3},
+	{"CLAIM_OUTCOME_UNKNOWN", "WIRE__CLAIM_VERDICT__CLAIM_OUTCOME_UNKNOWN",
+	    4},
+	{"CLAIM_KEY_REUSED", "WIRE__CLAIM_VERDICT__CLAIM_KEY_REUSED", 5},
+	{"CLAIM_LEDGER_FULL", "WIRE__CLAIM_VERDICT__CLAIM_LEDGER_FULL", 6},
 };
 static const ProtobufCIntRange wire__claim_verdict__value_ranges[] = {
-{0, 0},{0, 7}
-};
-static const ProtobufCEnumValueIndex wire__claim_verdict__enum_values_by_name[7] =
-{
-  { "CLAIM_DONE", 2 },
-  { "CLAIM_DONE_NOT_KEPT", 3 },
-  { "CLAIM_GRANTED", 0 },
-  { "CLAIM_IN_PROGRESS", 1 },
-  { "CLAIM_KEY_REUSED", 5 },
-  { "CLAIM_LEDGER_FULL", 6 },
-  { "CLAIM_OUTCOME_UNKNOWN", 4 },
-};
-const ProtobufCEnumDescriptor wire__claim_verdict__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "wire.ClaimVerdict",
-  "ClaimVerdict",
-  "Wire__ClaimVerdict",
-  "wire",
-  7,
-  wire__claim_verdict__enum_values_by_number,
-  7,
-  wire__claim_verdict__enum_values_by_name,
-  1,
-  wire__claim_verdict__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
+    {0, 0}, {0, 7}};
+static const ProtobufCEnumValueIndex
+    wire__claim_verdict__enum_values_by_name[7] = {
+	{"CLAIM_DONE", 2},
+	{"CLAIM_DONE_NOT_KEPT", 3},
+	{"CLAIM_GRANTED", 0},
+	{"CLAIM_IN_PROGRESS", 1},
+	{"CLAIM_KEY_REUSED", 5},
+	{"CLAIM_LEDGER_FULL", 6},
+	{"CLAIM_OUTCOME_UNKNOWN", 4},
+};
+const ProtobufCEnumDescriptor wire__claim_verdict__descriptor = {
+    PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC, "wire.ClaimVerdict", "ClaimVerdict",
+    "Wire__ClaimVerdict", "wire", 7, wire__claim_verdict__enum_values_by_number,
+    7, wire__claim_verdict__enum_values_by_name, 1,
+    wire__claim_verdict__value_ranges, NULL, NULL, NULL,
+    NULL /* reserved[1234] */
 };
--- a/test/functional/test_platform_group.py
+++ b/test/functional/test_platform_group.py
@@ -251,6 +251,31 @@
         self.assertEqual(results[0][2].get("connection"), "close")
         self.assertEqual(process.wait(timeout=20), 0)
 
+    def test_kept_connection_is_served_during_a_stop(self):
+        # Callers keep open connections until a lookup no longer names them.
+        import http.client
+        self.bed.target("i-1", "svc")
+        self.bed.wait_ready()
+        wait_until(lambda: self.bed.ask("/a/x", instance=1)[0] == 200,
+                   "an answer")
+        one = self.bed.instances[1]
+        fields = {"Host": "h.example", "X-Attempt-Id": "k",
+                  "X-Request-Deadline": "3000"}
+        kept = http.client.HTTPConnection(one.ip, self.bed.port, timeout=20)
+        kept.request("GET", "/a/x", headers=fields)
+        self.assertEqual(kept.getresponse().read(), b"whole")
+        process = one.processes["flow"]
+        process.terminate()
+        wait_until(lambda: one.call("GET", "/ready", port=1)[0] != 200,
+                   "no longer ready")
+        time.sleep(0.5)  # several looks at idle connections
+        kept.request("GET", "/a/x", headers=fields)
+        response = kept.getresponse()
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.getheader("Connection"), "close")
+        kept.close()
+        self.assertEqual(process.wait(timeout=20), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/test/unit/test_roster.c
@@ -0,0 +1,315 @@
+/*
+ * The roster of announced targets and the routes of a document: what is late,
+ * repeated, departed or invalid, and merges in any order.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/random.h"
+#include "roster/roster.h"
+#include "routing/routes.h"
+
+static unsigned added;
+static unsigned removed;
+
+static void
+note_added(void *ctx ATTR_UNUSED, struct roster_target *target ATTR_UNUSED)
+{
+	added++;
+}
+
+static void
+note_removed(void *ctx ATTR_UNUSED, struct roster_target *target ATTR_UNUSED)
+{
+	removed++;
+}
+
+static struct roster *
+new_roster(void)
+{
+	const struct roster_callbacks callbacks = {
+	    .added = note_added, .removed = note_removed};
+
+	added = removed = 0;
+	return roster_new(&callbacks);
+}
+
+static struct roster_target
+target_of(
+    const char *id, const char *address, uint64_t started_ms, uint64_t sequence)
+{
+	return (struct roster_target){
+	    .id = (char *)id,
+	    .service = (char *)"svc",
+	    .address = (char *)address,
+	    .failure_domain = (char *)"a",
+	    .started_ms = started_ms,
+	    .sequence = sequence,
+	    .slots = 4,
+	};
+}
+
+static bool
+announce(struct roster *roster, const char *id, const char *address,
+    uint64_t started_ms, uint64_t sequence)
+{
+	const struct roster_target target =
+	    target_of(id, address, started_ms, sequence);
+
+	return roster_announce(roster, &target);
+}
+
+static bool
+depart(struct roster *roster, const char *id, uint64_t started_ms)
+{
+	const struct roster_departure departure = {
+	    .id = (char *)id, .started_ms = started_ms, .recorded_ms = 1};
+
+	return roster_depart(roster, &departure);
+}
+
+static void
+late_and_repeated_announcements_tell_nothing(void **state ATTR_UNUSED)
+{
+	struct roster *roster = new_roster();
+
+	assert_true(announce(roster, "t", "1.1.1.1:1", 10, 5));
+	assert_false(announce(roster, "t", "1.1.1.1:1", 10, 6));
+	assert_false(announce(roster, "t", "1.1.1.1:2", 10, 4));
+	assert_false(announce(roster, "t", "1.1.1.1:2", 9, 99));
+	assert_true(announce(roster, "t", "1.1.1.1:2", 11, 1));
+	assert_string_equal(roster_find(roster, "t")->address, "1.1.1.1:2");
+	assert_int_equal(added, 2);
+	assert_int_equal(removed, 1);
+	roster_free(roster);
+}
+
+static void
+a_departure_binds_its_incarnation_for_good(void **state ATTR_UNUSED)
+{
+	struct roster *roster = new_roster();
+
+	assert_true(announce(roster, "t", "1.1.1.1:1", 10, 5));
+	assert_true(depart(roster, "t", 10));
+	assert_null(roster_find(roster, "t"));
+	assert_false(depart(roster, "t", 10));
+	assert_false(announce(roster, "t", "1.1.1.1:1", 10, 99));
+	assert_true(announce(roster, "t", "1.1.1.1:1", 11, 1));
+	/* An older departure that comes late does not touch the new one. */
+	assert_false(depart(roster, "t", 9));
+	assert_non_null(roster_find(roster, "t"));
+	roster_free(roster);
+}
+
+static void
+an_address_belongs_to_the_newest_start(void **state ATTR_UNUSED)
+{
+	struct roster *roster = new_roster();
+
+	assert_true(announce(roster, "old", "1.1.1.1:1", 10, 5));
+	assert_true(announce(roster, "new", "1.1.1.1:1", 20, 1));
+	assert_null(roster_find(roster, "old"));
+	/* Held up by a cut until its sender had crashed. */
+	assert_false(announce(roster, "old", "1.1.1.1:1", 10, 6));
+	assert_non_null(roster_find(roster, "new"));
+	assert_true(depart(roster, "old", 10));
+	assert_non_null(roster_find(roster, "new"));
+	roster_free(roster);
+}
+
+static void
+what_is_silent_expires(void **state ATTR_UNUSED)
+{
+	struct roster *roster = new_roster();
+	struct roster_target target = target_of("t", "1.1.1.1:1", 10, 1);
+
+	target.heard_us = 100;
+	assert_true(roster_announce(roster, &target));
+	target.sequence = 2;
+	target.heard_us = 200;
+	assert_false(roster_announce(roster, &target));
+	roster_expire(roster, 150);
+	assert_non_null(roster_find(roster, "t"));
+	roster_expire(roster, 201);
+	assert_null(roster_find(roster, "t"));
+	roster_free(roster);
+}
+
+struct news {
+	bool departure;
+	int id;
+	int address;
+	uint64_t started_ms;
+	uint64_t sequence;
+};
+
+static void
+tell(struct roster *roster, const struct news *news)
+{
+	char id[8];
+	char address[16];
+
+	snprintf(id, sizeof(id), "t%d", news->id);
+	snprintf(address, sizeof(address), "1.1.1.1:%d", news->address);
+	if (news->departure)
+		(void)depart(roster, id, news->started_ms);
+	else
+		(void)announce(
+		    roster, id, address, news->started_ms, news->sequence);
+}
+
+/*
+ * Whatever the order in which news comes, no departed incarnation is there
+ * and the newest that has not departed is not older than in another order.
+ */
+static void
+departures_hold_in_any_order(void **state ATTR_UNUSED)
+{
+	for (uint64_t seed = 1; seed <= 200; seed++) {
+		struct random random;
+		struct news news[60];
+		struct roster *roster = new_roster();
+
+		random_seed(&random, seed);
+		for (int i = 0; i < 60; i++)
+			news[i] = (struct news){
+			    .departure = random_below(&random, 4) == 0,
+			    .id = (int)random_below(&random, 5),
+			    .address = (int)random_below(&random, 6),
+			    .started_ms = random_below(&random, 6) + 1,
+			    .sequence = random_below(&random, 9),
+			};
+		for (int i = 0; i < 60; i++)
+			tell(roster, &news[i]);
+		for (int i = 0; i < 60; i++) {
+			char id[8];
+			const struct roster_target *found;
+
+			snprintf(id, sizeof(id), "t%d", news[i].id);
+			found = roster_find(roster, id);
+			if (news[i].departure && found != NULL)
+				assert_true(
+				    found->started_ms > news[i].started_ms);
+		}
+		roster_free(roster);
+	}
+}
+
+static struct routes *
+routes_with_services(void)
+{
+	struct routes *routes = routes_new(1);
+
+	assert_int_equal(
+	    routes_add_service(routes, "one", "/health", 260), STATUS_OK);
+	assert_int_equal(
+	    routes_add_service(routes, "two", "/health", 260), STATUS_OK);
+	return routes;
+}
+
+static struct route *
+add_route(struct routes *routes, const char *host, const char *prefix)
+{
+	const struct route from = {.name = (char *)prefix,
+	    .host = (char *)host,
+	    .prefix = (char *)prefix,
+	    .timeout_ms = 1000};
+	struct route *route = NULL;
+
+	return routes_add(routes, &from, &route) == STATUS_OK ? route : NULL;
+}
+
+static const char *
+found(const struct routes *routes, const char *host, const char *path)
+{
+	const struct route *route =
+	    routes_find(routes, str_from(host), str_from(path));
+
+	return route != NULL ? route->prefix : "none";
+}
+
+static void
+the_longest_prefix_of_a_host_wins(void **state ATTR_UNUSED)
+{
+	struct routes *routes = routes_with_services();
+
+	assert_non_null(add_route(routes, "h", "/a/"));
+	assert_non_null(add_route(routes, "h", "/a/b/c/"));
+	assert_non_null(add_route(routes, "h", "/a/b/"));
+	assert_non_null(add_route(routes, "g", "/"));
+	assert_string_equal(found(routes, "h", "/a/b/x"), "/a/b/");
+	assert_string_equal(found(routes, "H:80", "/a/b/c/d"), "/a/b/c/");
+	assert_string_equal(found(routes, "h", "/a/x"), "/a/");
+	assert_string_equal(found(routes, "h", "/b/"), "none");
+	assert_string_equal(found(routes, "g", "/b/"), "/");
+	assert_string_equal(found(routes, "i", "/a/"), "none");
+	routes_put(routes);
+}
+
+static void
+invalid_routes_are_refused(void **state ATTR_UNUSED)
+{
+	struct routes *routes = routes_with_services();
+	struct route *route = add_route(routes, "h", "/a/");
+	struct route late = {.name = (char *)"r",
+	    .host = (char *)"h",
+	    .prefix = (char *)"/late/",
+	    .timeout_ms = ROUTE_TIMEOUT_MAX_MS + 1};
+	struct route *out;
+
+	assert_null(add_route(routes, "h", "/a/"));
+	assert_null(add_route(routes, "", "/b/"));
+	assert_null(add_route(routes, "h", "b/"));
+	assert_int_equal(routes_add(routes, &late, &out), STATUS_INVALID);
+	assert_int_equal(
+	    routes_add_part(routes, route, "three", 1), STATUS_INVALID);
+	assert_int_equal(
+	    routes_add_part(routes, route, "one", -0.1), STATUS_INVALID);
+	assert_int_equal(
+	    routes_add_service(routes, "one", "/", 1), STATUS_INVALID);
+	routes_put(routes);
+}
+
+static void
+shares_follow_weights_closely(void **state ATTR_UNUSED)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		struct routes *routes = routes_with_services();
+		struct route *route = add_route(routes, "h", "/a/");
+		unsigned first = 0;
+
+		assert_int_equal(
+		    routes_add_part(routes, route, "one", 90), STATUS_OK);
+		assert_int_equal(
+		    routes_add_part(routes, route, "two", 10), STATUS_OK);
+		routes_shuffle(routes, seed);
+		for (int i = 0; i < 200; i++)
+			first +=
+			    strcmp(route_next_part(route)->name, "one") == 0;
+		assert_in_range(first, 179, 181);
+		routes_put(routes);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(late_and_repeated_announcements_tell_nothing),
+	    cmocka_unit_test(a_departure_binds_its_incarnation_for_good),
+	    cmocka_unit_test(an_address_belongs_to_the_newest_start),
+	    cmocka_unit_test(what_is_silent_expires),
+	    cmocka_unit_test(departures_hold_in_any_order),
+	    cmocka_unit_test(the_longest_prefix_of_a_host_wins),
+	    cmocka_unit_test(invalid_routes_are_refused),
+	    cmocka_unit_test(shares_follow_weights_closely),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
