Log decisions within a budget and never wait for the reader; latency histogram

Cause: only failures were logged, a rejection without what it rests on, and a log whose reader stops would have stopped the process. Change: a line for each rejection with the counts of that moment, answered requests in what the budget of a second leaves, lines dropped and counted when standard output takes none; the histogram on the metrics address.

--- a/src/base/logger.c
+++ b/src/base/logger.c
@@ -1,10 +1,13 @@
 #include "base/logger.h"
 
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <log4c.h>
 
@@ -18,6 +21,7 @@
 static log4c_category_t *category;
 static char *log_path;
 static FILE *log_file;
+static bool to_stdout;
 static pthread_mutex_t file_lock = PTHREAD_MUTEX_INITIALIZER;
 
 static const int priorities[] = {
@@ -37,6 +41,35 @@
 	return event->evt_msg;
 }
 
+/*
+ * Writes a line to standard output unless that would block: a reader that is
+ * slow costs lines, never time.  The next line that is taken says how many.
+ */
+static void
+write_if_taken(const char *line)
+{
+	static atomic_uint_fast64_t lost;
+	struct pollfd poll_fd = {.fd = STDOUT_FILENO, .events = POLLOUT};
+	char note[LINE_BYTES];
+	uint_fast64_t count;
+	int len;
+
+	if (poll(&poll_fd, 1, 0) != 1 || (poll_fd.revents & POLLOUT) == 0) {
+		atomic_fetch_add(&lost, 1);
+		return;
+	}
+	count = atomic_exchange(&lost, 0);
+	len = count > 0 ? snprintf(note, sizeof(note),
+			      "level=WARN event=lines_lost lines=%llu\n%s",
+			      (unsigned long long)count, line)
+			: 0;
+	if (len >= (int)sizeof(note))
+		len = (int)sizeof(note) - 1;
+	if (write(STDOUT_FILENO, len > 0 ? note : line,
+		len > 0 ? (size_t)len : strlen(line)) < 0)
+		atomic_fetch_add(&lost, count + 1);
+}
+
 /*
  * log4c's appender: writes and flushes one line.  The lock keeps lines whole
  * and keeps logger_reopen() from closing the file under it.
@@ -47,6 +80,10 @@
 {
 	FILE *out;
 
+	if (to_stdout) {
+		write_if_taken(event->evt_rendered_msg);
+		return 0;
+	}
 	pthread_mutex_lock(&file_lock);
 	out = log_file != NULL ? log_file : stderr;
 	fputs(event->evt_rendered_msg, out);
@@ -81,7 +118,7 @@
 		return status_set(
 		    STATUS_INVALID, "unknown log level \"%s\"", level);
 	if (path != NULL && strcmp(path, "-") == 0) {
-		log_file = stdout;
+		to_stdout = true;
 	} else if (path != NULL && path[0] != '\0') {
 		log_file = fopen(path, "ae");
 		if (log_file == NULL)
--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -8,7 +8,8 @@
 
 enum {
 	/* Each line costs processor time that requests need. */
-	LOG_LINES_PER_SECOND = 40
+	LOG_LINES_PER_SECOND = 40,
+	ROUTINE_LINES_PER_SECOND = 8
 };
 
 /*
@@ -24,8 +25,8 @@
  * Returns whether one more line may be logged in this second, and says how
  * many were left out once there is room again.
  */
-bool
-flow_may_log(struct flow *flow)
+static bool
+may_log(struct flow *flow, bool routine)
 {
 	uint64_t second = uv_now(flow->loop) / 1000;
 
@@ -37,7 +38,8 @@
 			    flow->settings.instance, flow->log_left_out);
 		flow->log_left_out = 0;
 	}
-	if (flow->log_lines >= LOG_LINES_PER_SECOND) {
+	if (flow->log_lines >= LOG_LINES_PER_SECOND ||
+	    (routine && flow->log_lines >= ROUTINE_LINES_PER_SECOND)) {
 		flow->log_left_out++;
 		counter_add(flow->log_dropped, 1);
 		return false;
@@ -46,6 +48,25 @@
 	return true;
 }
 
+/*
+ * Returns whether a line on a failure or a change may be logged.
+ */
+bool
+flow_may_log(struct flow *flow)
+{
+	return may_log(flow, false);
+}
+
+/*
+ * Returns whether a line on what went well may be logged: it leaves most of
+ * the second's lines to failures.
+ */
+bool
+flow_may_log_routine(struct flow *flow)
+{
+	return may_log(flow, true);
+}
+
 static void
 register_counters(struct flow *flow)
 {
@@ -142,3 +163,33 @@
 	fleet_tick(flow);
 	callers_stop(flow);
 }
+
+/*
+ * Appends the counters of the process, and how long answered requests took
+ * from their first byte to the last of the answer.
+ */
+void
+flow_render_metrics(const struct flow *flow, struct str_buf *out)
+{
+	static const unsigned bounds_ms[] = {
+	    5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000};
+	static const char name[] = "gypsummill_flow_latency_seconds";
+	uint64_t count = atomic_load(&flow->latency.count);
+
+	counter_render(out);
+	str_buf_printf(out,
+	    "# HELP %s Answered requests by time taken (seconds)\n"
+	    "# TYPE %s histogram\n",
+	    name, name);
+	for (size_t i = 0; i < sizeof(bounds_ms) / sizeof(bounds_ms[0]); i++)
+		str_buf_printf(out, "%s_bucket{le=\"%g\"} %" PRIu64 "\n", name,
+		    bounds_ms[i] / 1000.0,
+		    count -
+			histogram_count_above(
+			    &flow->latency, bounds_ms[i] * US_PER_MS));
+	str_buf_printf(out,
+	    "%s_bucket{le=\"+Inf\"} %" PRIu64 "\n%s_sum %.6f\n%s_count %" PRIu64
+	    "\n",
+	    name, count, name,
+	    (double)atomic_load(&flow->latency.sum) / US_PER_S, name, count);
+}
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -29,12 +29,14 @@
 }
 
 /*
- * Logs how a request ended, if it did not end well.
+ * Logs how a request ended and what decided it.
  */
 static void
 log_end(struct exchange *x, const char *outcome, int status, const char *reason)
 {
-	if (!flow_may_log(x->flow))
+	bool routine = strcmp(outcome, "answered") == 0;
+
+	if (routine ? !flow_may_log_routine(x->flow) : !flow_may_log(x->flow))
 		return;
 	log_info("request",
 	    "instance=%s request=%" PRIu64 " attempt=%s route=%s service=%s "
@@ -498,8 +500,10 @@
 	histogram_record(&x->flow->latency, took);
 	if (!good)
 		log_end(x, "target_failure", status, "");
-	else if (took > x->objective_us - x->begun_us)
-		log_end(x, "late", status, "");
+	else
+		log_end(x,
+		    took > x->objective_us - x->begun_us ? "late" : "answered",
+		    status, "");
 	flush(x);
 }
 
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -270,6 +270,7 @@
 uint64_t flow_now_us(const struct flow *flow);
 /* Whether one more line may be logged in this second. */
 bool flow_may_log(struct flow *flow);
+bool flow_may_log_routine(struct flow *flow);
 
 /* flow_fleet.c */
 void fleet_open(struct flow *flow);
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -303,6 +303,33 @@
 	g_free(key);
 }
 
+/*
+ * Logs what a rejection rests on: the counts of this moment.
+ */
+static void
+log_reject(struct service *service, const struct remote_call *call,
+    uint64_t retry_after_us, enum placement_reason reason)
+{
+	struct flow *flow = service->flow;
+	struct placement_figures f;
+
+	if (!flow_may_log(flow))
+		return;
+	placement_describe(service->placement, flow_now_us(flow), &f);
+	log_info("placement_rejected",
+	    "instance=%s service=%s request=%" PRIu64 " remote=%d reason=%d "
+	    "scheduler=%d targets=%u usable=%u slots=%u in_flight=%u "
+	    "waiting=%u repeats=%" PRIu64 " requests=%" PRIu64
+	    " retry_after_ms=%" PRIu64,
+	    flow->settings.instance, service->name,
+	    call->asker.remote
+		? call->request
+		: ((const struct exchange *)(const void *)call)->id,
+	    call->asker.remote, reason, service->owner, f.targets, f.usable,
+	    f.slots, f.in_flight, f.waiting, f.repeats, f.requests,
+	    retry_after_us / US_PER_MS);
+}
+
 static void
 on_reject(void *ctx, void *user, uint64_t retry_after_us,
     enum placement_reason reason)
@@ -312,6 +339,7 @@
 	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
 	Fleet__Reject reject = FLEET__REJECT__INIT;
 
+	log_reject(service, call, retry_after_us, reason);
 	if (!call->asker.remote) {
 		exchange_on_reject(user, retry_after_us, reason);
 		return;
--- /dev/null
+++ b/test/unit/test_logger.c
@@ -0,0 +1,61 @@
+/*
+ * The log on standard output: a reader that stops costs lines, never time.
+ */
+#include <fcntl.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base/logger.h"
+
+enum {
+	LINES = 5000, /* several times what a pipe holds */
+	HANG_S = 30 /* ends a test that blocks */
+};
+
+static void
+a_reader_that_stops_does_not_block(void **state ATTR_UNUSED)
+{
+	int ends[2];
+	int kept = dup(STDOUT_FILENO);
+	char seen[4096] = "";
+	ssize_t n;
+
+	assert_int_equal(pipe(ends), 0);
+	assert_int_equal(dup2(ends[1], STDOUT_FILENO), STDOUT_FILENO);
+	(void)alarm(HANG_S);
+	assert_int_equal(logger_open("test", "info", "-"), STATUS_OK);
+	for (int i = 0; i < LINES; i++)
+		log_info("filler", "number=%d text=%0100d", i, i);
+	/* Once there is room, the log says how many lines were lost. */
+	assert_int_equal(fcntl(ends[0], F_SETFL, O_NONBLOCK), 0);
+	while (read(ends[0], seen, sizeof(seen)) > 0)
+		continue;
+	log_info("after", "number=%d", LINES);
+	(void)close(ends[1]);
+	assert_int_equal(dup2(kept, STDOUT_FILENO), STDOUT_FILENO);
+	(void)alarm(0);
+	n = read(ends[0], seen, sizeof(seen) - 1);
+	assert_true(n > 0);
+	seen[n] = '\0';
+	assert_non_null(strstr(seen, "event=lines_lost lines="));
+	assert_non_null(strstr(seen, "event=after number=5000"));
+	logger_close();
+	(void)close(ends[0]);
+	(void)close(kept);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(a_reader_that_stops_does_not_block),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
