Test a second grant; dial again sooner

Change: test_flow (fails when the check of grants is taken out); a dialled channel comes again after 40 to 300 ms.

--- a/src/net/channel.c
+++ b/src/net/channel.c
@@ -23,8 +23,8 @@
 	PING_MS = 400, /* a third of the silence that closes */
 	SILENCE_MS = 1400, /* below half of the shortest stable window, 3 s */
 	DIAL_TIMEOUT_MS = 1000, /* as callers allow for a new connection */
-	REDIAL_MS = 100,
-	REDIAL_MAX_MS = 800
+	REDIAL_MS = 40, /* a local process is back within tens of ms */
+	REDIAL_MAX_MS = 300 /* a fifth of a heartbeat */
 };
 
 struct channel {
--- /dev/null
+++ b/test/unit/test_flow.c
@@ -0,0 +1,191 @@
+/*
+ * An exchange of the event-driven entry, without a network beyond loopback:
+ * grants that come twice, and what may be sent again.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "flow/flow_internal.h"
+
+struct bed {
+	uv_loop_t loop;
+	uv_tcp_t listener; /* takes connections and never answers */
+	char target_address[ADDRESS_BYTES];
+	struct flow *flow;
+	struct caller caller;
+	struct routes *routes;
+};
+
+static bool
+read_load(struct str value ATTR_UNUSED, struct target_load *load ATTR_UNUSED)
+{
+	return false;
+}
+
+static enum status
+read_document(struct str text ATTR_UNUSED, struct routes **routes ATTR_UNUSED)
+{
+	return STATUS_INVALID;
+}
+
+static void
+ignore_connection(uv_stream_t *listener ATTR_UNUSED, int status ATTR_UNUSED)
+{
+}
+
+static void
+listen_anywhere(struct bed *bed)
+{
+	struct sockaddr_in at;
+	int len = sizeof(at);
+
+	assert_int_equal(uv_ip4_addr("127.0.7.251", 0, &at), 0);
+	uv_tcp_init(&bed->loop, &bed->listener);
+	assert_int_equal(
+	    uv_tcp_bind(&bed->listener, (struct sockaddr *)&at, 0), 0);
+	assert_int_equal(
+	    uv_listen((uv_stream_t *)&bed->listener, 16, ignore_connection), 0);
+	assert_int_equal(
+	    uv_tcp_getsockname(&bed->listener, (struct sockaddr *)&at, &len),
+	    0);
+	snprintf(bed->target_address, sizeof(bed->target_address),
+	    "127.0.7.251:%u", ntohs(at.sin_port));
+}
+
+static void
+announce(struct bed *bed, const char *id, const char *address)
+{
+	const struct roster_target target = {
+	    .id = (char *)id,
+	    .service = (char *)"svc",
+	    .address = (char *)address,
+	    .failure_domain = (char *)"a",
+	    .started_ms = 1,
+	    .slots = 4,
+	};
+
+	assert_true(roster_announce(bed->flow->roster, &target));
+}
+
+static void
+open_bed(struct bed *bed, enum repeat_rule repeat)
+{
+	static const struct flow_dialect dialect = {
+	    .attempt_header = "Attempt",
+	    .deadline_header = "Deadline",
+	    .expect_header = "Expect-Target",
+	    .identity_header = "Target",
+	    .proof_header = "Proof",
+	    .not_run_header = "Not-Run",
+	    .load_header = "Load",
+	    .read_load = read_load,
+	    .read_document = read_document,
+	};
+	struct flow_settings settings = {
+	    .instance = "test",
+	    .failure_domain = "a",
+	    .caller_address = "127.0.7.251:0",
+	    .datagram_address = "127.0.7.251:0",
+	    .memory_bytes = 64 << 20,
+	    .descriptors = 1024,
+	    .repeats = {.window_us = 10 * US_PER_S, .ratio = 0.2, .slack = 9},
+	    .probes_per_second = 10,
+	};
+	const struct route from = {
+	    .name = (char *)"r",
+	    .host = (char *)"h",
+	    .prefix = (char *)"/",
+	    .repeat = repeat,
+	    .max_attempts = 2,
+	    .timeout_ms = 5000,
+	    .objective_ms = 5000,
+	};
+	struct route *route;
+
+	memset(bed, 0, sizeof(*bed));
+	uv_loop_init(&bed->loop);
+	listen_anywhere(bed);
+	assert_int_equal(
+	    flow_open(&bed->loop, &settings, &dialect, &bed->flow), STATUS_OK);
+	bed->routes = routes_new(1);
+	assert_int_equal(
+	    routes_add_service(bed->routes, "svc", "/health", 100), STATUS_OK);
+	assert_int_equal(routes_add(bed->routes, &from, &route), STATUS_OK);
+	assert_int_equal(
+	    routes_add_part(bed->routes, route, "svc", 1), STATUS_OK);
+	announce(bed, "t1", bed->target_address);
+	bed->caller.flow = bed->flow;
+}
+
+/*
+ * Returns a whole request that waits for its first grant.
+ */
+static struct exchange *
+new_exchange(struct bed *bed)
+{
+	struct exchange *x = exchange_new(&bed->caller);
+
+	x->caller = NULL;
+	x->routes = routes_get(bed->routes);
+	x->route = routes_find(bed->routes, str_from("h"), str_from("/x"));
+	x->service = fleet_service(bed->flow, "svc");
+	x->deadline_us = x->begun_us + 5 * US_PER_S;
+	x->objective_us = x->deadline_us;
+	str_buf_append_c(&x->target, "/x");
+	return x;
+}
+
+static void
+close_bed(struct bed *bed, struct exchange *x)
+{
+	exchange_free(x);
+	routes_put(bed->routes);
+	for (int i = 0; i < 10; i++)
+		(void)uv_run(&bed->loop, UV_RUN_NOWAIT);
+}
+
+static void
+a_second_grant_counts_only_for_what_may_be_repeated(void **state ATTR_UNUSED)
+{
+	static const struct {
+		enum repeat_rule repeat;
+		unsigned sends;
+	} cases[] = {{REPEAT_NEVER, 1}, {REPEAT_ALLOWED, 2}};
+
+	for (size_t i = 0; i < 2; i++) {
+		struct bed bed;
+		struct exchange *x;
+
+		open_bed(&bed, cases[i].repeat);
+		announce(&bed, "t2", "127.0.7.251:9");
+		x = new_exchange(&bed);
+		exchange_on_grant(x, "t1", true, 0);
+		assert_int_equal(x->attempt_count, 1);
+		/* The answer to a question that was asked again. */
+		exchange_on_grant(x, "t1", true, 0);
+		assert_int_equal(x->attempt_count, 1);
+		exchange_on_grant(x, "t2", true, 0);
+		assert_int_equal(x->attempt_count, cases[i].sends);
+		exchange_on_grant(x, "t1", true, 0);
+		exchange_on_grant(x, "t3", true, 0);
+		assert_int_equal(x->attempt_count, cases[i].sends);
+		close_bed(&bed, x);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(
+		a_second_grant_counts_only_for_what_may_be_repeated),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
