Split the long files of core and flow by job; an instance without a log knows entries

Cause: core_link, core_replica, flow_caller and flow_fleet had several jobs each; an instance without a disk could answer no lookup.

--- /dev/null
+++ b/src/core/core_entries.c
@@ -0,0 +1,109 @@
+#include "base/memory.h"
+#include "core/core_internal.h"
+
+/*
+ * Returns a copy, which is its owner's to free.
+ */
+Fleet__Hello *
+core_copy_hello(const Fleet__Hello *from)
+{
+	size_t len = fleet__hello__get_packed_size(from);
+	uint8_t *bytes = mem_alloc(len);
+	Fleet__Hello *copy;
+
+	fleet__hello__pack(from, bytes);
+	copy = fleet__hello__unpack(NULL, len, bytes);
+	mem_free(bytes);
+	return copy;
+}
+
+/*
+ * Takes news of an entry that another instance has connected.
+ */
+void
+core_on_entry(
+    struct core *core, const struct channel *channel, const Fleet__Entry *news)
+{
+	const struct core_neighbour *from =
+	    g_hash_table_lookup(core->neighbours, channel_address(channel));
+	struct core_entry *entry;
+	const char *key;
+
+	if (from == NULL || news->hello == NULL)
+		return;
+	key = news->hello->datagram_address;
+	entry = g_hash_table_lookup(core->entries, key);
+	if (news->gone) {
+		if (entry != NULL)
+			entry->sources &= ~(UINT64_C(1) << from->bit);
+		if (entry != NULL && entry->sources == 0)
+			g_hash_table_remove(core->entries, key);
+		return;
+	}
+	if (entry == NULL) {
+		entry = mem_calloc(1, sizeof(*entry));
+		g_hash_table_insert(core->entries, g_strdup(key), entry);
+	}
+	if (entry->hello != NULL)
+		fleet__hello__free_unpacked(entry->hello, NULL);
+	entry->hello = core_copy_hello(news->hello);
+	entry->sources |= UINT64_C(1) << from->bit;
+}
+
+/*
+ * Notes that a neighbour has told all that it knows.
+ */
+void
+core_on_synced(struct core *core, const struct channel *channel)
+{
+	struct core_neighbour *from =
+	    g_hash_table_lookup(core->neighbours, channel_address(channel));
+
+	if (from != NULL)
+		from->synced = true;
+}
+
+static gboolean
+is_unsourced(void *key ATTR_UNUSED, void *value, void *ctx)
+{
+	struct core_entry *entry = value;
+	const uint64_t *bit = ctx;
+
+	entry->sources &= ~*bit;
+	return entry->sources == 0;
+}
+
+/*
+ * A neighbour is about to tell anew which entries it has: what it told before
+ * goes, unless nobody else could tell.
+ */
+void
+core_forget_told(struct core *core, const struct core_neighbour *neighbour)
+{
+	uint64_t bit = UINT64_C(1) << neighbour->bit;
+	bool others = false;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->neighbours);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct core_neighbour *other = value;
+
+		others = others || (other != neighbour && other->synced);
+	}
+	if (others)
+		g_hash_table_foreach_remove(core->entries, is_unsourced, &bit);
+}
+
+/*
+ * Frees an entry, for GLib's table.
+ */
+void
+core_entry_free(void *value)
+{
+	struct core_entry *entry = value;
+
+	if (entry->hello != NULL)
+		fleet__hello__free_unpacked(entry->hello, NULL);
+	mem_free(entry);
+}
--- /dev/null
+++ b/src/core/core_folder.c
@@ -0,0 +1,125 @@
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/logger.h"
+#include "core/core_internal.h"
+
+const char core_log_folder[] = "log";
+
+static const char id_file[] = "replica-id";
+
+/*
+ * Writes the path of a file in the data folder.
+ */
+void
+core_path(const struct core *core, const char *name, char out[CORE_PATH_BYTES])
+{
+	snprintf(out, CORE_PATH_BYTES, "%s/%s", core->settings.data, name);
+}
+
+/*
+ * Reads the id of the replica in the folder; 0 when there is none.
+ */
+uint64_t
+core_read_id(const struct core *core)
+{
+	char path[CORE_PATH_BYTES];
+	char text[32] = "";
+	uint64_t id = 0;
+	FILE *file;
+
+	core_path(core, id_file, path);
+	file = fopen(path, "re");
+	if (file == NULL)
+		return 0;
+	if (fgets(text, sizeof(text), file) != NULL &&
+	    !str_to_u64(str_trim(str_from(text)), &id))
+		id = 0;
+	(void)fclose(file);
+	return id;
+}
+
+/*
+ * Makes the names of a folder last.
+ */
+enum status
+core_sync_folder(const char *path)
+{
+	int fd = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	int error;
+
+	if (fd < 0)
+		return status_set_errno(STATUS_IO, path);
+	error = fsync(fd);
+	(void)close(fd);
+	return error == 0 ? STATUS_OK : status_set_errno(STATUS_IO, path);
+}
+
+/*
+ * Writes the id so that it lasts before the replica is used.
+ */
+enum status
+core_write_id(const struct core *core, uint64_t id)
+{
+	char path[CORE_PATH_BYTES];
+	char text[32];
+	int len = snprintf(text, sizeof(text), "%" PRIu64 "\n", id);
+	int fd;
+	bool good;
+
+	core_path(core, id_file, path);
+	fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+	if (fd < 0)
+		return status_set_errno(STATUS_IO, path);
+	good = write(fd, text, (size_t)len) == len && fsync(fd) == 0;
+	(void)close(fd);
+	if (!good)
+		return status_set_errno(STATUS_IO, path);
+	return core_sync_folder(core->settings.data);
+}
+
+/*
+ * Removes the files of a folder, not the folders in it.
+ */
+void
+core_empty_folder(const char *path)
+{
+	DIR *dir = opendir(path);
+	const struct dirent *entry;
+
+	if (dir == NULL)
+		return;
+	while ((entry = readdir(dir)) != NULL) {
+		char name[CORE_PATH_BYTES + 256];
+
+		if (entry->d_name[0] == '.')
+			continue;
+		snprintf(name, sizeof(name), "%s/%s", path, entry->d_name);
+		if (unlink(name) != 0 && errno != EISDIR && errno != EPERM)
+			log_warn(
+			    "unlink_failed", "file=%s errno=%d", name, errno);
+	}
+	(void)closedir(dir);
+}
+
+/*
+ * Forgets the replica in the folder: the id goes first, so that a folder
+ * that is half emptied is never used under it again.
+ */
+void
+core_empty_data(const struct core *core)
+{
+	char path[CORE_PATH_BYTES];
+
+	core_path(core, id_file, path);
+	(void)unlink(path);
+	(void)core_sync_folder(core->settings.data);
+	core_path(core, core_log_folder, path);
+	core_empty_folder(path);
+	(void)core_sync_folder(path);
+}
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -23,11 +23,19 @@
 	Fleet__Hello *hello; /* owned */
 };
 
+/* An entry as other control instances tell of it. */
+struct core_entry {
+	Fleet__Hello *hello; /* owned */
+	uint64_t sources; /* bit per neighbour that has it connected */
+};
+
 /* Another control instance that is dialled. */
 struct core_neighbour {
 	struct channel *channel;
 	char address[64];
 	uint64_t seen_us; /* when somebody named it last */
+	unsigned bit; /* as a source of entries */
+	bool synced;
 };
 
 /* Who waits for a command of its own, or for one handed to the leader. */
@@ -51,6 +59,8 @@
 	uv_prepare_t prepare;
 	GPtrArray *peers; /* of struct core_peer */
 	GHashTable *neighbours; /* link address -> struct core_neighbour */
+	unsigned neighbour_bits;
+	GHashTable *entries; /* datagram address -> struct core_entry */
 	GHashTable *addresses; /* replica id -> link address */
 	GHashTable *heard; /* replica id -> uint64_t, last message */
 	struct roster *roster;
@@ -81,6 +91,20 @@
 	struct counter *is_leader;
 };
 
+enum {
+	CORE_PATH_BYTES = 512
+};
+
+/* core_folder.c: what lies in the data folder beside the log. */
+extern const char core_log_folder[];
+void
+core_path(const struct core *core, const char *name, char out[CORE_PATH_BYTES]);
+enum status core_sync_folder(const char *path);
+uint64_t core_read_id(const struct core *core);
+enum status core_write_id(const struct core *core, uint64_t id);
+void core_empty_folder(const char *path);
+void core_empty_data(const struct core *core);
+
 /* core_replica.c */
 enum status core_replica_open(struct core *core) ATTR_UNUSED_RESULT;
 void core_replica_close(struct core *core);
@@ -90,7 +114,24 @@
 bool core_leads(const struct core *core, uint64_t now_us);
 const char *core_leader_address(const struct core *core);
 
+/* core_entries.c */
+Fleet__Hello *core_copy_hello(const Fleet__Hello *from);
+void core_on_entry(
+    struct core *core, const struct channel *channel, const Fleet__Entry *news);
+void core_on_synced(struct core *core, const struct channel *channel);
+void
+core_forget_told(struct core *core, const struct core_neighbour *neighbour);
+void core_entry_free(void *value);
+
+/* core_known.c */
+Fleet__Document core_known_document(const struct core *core);
+/* Saves what is known for the next start, if it has changed. */
+void core_cache_tick(struct core *core, uint64_t now_us);
+void core_cache_load(struct core *core);
+
 /* core_link.c */
+void
+core_on_announcement(struct core *core, const Fleet__Announcement *message);
 enum status core_link_open(struct core *core) ATTR_UNUSED_RESULT;
 void core_link_close(struct core *core);
 /*
@@ -100,9 +141,11 @@
 void core_push(struct core *core, const Fleet__Frame *frame, bool to_everyone);
 /* The text goes to entries of this failure domain; others ask if they must. */
 void core_push_document(struct core *core);
-/* Saves what is known for the next start, if it has changed. */
-void core_cache_tick(struct core *core, uint64_t now_us);
-void core_cache_load(struct core *core);
+void core_send_document(struct core *core, const struct core_peer *peer);
+void core_push_entry(
+    struct core *core, Fleet__Hello *hello, bool gone, struct str_buf *batch);
+/* Tells a newcomer, or one that wants more than before, what is known. */
+void core_greet(struct core *core, struct core_peer *peer);
 void core_push_departure(struct core *core,
     const struct roster_departure *departure, struct str_buf *batch);
 void core_push_members(struct core *core, struct str_buf *batch);
--- /dev/null
+++ b/src/core/core_known.c
@@ -0,0 +1,110 @@
+#include <inttypes.h>
+
+#include "base/clock.h"
+#include "base/logger.h"
+#include "base/memory.h"
+#include "core/core_cache.h"
+#include "core/core_internal.h"
+
+enum {
+	CACHE_MS =
+	    500 /* a third of a heartbeat: a burst of news is one write */
+};
+
+/*
+ * Returns the newest document that may be handed on: of the log, or of the
+ * last run while the log does not say.
+ */
+Fleet__Document
+core_known_document(const struct core *core)
+{
+	Fleet__Document document = FLEET__DOCUMENT__INIT;
+
+	if (core->state.document_index == 0 && core->cache != NULL &&
+	    core->cache->document != NULL)
+		return *core->cache->document;
+	document.index = core->state.document_index;
+	document.version = core->state.version;
+	document.text.data = (uint8_t *)core->state.text.data;
+	document.text.len = core->state.text.len;
+	return document;
+}
+
+struct snapshot {
+	Fleet__Announcement *space;
+	Fleet__Announcement **list;
+	size_t count;
+};
+
+static void
+cache_target(void *ctx, struct roster_target *target)
+{
+	struct snapshot *s = ctx;
+	Fleet__Announcement *to = &s->space[s->count];
+
+	fleet__announcement__init(to);
+	to->id = target->id;
+	to->service = target->service;
+	to->address = target->address;
+	to->failure_domain = target->failure_domain;
+	to->started_ms = target->started_ms;
+	to->sequence = target->sequence;
+	to->slots = target->slots;
+	s->list[s->count++] = to;
+}
+
+static void
+count_target(void *ctx, struct roster_target *target ATTR_UNUSED)
+{
+	(*(size_t *)ctx)++;
+}
+
+/*
+ * Saves the document and the targets for the next start.
+ */
+void
+core_cache_tick(struct core *core, uint64_t now_us)
+{
+	Fleet__Cache cache = FLEET__CACHE__INIT;
+	Fleet__Document document = core_known_document(core);
+	struct snapshot s = {0};
+	size_t count = 0;
+
+	if (core->settings.data == NULL || !core->cache_dirty ||
+	    now_us < core->cache_us)
+		return;
+	core->cache_dirty = false;
+	core->cache_us = now_us + CACHE_MS * US_PER_MS;
+	roster_each(core->roster, count_target, &count);
+	s.space = mem_calloc(count, sizeof(*s.space));
+	s.list = mem_calloc(count, sizeof(*s.list));
+	roster_each(core->roster, cache_target, &s);
+	cache.document = &document;
+	cache.n_announcement = s.count;
+	cache.announcement = s.list;
+	if (core_cache_write(core->settings.data, &cache) != STATUS_OK)
+		log_warn("cache_not_written", "instance=%s reason=\"%s\"",
+		    core->settings.instance, status_message());
+	mem_free(s.list);
+	mem_free(s.space);
+}
+
+/*
+ * Takes over what the last run knew.
+ */
+void
+core_cache_load(struct core *core)
+{
+	if (core->settings.data == NULL)
+		return;
+	core->cache = core_cache_read(core->settings.data);
+	if (core->cache == NULL)
+		return;
+	for (size_t i = 0; i < core->cache->n_announcement; i++)
+		core_on_announcement(core, core->cache->announcement[i]);
+	core->cache_dirty = false;
+	log_info("cache", "instance=%s index=%" PRIu64 " targets=%zu",
+	    core->settings.instance,
+	    core->cache->document != NULL ? core->cache->document->index : 0,
+	    core->cache->n_announcement);
+}
--- a/src/core/core_lookup.c
+++ b/src/core/core_lookup.c
@@ -1,22 +1,58 @@
+#include <string.h>
+
 #include "core/core_internal.h"
 
 enum {
 	LOOKUP_OWN_MIN = 2 /* so that an entry that fails has a neighbour */
 };
 
-static unsigned
-add_entries(const struct core *core, struct str failure_domain, bool own,
-    const char **addresses, unsigned count, unsigned max)
+struct answer {
+	const struct core *core;
+	struct str failure_domain;
+	bool own; /* entries of the caller's failure domain, or the others */
+	const char **addresses;
+	unsigned count;
+	unsigned max;
+};
+
+static void
+add(struct answer *answer, const Fleet__Hello *hello)
+{
+	const char *address = hello->caller_address;
+
+	if (answer->count == answer->max || !hello->ready ||
+	    str_equal_c(answer->failure_domain, hello->failure_domain) !=
+		answer->own)
+		return;
+	for (unsigned i = 0; i < answer->count; i++) {
+		if (strcmp(answer->addresses[i], address) == 0)
+			return;
+	}
+	answer->addresses[answer->count++] = address;
+}
+
+/*
+ * Adds the entries that are connected here; where there is no log, and so
+ * none connects, those that other instances tell of.
+ */
+static void
+add_entries(struct answer *answer)
 {
-	for (guint i = 0; i < core->peers->len && count < max; i++) {
+	const struct core *core = answer->core;
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < core->peers->len; i++) {
 		const struct core_peer *peer = core->peers->pdata[i];
 
-		if (peer->greeted && !peer->is_control && peer->hello->ready &&
-		    str_equal_c(failure_domain, peer->hello->failure_domain) ==
-			own)
-			addresses[count++] = peer->hello->caller_address;
+		if (peer->greeted && !peer->is_control)
+			add(answer, peer->hello);
 	}
-	return count;
+	if (core->settings.data != NULL)
+		return;
+	g_hash_table_iter_init(&iter, core->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add(answer, ((const struct core_entry *)value)->hello);
 }
 
 /*
@@ -27,11 +63,18 @@
 core_lookup(const struct core *core, struct str failure_domain,
     const char **addresses, unsigned max)
 {
-	unsigned count =
-	    add_entries(core, failure_domain, true, addresses, 0, max);
+	struct answer answer = {
+	    .core = core,
+	    .failure_domain = failure_domain,
+	    .own = true,
+	    .addresses = addresses,
+	    .max = max,
+	};
 
-	if (count < LOOKUP_OWN_MIN)
-		count = add_entries(
-		    core, failure_domain, false, addresses, count, max);
-	return count;
+	add_entries(&answer);
+	if (answer.count < LOOKUP_OWN_MIN) {
+		answer.own = false;
+		add_entries(&answer);
+	}
+	return answer.count;
 }
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -1,6 +1,4 @@
-#include <dirent.h>
 #include <errno.h>
-#include <fcntl.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -23,13 +21,9 @@
 	APPEND_MAX_BYTES = 1 << 20,
 	DUTY_MS = 100,
 	JOIN_MS = 300,
-	REOPEN_MS = 1000,
-	PATH_BYTES = 512
+	REOPEN_MS = 1000
 };
 
-static const char id_file[] = "replica-id";
-static const char log_folder[] = "log";
-
 /*
  * Ids of the first members follow from their addresses, so that all of them
  * agree without a word; ids drawn later have the top bit of 48 set.
@@ -52,111 +46,6 @@
 	    UINT64_C(1) << 47;
 }
 
-static void
-path_in(const struct core *core, const char *name, char out[PATH_BYTES])
-{
-	snprintf(out, PATH_BYTES, "%s/%s", core->settings.data, name);
-}
-
-/*
- * Reads the id of the replica in the folder; 0 when there is none.
- */
-static uint64_t
-read_id(const struct core *core)
-{
-	char path[PATH_BYTES];
-	char text[32] = "";
-	uint64_t id = 0;
-	FILE *file;
-
-	path_in(core, id_file, path);
-	file = fopen(path, "re");
-	if (file == NULL)
-		return 0;
-	if (fgets(text, sizeof(text), file) != NULL &&
-	    !str_to_u64(str_trim(str_from(text)), &id))
-		id = 0;
-	(void)fclose(file);
-	return id;
-}
-
-static enum status
-sync_folder(const char *path)
-{
-	int fd = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-	int error;
-
-	if (fd < 0)
-		return status_set_errno(STATUS_IO, path);
-	error = fsync(fd);
-	(void)close(fd);
-	return error == 0 ? STATUS_OK : status_set_errno(STATUS_IO, path);
-}
-
-/*
- * Writes the id so that it lasts before the replica is used.
- */
-static enum status
-write_id(const struct core *core, uint64_t id)
-{
-	char path[PATH_BYTES];
-	char text[32];
-	int len = snprintf(text, sizeof(text), "%" PRIu64 "\n", id);
-	int fd;
-	bool good;
-
-	path_in(core, id_file, path);
-	fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
-	if (fd < 0)
-		return status_set_errno(STATUS_IO, path);
-	good = write(fd, text, (size_t)len) == len && fsync(fd) == 0;
-	(void)close(fd);
-	if (!good)
-		return status_set_errno(STATUS_IO, path);
-	return sync_folder(core->settings.data);
-}
-
-/*
- * Removes the files of a folder, not the folders in it.
- */
-static void
-empty_folder(const char *path)
-{
-	DIR *dir = opendir(path);
-	const struct dirent *entry;
-
-	if (dir == NULL)
-		return;
-	while ((entry = readdir(dir)) != NULL) {
-		char name[PATH_BYTES + 256];
-
-		if (entry->d_name[0] == '.')
-			continue;
-		snprintf(name, sizeof(name), "%s/%s", path, entry->d_name);
-		if (unlink(name) != 0 && errno != EISDIR && errno != EPERM)
-			log_warn(
-			    "unlink_failed", "file=%s errno=%d", name, errno);
-	}
-	(void)closedir(dir);
-}
-
-/*
- * Forgets the replica in the folder: the id goes first, so that a folder
- * that is half emptied is never used under it again.
- */
-static void
-empty_data(const struct core *core)
-{
-	char path[PATH_BYTES];
-
-	path_in(core, id_file, path);
-	(void)unlink(path);
-	(void)sync_folder(core->settings.data);
-	path_in(core, log_folder, path);
-	empty_folder(path);
-	(void)sync_folder(path);
-}
-
 static void
 on_send(void *ctx, uint64_t to, struct str message)
 {
@@ -281,23 +170,23 @@
 static enum status
 prepare_folder(struct core *core, unsigned first_count)
 {
-	char path[PATH_BYTES];
+	char path[CORE_PATH_BYTES];
 	enum status status;
 
-	path_in(core, log_folder, path);
+	core_path(core, core_log_folder, path);
 	if (mkdir(path, 0755) != 0 && errno != EEXIST)
 		return status_set_errno(STATUS_IO, path);
-	status = sync_folder(core->settings.data);
+	status = core_sync_folder(core->settings.data);
 	if (status != STATUS_OK)
 		return status;
-	core->replica_id = read_id(core);
+	core->replica_id = core_read_id(core);
 	if (core->replica_id != 0)
 		return STATUS_OK;
-	empty_folder(path);
+	core_empty_folder(path);
 	core->replica_id = first_count > 0
 	    ? first_id(core->settings.link_address)
 	    : fresh_id();
-	return write_id(core, core->replica_id);
+	return core_write_id(core, core->replica_id);
 }
 
 /*
@@ -308,7 +197,7 @@
 {
 	struct replica_member members[REPLICA_MEMBERS_MAX] = {0};
 	unsigned count;
-	char path[PATH_BYTES];
+	char path[CORE_PATH_BYTES];
 	enum status status;
 	const struct replica_callbacks callbacks = {
 	    .ctx = core,
@@ -334,7 +223,7 @@
 		return status;
 	config.id = core->replica_id;
 	config.seed = fresh_id();
-	path_in(core, log_folder, path);
+	core_path(core, core_log_folder, path);
 	status = storage_folder_open(path, core->replica_id, &core->storage);
 	if (status == STATUS_OK)
 		status = replica_open(&config, &core->storage, &callbacks,
@@ -544,7 +433,7 @@
 	core->reopen_us = now_us + REOPEN_MS * US_PER_MS;
 	core_replica_close(core);
 	if (core->reset_due) {
-		empty_data(core);
+		core_empty_data(core);
 		core->settings.bootstrap = false;
 		core->reset_due = false;
 	}
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -50,8 +50,8 @@
 void flow_stop(struct flow *flow, void (*stopped)(void *ctx), void *ctx)
     ATTR_NONNULL(1, 2);
 /* Appends the counters and the latency histogram, as Prometheus text. */
-void flow_render_metrics(const struct flow *flow, struct str_buf *out)
-    ATTR_NONNULL_ALL;
+void flow_render_metrics(
+    const struct flow *flow, struct str_buf *out) ATTR_NONNULL_ALL;
 bool flow_is_ready(const struct flow *flow) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -12,11 +12,6 @@
 	CONTROLS_MAX = 16,
 	/* One more than may be lost at once without any loss of news. */
 	PRIMARIES = 2,
-	SIGN_MS = 300, /* a fifth of the silence that ends a channel */
-	/* Targets of one scheduler: what a tenth of a core keeps count of. */
-	PART_TARGETS = 40,
-	PARTS_MAX = 64,
-	PART_NAME_BYTES = 192,
 	/* Two of the leader's heartbeats: by then the near one has applied it. */
 	FETCH_AFTER_MS = 200,
 	TARGET_KEPT_MS = 60 * 1000 /* as control keeps it */
@@ -25,111 +20,6 @@
 /* Part of a service's slack of repeats for the one that schedules it. */
 #define SCHEDULER_SLACK 0.7
 
-static uint64_t
-mix(uint64_t a, uint64_t b)
-{
-	uint64_t x = a ^ (b + UINT64_C(0x9e3779b97f4a7c15) + (a << 6));
-
-	x = (x ^ (x >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	x = (x ^ (x >> 27)) * UINT64_C(0x94d049bb133111eb);
-	return x ^ (x >> 31);
-}
-
-/*
- * Returns whether another entry counts as connected and takes requests.
- */
-static bool
-is_live(const struct fellow *fellow)
-{
-	return fellow->sources != 0 && fellow->ready;
-}
-
-/*
- * Returns the scheduler of a service: of the live entries with the most
- * processor time the one that the hash ranks first, so that all entries agree
- * without a word.  NULL: this entry.
- */
-struct fellow *
-fleet_scheduler(struct flow *flow, const struct service *service)
-{
-	uint64_t name = str_hash(str_from(service->name));
-	unsigned best_millis = flow->settings.processor_millis;
-	uint64_t best_rank =
-	    mix(name, str_hash(str_from(flow->settings.datagram_address)));
-	struct fellow *best = NULL;
-	GHashTableIter iter;
-	gpointer value;
-
-	if (flow->stopping)
-		best_millis = 0;
-	g_hash_table_iter_init(&iter, flow->fellows);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct fellow *fellow = value;
-		uint64_t rank = mix(name, str_hash(str_from(fellow->address)));
-
-		if (!is_live(fellow) || fellow->suspect ||
-		    fellow->processor_millis < best_millis ||
-		    (fellow->processor_millis == best_millis &&
-			rank <= best_rank))
-			continue;
-		best = fellow;
-		best_millis = fellow->processor_millis;
-		best_rank = rank;
-	}
-	return best;
-}
-
-/*
- * Takes a silent entry out of the choice of schedulers until it gives a sign,
- * so that all entries come to the same choice again.
- */
-void
-fleet_suspect(struct flow *flow, struct fellow *fellow)
-{
-	fellow->timeouts = 0;
-	if (!fellow->suspect)
-		log_warn("entry_silent", "instance=%s entry=%s",
-		    flow->settings.instance, fellow->instance);
-	fellow->suspect = true;
-	fellow->sign_us = flow_now_us(flow);
-}
-
-static void
-ask_signs(struct flow *flow, uint64_t now_us)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, flow->fellows);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct fellow *fellow = value;
-
-		if (!fellow->suspect || now_us < fellow->sign_us)
-			continue;
-		fellow->sign_us = now_us + SIGN_MS * US_PER_MS;
-		schedule_ask_sign(flow, fellow);
-	}
-}
-
-/*
- * Returns how many other entries are connected.
- */
-unsigned
-fleet_size(const struct flow *flow)
-{
-	return g_hash_table_size(flow->fellows);
-}
-
-static void
-service_free(void *value)
-{
-	struct service *service = value;
-
-	placement_free(service->placement);
-	mem_free(service->name);
-	mem_free(service);
-}
-
 static void
 fellow_free(void *value)
 {
@@ -140,170 +30,6 @@
 	mem_free(fellow);
 }
 
-/*
- * Returns a service by name, made at its first use.
- */
-struct service *
-fleet_service(struct flow *flow, const char *name)
-{
-	struct service *service = g_hash_table_lookup(flow->services, name);
-
-	if (service != NULL)
-		return service;
-	service = mem_calloc(1, sizeof(*service));
-	service->flow = flow;
-	service->name = str_dup(str_from(name));
-	service->placement = schedule_placement(service);
-	g_hash_table_insert(flow->services, service->name, service);
-	return service;
-}
-
-static struct service *
-part_of(struct flow *flow, const char *name, unsigned parts, unsigned part)
-{
-	char text[PART_NAME_BYTES];
-
-	if (parts <= 1)
-		return fleet_service(flow, name);
-	snprintf(text, sizeof(text), "%s#%u/%u", name, part, parts);
-	return fleet_service(flow, text);
-}
-
-static struct service_size *
-size_of(struct flow *flow, const char *name)
-{
-	struct service_size *size = g_hash_table_lookup(flow->sizes, name);
-
-	if (size == NULL) {
-		size = g_new0(struct service_size, 1);
-		size->parts = 1;
-		g_hash_table_insert(flow->sizes, g_strdup(name), size);
-	}
-	return size;
-}
-
-/*
- * Returns the part of a service's targets that the next request goes to.
- */
-struct service *
-fleet_pick(struct flow *flow, const char *name)
-{
-	struct service_size *size = size_of(flow, name);
-
-	return part_of(flow, name, size->parts, size->next++ % size->parts);
-}
-
-/*
- * Puts a target into its part.
- */
-static void
-place_pool(struct flow *flow, struct pool *pool)
-{
-	const struct roster_target *target =
-	    roster_find(flow->roster, pool->id);
-	unsigned parts = size_of(flow, pool->service)->parts;
-
-	pool->of = part_of(flow, pool->service, parts,
-	    (unsigned)(str_hash(str_from(pool->id)) % parts));
-	pool->of->targets++;
-	if (target != NULL)
-		placement_add_target(pool->of->placement, pool->id,
-		    pool->failure_domain, target->slots, target->warm_us,
-		    flow_now_us(flow));
-}
-
-static void
-unplace_pool(struct pool *pool)
-{
-	placement_remove_target(pool->of->placement, pool->id);
-	pool->of->targets--;
-}
-
-/*
- * Splits a service's targets into more or fewer parts as their number
- * changes; a quarter of slack on the way down keeps it from changing often.
- */
-static void
-resize(struct flow *flow, const char *name, int change)
-{
-	struct service_size *size = size_of(flow, name);
-	unsigned parts = size->parts;
-	GHashTableIter iter;
-	gpointer value;
-
-	size->targets += (unsigned)change;
-	while (parts < PARTS_MAX && size->targets >= 2 * parts * PART_TARGETS)
-		parts *= 2;
-	while (parts > 1 && size->targets * 4 < 3 * parts * PART_TARGETS)
-		parts /= 2;
-	if (parts == size->parts)
-		return;
-	log_info("service_parts",
-	    "instance=%s service=%s targets=%u parts=%u before=%u",
-	    flow->settings.instance, name, size->targets, parts, size->parts);
-	size->parts = parts;
-	g_hash_table_iter_init(&iter, flow->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct pool *pool = value;
-
-		if (strcmp(pool->service, name) != 0)
-			continue;
-		unplace_pool(pool);
-		place_pool(flow, pool);
-	}
-}
-
-/*
- * A target has announced itself: it gets requests from now on.
- */
-static void
-on_target_added(void *ctx, struct roster_target *target)
-{
-	struct flow *flow = ctx;
-	struct pool *pool = mem_calloc(1, sizeof(*pool));
-
-	pool->flow = flow;
-	pool->id = str_dup(str_from(target->id));
-	pool->address = str_dup(str_from(target->address));
-	pool->service = str_dup(str_from(target->service));
-	pool->failure_domain =
-	    (uint32_t)str_hash(str_from(target->failure_domain));
-	g_queue_init(&pool->idle);
-	g_queue_init(&pool->all);
-	place_pool(flow, pool);
-	g_hash_table_replace(flow->pools, pool->id, pool);
-	resize(flow, pool->service, 1);
-	if (flow_may_log(flow))
-		log_info("target",
-		    "instance=%s target=%s service=%s address=%s "
-		    "started=%" PRIu64 " sequence=%" PRIu64
-		    " slots=%u targets=%u",
-		    flow->settings.instance, target->id, target->service,
-		    target->address, target->started_ms, target->sequence,
-		    target->slots, g_hash_table_size(flow->pools));
-}
-
-/*
- * A target has left, or its place has another: no new request goes there.
- */
-static void
-on_target_removed(void *ctx, struct roster_target *target)
-{
-	struct flow *flow = ctx;
-	struct pool *pool = g_hash_table_lookup(flow->pools, target->id);
-
-	if (pool != NULL)
-		unplace_pool(pool);
-	g_hash_table_remove(flow->pools, target->id);
-	resize(flow, target->service, -1);
-	if (flow_may_log(flow))
-		log_info("target_gone",
-		    "instance=%s target=%s service=%s started=%" PRIu64
-		    " targets=%u",
-		    flow->settings.instance, target->id, target->service,
-		    target->started_ms, g_hash_table_size(flow->pools));
-}
-
 static void
 on_announcement(struct flow *flow, const Fleet__Announcement *m)
 {
@@ -537,7 +263,7 @@
 	g_hash_table_iter_init(&iter, flow->controls);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct control *control = value;
-		uint64_t rank = mix(
+		uint64_t rank = service_mix(
 		    own, str_hash(str_from(channel_address(control->channel))));
 
 		if (control->primary || !channel_is_open(control->channel) ||
@@ -784,7 +510,7 @@
 	}
 	update_owners(flow);
 	fetch_document(flow, now);
-	ask_signs(flow, now);
+	fleet_ask_signs(flow, now);
 	if (now > TARGET_KEPT_MS * US_PER_MS)
 		roster_expire(flow->roster, now - TARGET_KEPT_MS * US_PER_MS);
 }
@@ -797,13 +523,13 @@
 {
 	const struct roster_callbacks callbacks = {
 	    .ctx = flow,
-	    .added = on_target_added,
-	    .removed = on_target_removed,
+	    .added = service_on_added,
+	    .removed = service_on_removed,
 	};
 
 	flow->roster = roster_new(&callbacks);
-	flow->services =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	flow->services = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, service_release);
 	flow->sizes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	flow->fellows =
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -288,13 +288,26 @@
 /* Part of a service's targets that a request of ours goes to. */
 struct service *fleet_pick(struct flow *flow, const char *name);
 
+/* flow_service.c: services, their parts, and who schedules them. */
+uint64_t service_mix(uint64_t a, uint64_t b);
+void service_release(void *value);
+void service_on_added(void *ctx, struct roster_target *target);
+void service_on_removed(void *ctx, struct roster_target *target);
+void fleet_ask_signs(struct flow *flow, uint64_t now_us);
+
 /* flow_caller.c */
 enum status callers_open(struct flow *flow);
 void callers_stop(struct flow *flow);
 void callers_sweep(struct flow *flow);
 void caller_flush(struct caller *caller);
+void caller_put(struct caller *caller, struct str bytes);
 void caller_close(struct caller *caller);
 
+/* flow_read.c: the requests of a caller's connection. */
+void caller_read(struct caller *caller, const char *data, size_t len);
+/* Answers what can't be read and reads no more; the parser's error code. */
+int caller_fail(struct caller *caller, int status, const char *reason);
+
 /* flow_exchange.c */
 struct exchange *exchange_new(struct caller *caller);
 void exchange_begin(struct exchange *x);
--- /dev/null
+++ b/src/flow/flow_read.c
@@ -0,0 +1,253 @@
+#include <string.h>
+#include <strings.h>
+
+#include "flow/flow_internal.h"
+
+static int on_begin(http_parser *parser);
+static int on_url(http_parser *parser, const char *at, size_t len);
+static int on_field(http_parser *parser, const char *at, size_t len);
+static int on_value(http_parser *parser, const char *at, size_t len);
+static int on_head(http_parser *parser);
+static int on_body(http_parser *parser, const char *at, size_t len);
+static int on_complete(http_parser *parser);
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+/*
+ * Answers a request that can't be read, and reads no more.
+ */
+int
+caller_fail(struct caller *caller, int status, const char *reason)
+{
+	struct exchange *x = caller->reading;
+
+	caller->reading = NULL;
+	caller->final = true;
+	if (x == NULL)
+		x = exchange_new(caller);
+	x->close_after = true;
+	g_queue_push_tail(&caller->exchanges, x);
+	answer_own(x, status, 0, reason);
+	/* 1 would tell the parser that a head has no body. */
+	return -1;
+}
+
+static int
+on_begin(http_parser *parser)
+{
+	struct caller *caller = parser->data;
+
+	caller->reading = exchange_new(caller);
+	return 0;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t len)
+{
+	struct caller *caller = parser->data;
+
+	str_buf_append(&caller->reading->target, str_of(at, len));
+	return 0;
+}
+
+static int
+on_field(http_parser *parser, const char *at, size_t len)
+{
+	struct caller *caller = parser->data;
+
+	/* Trailers of a chunked body are not forwarded. */
+	if (caller->in_body)
+		return 0;
+	if (!head_name(&caller->reading->head, str_of(at, len)))
+		return caller_fail(caller, 431, "too many header fields");
+	return 0;
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct caller *caller = parser->data;
+
+	if (caller->in_body)
+		return 0;
+	if (!head_value(&caller->reading->head, str_of(at, len)))
+		return caller_fail(caller, 431, "too many header fields");
+	return 0;
+}
+
+/*
+ * Refuses what two parsers could read in two ways.
+ */
+static const char *
+ambiguity(const http_parser *parser, const struct head *head)
+{
+	struct str coding = head_find(head, "Transfer-Encoding");
+
+	if (coding.data != NULL &&
+	    (head_count(head, "Transfer-Encoding") > 1 ||
+		coding.len != strlen("chunked") ||
+		strncasecmp(coding.data, "chunked", coding.len) != 0))
+		return "transfer coding is not chunked";
+	if (coding.data != NULL &&
+	    head_find(head, "Content-Length").data != NULL)
+		return "both a length and a transfer coding";
+	if (coding.data != NULL && parser->http_minor == 0)
+		return "transfer coding in HTTP/1.0";
+	if (head_count(head, "Content-Length") > 1)
+		return "two lengths";
+	if (head_count(head, "Host") != 1 && parser->http_minor > 0)
+		return "not one Host";
+	return NULL;
+}
+
+static int
+on_head(http_parser *parser)
+{
+	struct caller *caller = parser->data;
+	struct exchange *x = caller->reading;
+	const struct routes *routes = caller->flow->routes;
+	const char *reason = ambiguity(parser, &x->head);
+	struct str expect = head_find(&x->head, "Expect");
+
+	if (reason != NULL || parser->upgrade)
+		return caller_fail(
+		    caller, 400, reason != NULL ? reason : "upgrade");
+	if (routes != NULL && parser->content_length != UINT64_MAX &&
+	    parser->content_length > routes->limits.max_body_bytes)
+		return caller_fail(caller, 413, "the body is too long");
+	caller->in_body = true;
+	x->method = (enum http_method)parser->method;
+	x->keep_alive = http_should_keep_alive(parser) != 0;
+	x->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
+	if (expect.data != NULL && expect.len == strlen("100-continue") &&
+	    caller->exchanges.length == 0)
+		caller_put(
+		    caller, STR_LITERAL("HTTP/1.1 100 Continue\r\n\r\n"));
+	return 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct caller *caller = parser->data;
+	const struct routes *routes = caller->flow->routes;
+	uint64_t max = routes != NULL ? routes->limits.max_body_bytes : 1 << 20;
+
+	/* A quarter of the memory is all that one body may take. */
+	if (max > caller->flow->settings.memory_bytes / 4)
+		max = caller->flow->settings.memory_bytes / 4;
+	if (caller->reading->body.len + len > max)
+		return caller_fail(caller, 413, "the body is too long");
+	str_buf_append(&caller->reading->body, str_of(at, len));
+	return 0;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+	struct caller *caller = parser->data;
+	struct exchange *x = caller->reading;
+
+	caller->reading = NULL;
+	caller->in_body = false;
+	caller->head_since_ms = 0;
+	caller->head_bytes = 0;
+	memset(caller->tail, 0, sizeof(caller->tail));
+	if (!x->keep_alive || caller->flow->stopping) {
+		caller->final = true;
+		x->close_after = true;
+	}
+	g_queue_push_tail(&caller->exchanges, x);
+	exchange_begin(x);
+	return caller->final || caller->closing ? 1 : 0;
+}
+
+/*
+ * Returns how many bytes belong to the head being read, -1 for a line that
+ * ends without a carriage return or is folded: the parser takes both, other
+ * servers may not.
+ */
+static ssize_t
+scan_head(struct caller *caller, const char *data, size_t len)
+{
+	char *tail = caller->tail;
+
+	for (size_t i = 0; i < len; i++) {
+		char c = data[i];
+
+		if (c == '\n' && tail[2] != '\r')
+			return -1;
+		if ((c == ' ' || c == '\t') && tail[2] == '\n')
+			return -1;
+		if (c == '\n' && tail[1] == '\n' && tail[0] == '\r')
+			return (ssize_t)(i + 1);
+		/* An empty line before a request is skipped by the parser. */
+		tail[0] = tail[1];
+		tail[1] = tail[2];
+		tail[2] = c;
+	}
+	return (ssize_t)len;
+}
+
+static size_t
+parse(struct caller *caller, const char *data, size_t len)
+{
+	size_t used =
+	    http_parser_execute(&caller->parser, &parser_settings, data, len);
+
+	if (!caller->closing && !caller->final &&
+	    HTTP_PARSER_ERRNO(&caller->parser) != HPE_OK)
+		(void)caller_fail(caller, 400,
+		    http_errno_description(HTTP_PARSER_ERRNO(&caller->parser)));
+	return used;
+}
+
+/*
+ * Parses bytes: heads apart from bodies, so that a head can be looked at
+ * before the parser takes it.
+ */
+void
+caller_read(struct caller *caller, const char *data, size_t len)
+{
+	while (len > 0 && !caller->closing && !caller->final) {
+		size_t piece = len;
+		size_t used;
+
+		if (!caller->in_body) {
+			const struct routes *routes = caller->flow->routes;
+			ssize_t head = scan_head(caller, data, len);
+
+			if (caller->head_since_ms == 0)
+				caller->head_since_ms =
+				    uv_now(caller->flow->loop);
+			if (head < 0) {
+				(void)caller_fail(
+				    caller, 400, "malformed line end");
+				break;
+			}
+			piece = (size_t)head;
+			caller->head_bytes += piece;
+			if (routes != NULL &&
+			    caller->head_bytes >
+				routes->limits.max_header_bytes) {
+				(void)caller_fail(
+				    caller, 431, "the header is too long");
+				break;
+			}
+		}
+		used = parse(caller, data, piece);
+		if (caller->closing || caller->final ||
+		    (used < piece && used == 0))
+			break;
+		data += used;
+		len -= used;
+	}
+}
