Close an entry whole, as its test does

Change: flow_close() and flow_free(); the test runs the loop until it is idle. The program itself still ends by exit.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -193,3 +193,32 @@
 	    name, count, name,
 	    (double)atomic_load(&flow->latency.sum) / US_PER_S, name, count);
 }
+
+/*
+ * Closes all handles of an entry without waiting for requests in hand.
+ */
+void
+flow_close(struct flow *flow)
+{
+	struct caller *caller;
+
+	while ((caller = g_queue_peek_head(&flow->callers)) != NULL)
+		caller_close(caller);
+	if (flow->listening)
+		uv_close((uv_handle_t *)&flow->listener, NULL);
+	uv_close((uv_handle_t *)&flow->sweep, NULL);
+	probe_close(flow);
+	schedule_close(flow);
+	targets_close(flow);
+	fleet_close(flow);
+	routes_put(flow->routes);
+}
+
+/*
+ * Frees an entry whose handles are closed.
+ */
+void
+flow_free(struct flow *flow)
+{
+	mem_free(flow);
+}
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -53,5 +53,8 @@
 void flow_render_metrics(
     const struct flow *flow, struct str_buf *out) ATTR_NONNULL_ALL;
 bool flow_is_ready(const struct flow *flow) ATTR_NONNULL_ALL;
+/* Closes all; the loop must run until it is idle before flow_free(). */
+void flow_close(struct flow *flow) ATTR_NONNULL_ALL;
+void flow_free(struct flow *flow);
 
 #endif
--- a/test/unit/test_flow.c
+++ b/test/unit/test_flow.c
@@ -146,8 +146,11 @@
 {
 	exchange_free(x);
 	routes_put(bed->routes);
-	for (int i = 0; i < 10; i++)
-		(void)uv_run(&bed->loop, UV_RUN_NOWAIT);
+	uv_close((uv_handle_t *)&bed->listener, NULL);
+	flow_close(bed->flow);
+	(void)uv_run(&bed->loop, UV_RUN_DEFAULT);
+	flow_free(bed->flow);
+	assert_int_equal(uv_loop_close(&bed->loop), 0);
 }
 
 static void
