Let a last answer be written however long it takes

Change: the wait begins once all is written, a minute at most for that. Result: test_flow, a_last_answer_is_written_however_long_it_takes, got 12,288 of 900,000 bytes before.

--- a/src/flow/flow_caller.c
+++ b/src/flow/flow_caller.c
@@ -7,6 +7,7 @@
 enum {
 	SILENCE_MS =
 	    3000, /* of a caller's host, before its socket is given up */
+	WRITE_MAX_MS = 60 * 1000, /* a last answer on the slowest link */
 	LINGER_MS = 1000, /* callers allow a second for a new connection */
 	SWEEP_MS = 100,
 	OUTPUT_MAX_BYTES = 512 << 10, /* unread by the caller */
@@ -98,6 +99,11 @@
 static void
 on_shutdown(uv_shutdown_t *request, int status ATTR_UNUSED)
 {
+	struct caller *caller = request->handle->data;
+
+	/* All is written: only now does the wait for the caller begin. */
+	caller->shut = true;
+	caller->active_ms = uv_now(caller->flow->loop);
 	mem_free(request);
 }
 
@@ -268,7 +274,7 @@
 	    caller->head_since_ms == 0 && caller->writes == 0;
 
 	if (caller->lingering) {
-		if (idle_ms > LINGER_MS)
+		if (idle_ms > (caller->shut ? LINGER_MS : WRITE_MAX_MS))
 			caller_close(caller);
 		return;
 	}
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -44,7 +44,8 @@
 	bool in_body;
 	bool paused; /* too many requests in hand, or output not read */
 	bool final; /* no request after those in hand is read */
-	bool lingering; /* all is written; waits for the caller to close */
+	bool lingering; /* the last answer is on its way; nothing is read */
+	bool shut; /* it is written; waits for the caller to close */
 	bool closing;
 	unsigned writes;
 };
--- a/test/unit/test_flow.c
+++ b/test/unit/test_flow.c
@@ -2,12 +2,15 @@
  * An exchange of the event-driven entry, without a network beyond loopback:
  * grants that come twice, and what may be sent again.
  */
+#include <errno.h>
+#include <fcntl.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -182,12 +185,88 @@
 	}
 }
 
+/*
+ * Connects a caller that reads little at a time.
+ */
+static int
+connect_slow_caller(struct bed *bed)
+{
+	struct sockaddr_in at;
+	int len = sizeof(at);
+	int small = 4096;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(uv_tcp_getsockname(&bed->flow->listener,
+			     (struct sockaddr *)&at, &len),
+	    0);
+	assert_int_equal(
+	    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small)), 0);
+	assert_int_equal(connect(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	while (bed->flow->callers.length == 0)
+		(void)uv_run(&bed->loop, UV_RUN_ONCE);
+	return fd;
+}
+
+static void
+a_last_answer_is_written_however_long_it_takes(void **state ATTR_UNUSED)
+{
+	/* A link of 2.4 Mbit/s: longer than the wait for the caller's close. */
+	enum {
+		ANSWER_BYTES = 900000,
+		UNREAD_MS = 2500
+	};
+	struct bed bed;
+	struct caller *caller;
+	struct exchange *x;
+	uv_os_fd_t server;
+	int small = 4096;
+	int fd;
+	uint64_t began;
+	size_t got = 0;
+	ssize_t n;
+	char bytes[65536];
+
+	open_bed(&bed, REPEAT_ALLOWED);
+	fd = connect_slow_caller(&bed);
+	caller = g_queue_peek_head(&bed.flow->callers);
+	assert_int_equal(
+	    uv_fileno((const uv_handle_t *)&caller->tcp, &server), 0);
+	assert_int_equal(
+	    setsockopt(server, SOL_SOCKET, SO_SNDBUF, &small, sizeof(small)),
+	    0);
+	x = exchange_new(caller);
+	for (size_t i = 0; i < ANSWER_BYTES; i++)
+		str_buf_append(&x->out, STR_LITERAL("x"));
+	x->ended = true;
+	x->close_after = true;
+	g_queue_push_tail(&caller->exchanges, x);
+	caller_flush(caller);
+	began = uv_now(&bed.loop);
+	while (uv_now(&bed.loop) - began < UNREAD_MS)
+		(void)uv_run(&bed.loop, UV_RUN_ONCE);
+	assert_int_equal(fcntl(fd, F_SETFL, O_NONBLOCK), 0);
+	do {
+		n = read(fd, bytes, sizeof(bytes));
+		got += n > 0 ? (size_t)n : 0;
+		(void)uv_run(&bed.loop, UV_RUN_NOWAIT);
+	} while (n > 0 || (n < 0 && errno == EAGAIN));
+	assert_int_equal(got, ANSWER_BYTES);
+	(void)close(fd);
+	routes_put(bed.routes);
+	uv_close((uv_handle_t *)&bed.listener, NULL);
+	flow_close(bed.flow);
+	(void)uv_run(&bed.loop, UV_RUN_DEFAULT);
+	flow_free(bed.flow);
+	assert_int_equal(uv_loop_close(&bed.loop), 0);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(
 		a_second_grant_counts_only_for_what_may_be_repeated),
+	    cmocka_unit_test(a_last_answer_is_written_however_long_it_takes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
