Keep targets known for as long as any control instance hears of them

Cause: an entry noted when it heard of a target only at the target's first announcement, since control hands on news alone, and forgot the target 60 s later; so did the control instances that the target does not report to.

Change: control instances tell each other every quarter of the time that a target is kept which targets report to them, and entries which are known to live (4 bytes a target). Entries forget nothing while no control instance tells of targets. The time follows the heartbeat, 40 of them.

Result: two tests that fail without the lists (503 after two seconds of a kept time of two seconds; the silent target forgotten too soon) and pass with them.

--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 	protoc-c --proto_path=src/replica --c_out=src/replica \
 	    src/replica/replica.proto
 	protoc-c --proto_path=src/claim --c_out=src/claim src/claim/claim.proto
+	clang-format -i src/*/*.pb-c.c
 
 document-page: build	## print every field into docs/DOCUMENT.md
 	@sed '/^## Fields/q' docs/DOCUMENT.md >$(BUILD)/page && echo >>$(BUILD)/page
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -8,9 +8,7 @@
 #include "core/core_internal.h"
 
 enum {
-	TICK_MS = 20, /* a fifth of the replica's heartbeat */
-	/* Forty heartbeats of 1.5 s: liveness is judged by probes, not here. */
-	TARGET_KEPT_MS = 60 * 1000
+	TICK_MS = 20 /* a fifth of the replica's heartbeat */
 };
 
 static void
@@ -23,8 +21,7 @@
 	core_propose_tick(core, now);
 	core_link_tick(core, now);
 	core_cache_tick(core, now);
-	if (now > TARGET_KEPT_MS * US_PER_MS)
-		roster_expire(core->roster, now - TARGET_KEPT_MS * US_PER_MS);
+	core_heard_tick(core, now);
 }
 
 /*
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -21,6 +21,7 @@
 	unsigned seed_count;
 	bool bootstrap; /* the whole system starts for the first time */
 	unsigned losses; /* of instances with a disk, to be borne at once */
+	uint64_t target_kept_ms; /* known without a sign of it */
 };
 
 enum core_outcome {
--- /dev/null
+++ b/src/core/core_heard.c
@@ -0,0 +1,118 @@
+/*
+ * Which targets stay known.  A target reports to one control instance at a
+ * time; the others and the entries learn from it, in short lists, that it is
+ * still there.
+ */
+#include "base/clock.h"
+#include "base/memory.h"
+#include "core/core_internal.h"
+
+enum {
+	/* Lists in the time that a target is kept: three may be lost. */
+	HEARD_LISTS = 4,
+	/* Lists without a target before entries are no longer told of it. */
+	HEARD_MISSED_MAX = 2
+};
+
+struct list {
+	GArray *hashes; /* of uint32_t */
+	uint64_t since_us;
+	bool own; /* only those that reported here */
+};
+
+static void
+add(void *ctx, struct roster_target *target)
+{
+	struct list *list = ctx;
+	uint64_t at = list->own ? target->reported_us : target->heard_us;
+	uint32_t hash = (uint32_t)str_hash(str_from(target->id));
+
+	if (at != 0 && at >= list->since_us)
+		g_array_append_val(list->hashes, hash);
+}
+
+/*
+ * Returns the frame with the targets heard of since a time; NULL when there
+ * are none.
+ */
+static struct packed_frame *
+pack_heard(const struct core *core, uint64_t since_us, bool own)
+{
+	struct list list = {
+	    .hashes = g_array_new(FALSE, FALSE, sizeof(uint32_t)),
+	    .since_us = since_us,
+	    .own = own,
+	};
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Heard heard = FLEET__HEARD__INIT;
+	struct packed_frame *packed = NULL;
+
+	roster_each(core->roster, add, &list);
+	heard.n_target = list.hashes->len;
+	heard.target = (uint32_t *)(void *)list.hashes->data;
+	frame.body_case = FLEET__FRAME__BODY_HEARD;
+	frame.heard = &heard;
+	if (heard.n_target > 0)
+		packed = channel_pack(&frame);
+	g_array_free(list.hashes, TRUE);
+	return packed;
+}
+
+/*
+ * Tells other control instances of the targets that report here, since what
+ * is heard from others must not be handed on in a circle, and entries of all.
+ */
+static void
+tell(struct core *core, uint64_t now_us, uint64_t interval_us)
+{
+	struct packed_frame *own, *all;
+	GHashTableIter iter;
+	gpointer value;
+
+	own = pack_heard(core, now_us - interval_us, true);
+	all = pack_heard(core, now_us - HEARD_MISSED_MAX * interval_us, false);
+	for (guint i = 0; i < core->peers->len; i++) {
+		const struct core_peer *peer = core->peers->pdata[i];
+		struct packed_frame *packed = peer->is_control ? own : all;
+
+		if (peer->greeted && peer->wants_all && packed != NULL)
+			channel_send_packed(peer->channel, packed);
+	}
+	/* Instances without a disk are no neighbours: they dial, and tell. */
+	g_hash_table_iter_init(&iter, core->neighbours);
+	while (core->settings.data == NULL && own != NULL &&
+	    g_hash_table_iter_next(&iter, NULL, &value))
+		channel_send_packed(
+		    ((struct core_neighbour *)value)->channel, own);
+	if (own != NULL)
+		channel_packed_put(own);
+	if (all != NULL)
+		channel_packed_put(all);
+}
+
+/*
+ * Tells others who was heard of, and forgets who was not for long.
+ */
+void
+core_heard_tick(struct core *core, uint64_t now_us)
+{
+	uint64_t kept_us = core->settings.target_kept_ms * US_PER_MS;
+	uint64_t interval_us = kept_us / HEARD_LISTS;
+
+	if (now_us > kept_us)
+		roster_expire(core->roster, now_us - kept_us);
+	if (now_us < core->heard_due_us || now_us < kept_us)
+		return;
+	core->heard_due_us = now_us + interval_us;
+	tell(core, now_us, interval_us);
+}
+
+/*
+ * Takes the targets that another instance has heard of.
+ */
+void
+core_on_heard(struct core *core, const Fleet__Heard *heard)
+{
+	roster_hear(
+	    core->roster, heard->target, heard->n_target, clock_boot_us());
+}
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -62,12 +62,13 @@
 	unsigned neighbour_bits;
 	GHashTable *entries; /* datagram address -> struct core_entry */
 	GHashTable *addresses; /* replica id -> link address */
-	GHashTable *heard; /* replica id -> uint64_t, last message */
+	GHashTable *replicas_heard; /* replica id -> uint64_t, last message */
 	struct roster *roster;
 	struct core_state state;
 	Fleet__Cache *cache; /* of the last run; NULL once the log knows more */
 	bool cache_dirty;
 	uint64_t cache_us; /* when the cache may be written next */
+	uint64_t heard_due_us; /* when others are told next who was heard of */
 	/* The replica; NULL on an instance without a disk. */
 	struct replica *replica;
 	struct replica_storage storage;
@@ -129,6 +130,10 @@
 void core_cache_tick(struct core *core, uint64_t now_us);
 void core_cache_load(struct core *core);
 
+/* core_heard.c: which targets stay known. */
+void core_heard_tick(struct core *core, uint64_t now_us);
+void core_on_heard(struct core *core, const Fleet__Heard *heard);
+
 /* core_link.c */
 void
 core_on_announcement(struct core *core, const Fleet__Announcement *message);
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -286,6 +286,9 @@
 	case FLEET__FRAME__BODY_SYNCED:
 		core_on_synced(core, channel);
 		break;
+	case FLEET__FRAME__BODY_HEARD:
+		core_on_heard(core, frame->heard);
+		break;
 	case FLEET__FRAME__BODY_PING:
 	case FLEET__FRAME__BODY__NOT_SET:
 	case _FLEET__FRAME__BODY__CASE_IS_INT_SIZE:
@@ -475,7 +478,7 @@
 	    g_str_hash, g_str_equal, g_free, core_entry_free);
 	core->addresses =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-	core->heard =
+	core->replicas_heard =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	core->listener =
 	    channel_listen(core->loop, core->settings.link_address, &callbacks);
@@ -499,5 +502,5 @@
 	g_ptr_array_free(core->peers, TRUE);
 	g_hash_table_destroy(core->entries);
 	g_hash_table_destroy(core->addresses);
-	g_hash_table_destroy(core->heard);
+	g_hash_table_destroy(core->replicas_heard);
 }
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -287,14 +287,14 @@
 static void
 note_heard(struct core *core, uint64_t id, uint64_t now_us)
 {
-	uint64_t *known = g_hash_table_lookup(core->heard, &id);
+	uint64_t *known = g_hash_table_lookup(core->replicas_heard, &id);
 
 	if (known == NULL) {
 		uint64_t *key = g_new(uint64_t, 1);
 
 		known = g_new(uint64_t, 1);
 		*key = id;
-		g_hash_table_insert(core->heard, key, known);
+		g_hash_table_insert(core->replicas_heard, key, known);
 	}
 	*known = now_us;
 }
@@ -329,7 +329,7 @@
 		const struct replica_member *from = &core->info.members[i];
 		struct group_member *to = &view->members[i];
 		const uint64_t *heard =
-		    g_hash_table_lookup(core->heard, &from->id);
+		    g_hash_table_lookup(core->replicas_heard, &from->id);
 
 		to->id = from->id;
 		to->voter = from->voter;
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -39,6 +39,7 @@
 	uint64_t grace_ms; /* from the order to stop to the end */
 	struct repeat_limits repeats;
 	double probes_per_second; /* of one target, at most */
+	uint64_t target_kept_ms; /* known without a sign of it */
 };
 
 struct flow;
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -13,8 +13,7 @@
 	/* One more than may be lost at once without any loss of news. */
 	PRIMARIES = 2,
 	/* Two of the leader's heartbeats: by then the near one has applied it. */
-	FETCH_AFTER_MS = 200,
-	TARGET_KEPT_MS = 60 * 1000 /* as control keeps it */
+	FETCH_AFTER_MS = 200
 };
 
 /* Part of a service's slack of repeats for the one that schedules it. */
@@ -203,6 +202,10 @@
 	case FLEET__FRAME__BODY_MEMBERS:
 		on_members(flow, frame->members);
 		break;
+	case FLEET__FRAME__BODY_HEARD:
+		roster_hear(flow->roster, frame->heard->target,
+		    frame->heard->n_target, flow_now_us(flow));
+		break;
 	case FLEET__FRAME__BODY_SYNCED:
 		control->synced = true;
 		if (control->primary)
@@ -488,6 +491,32 @@
 	flow->named_index = flow->document_index;
 }
 
+/*
+ * Forgets targets that control has not named for long.  While no control
+ * instance tells of targets, their silence says nothing.
+ */
+static void
+expire_targets(struct flow *flow, uint64_t now_us)
+{
+	uint64_t kept_us = flow->settings.target_kept_ms * US_PER_MS;
+	bool told = false;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flow->controls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct control *control = value;
+
+		told = told || (control->primary && control->synced);
+	}
+	if (!told)
+		flow->told_since_us = 0;
+	else if (flow->told_since_us == 0)
+		flow->told_since_us = now_us;
+	if (told && now_us - flow->told_since_us > kept_us)
+		roster_expire(flow->roster, now_us - kept_us);
+}
+
 /*
  * Looks at readiness, at who schedules what, and at who is gone.
  */
@@ -511,8 +540,7 @@
 	update_owners(flow);
 	fetch_document(flow, now);
 	fleet_ask_signs(flow, now);
-	if (now > TARGET_KEPT_MS * US_PER_MS)
-		roster_expire(flow->roster, now - TARGET_KEPT_MS * US_PER_MS);
+	expire_targets(flow, now);
 }
 
 /*
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -232,6 +232,8 @@
 	GHashTable *controls; /* link address -> struct control */
 	unsigned control_bits;
 	uint64_t first_synced_us;
+	uint64_t
+	    told_since_us; /* told of targets without a gap; 0: now in one */
 	bool ready;
 	bool stopping;
 	uint64_t stopping_ms;
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -134,6 +134,8 @@
 		known->sequence = from->sequence;
 		if (from->heard_us > known->heard_us)
 			known->heard_us = from->heard_us;
+		if (from->reported_us > known->reported_us)
+			known->reported_us = from->reported_us;
 		return false;
 	}
 	if (known != NULL)
@@ -190,6 +192,31 @@
 	return g_hash_table_lookup(roster->targets, id);
 }
 
+/*
+ * Notes a sign of life of targets that other instances have heard of.  Two
+ * ids of one hash only keep each other known for longer.
+ */
+void
+roster_hear(struct roster *roster, const uint32_t *hashes, size_t count,
+    uint64_t now_us)
+{
+	GHashTable *heard = g_hash_table_new(NULL, NULL);
+	GHashTableIter iter;
+	gpointer value;
+
+	for (size_t i = 0; i < count; i++)
+		g_hash_table_add(heard, GUINT_TO_POINTER(hashes[i]));
+	g_hash_table_iter_init(&iter, roster->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct roster_target *target = value;
+		uint32_t hash = (uint32_t)str_hash(str_from(target->id));
+
+		if (g_hash_table_contains(heard, GUINT_TO_POINTER(hash)))
+			target->heard_us = now_us;
+	}
+	g_hash_table_destroy(heard);
+}
+
 /*
  * Removes targets of which nothing was heard since before_us.
  */
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -20,7 +20,8 @@
 	uint64_t sequence;
 	uint32_t slots;
 	uint64_t warm_us; /* when it is no longer slow from its start */
-	uint64_t heard_us; /* when news of it came last */
+	uint64_t heard_us; /* when a sign of it came last, from anywhere */
+	uint64_t reported_us; /* when it reported here itself; 0: never */
 };
 
 struct roster_departure {
@@ -54,6 +55,9 @@
     uint64_t started_ms) ATTR_NONNULL_ALL;
 struct roster_target *
 roster_find(const struct roster *roster, const char *id) ATTR_NONNULL_ALL;
+/* Notes that others have heard of the targets whose ids have these hashes. */
+void roster_hear(struct roster *roster, const uint32_t *hashes, size_t count,
+    uint64_t now_us) ATTR_NONNULL(1);
 /* Removes what was last heard of before a time. */
 void roster_expire(struct roster *roster, uint64_t before_us) ATTR_NONNULL_ALL;
 void roster_each(const struct roster *roster,
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -704,6 +704,50 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+fleet__heard__init(Fleet__Heard *message)
+{
+	static const Fleet__Heard init_value = FLEET__HEARD__INIT;
+	*message = init_value;
+}
+size_t
+fleet__heard__get_packed_size(const Fleet__Heard *message)
+{
+	assert(message->base.descriptor == &fleet__heard__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+fleet__heard__pack(const Fleet__Heard *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &fleet__heard__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+fleet__heard__pack_to_buffer(
+    const Fleet__Heard *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &fleet__heard__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Fleet__Heard *
+fleet__heard__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Fleet__Heard *)protobuf_c_message_unpack(
+	    &fleet__heard__descriptor, allocator, len, data);
+}
+void
+fleet__heard__free_unpacked(
+    Fleet__Heard *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__heard__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 fleet__cache__init(Fleet__Cache *message)
 {
 	static const Fleet__Cache init_value = FLEET__CACHE__INIT;
@@ -1730,6 +1774,26 @@
     fleet__fetch__number_ranges, (ProtobufCMessageInit)fleet__fetch__init, NULL,
     NULL, NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor fleet__heard__field_descriptors[1] = {
+    {
+	"target", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
+	offsetof(Fleet__Heard, n_target), offsetof(Fleet__Heard, target), NULL,
+	NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+};
+static const unsigned fleet__heard__field_indices_by_name[] = {
+    0, /* field[0] = target */
+};
+static const ProtobufCIntRange fleet__heard__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor fleet__heard__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Heard", "Heard",
+    "Fleet__Heard", "fleet", sizeof(Fleet__Heard), 1,
+    fleet__heard__field_descriptors, fleet__heard__field_indices_by_name, 1,
+    fleet__heard__number_ranges, (ProtobufCMessageInit)fleet__heard__init, NULL,
+    NULL, NULL /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor fleet__cache__field_descriptors[2] = {
     {
 	"document", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
@@ -1759,7 +1823,7 @@
     fleet__cache__number_ranges, (ProtobufCMessageInit)fleet__cache__init, NULL,
     NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[15] = {
+static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[16] = {
     {
 	"ping", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
 	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, ping),
@@ -1864,6 +1928,13 @@
 	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"heard", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, heard),
+	&fleet__heard__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__frame__field_indices_by_name[] = {
     7, /* field[7] = announcement */
@@ -1871,6 +1942,7 @@
     6, /* field[6] = document */
     9, /* field[9] = entry */
     14, /* field[14] = fetch */
+    15, /* field[15] = heard */
     1, /* field[1] = hello */
     11, /* field[11] = join */
     10, /* field[10] = members */
@@ -1883,10 +1955,10 @@
     13, /* field[13] = synced */
 };
 static const ProtobufCIntRange fleet__frame__number_ranges[1 + 1] = {
-    {1, 0}, {0, 15}};
+    {1, 0}, {0, 16}};
 const ProtobufCMessageDescriptor fleet__frame__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Frame", "Frame",
-    "Fleet__Frame", "fleet", sizeof(Fleet__Frame), 15,
+    "Fleet__Frame", "fleet", sizeof(Fleet__Frame), 16,
     fleet__frame__field_descriptors, fleet__frame__field_indices_by_name, 1,
     fleet__frame__number_ranges, (ProtobufCMessageInit)fleet__frame__init, NULL,
     NULL, NULL /* reserved[123] */
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Fleet__Ping Fleet__Ping;
 typedef struct Fleet__Synced Fleet__Synced;
 typedef struct Fleet__Fetch Fleet__Fetch;
+typedef struct Fleet__Heard Fleet__Heard;
 typedef struct Fleet__Cache Fleet__Cache;
 typedef struct Fleet__Frame Fleet__Frame;
 typedef struct Fleet__State Fleet__State;
@@ -298,6 +299,23 @@
      }
 
 
+/*
+ * Targets that have lately been heard of: they stay known.
+ */
+struct  Fleet__Heard
+{
+  ProtobufCMessage base;
+  /*
+   * hashes of ids
+   */
+  size_t n_target;
+  uint32_t *target;
+};
+#define FLEET__HEARD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__heard__descriptor) \
+    , 0,NULL }
+
+
 /*
  * What an instance last knew, for its next start.
  */
@@ -329,7 +347,8 @@
   FLEET__FRAME__BODY_JOIN = 12,
   FLEET__FRAME__BODY_REMOVED = 13,
   FLEET__FRAME__BODY_SYNCED = 14,
-  FLEET__FRAME__BODY_FETCH = 15
+  FLEET__FRAME__BODY_FETCH = 15,
+  FLEET__FRAME__BODY_HEARD = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLEET__FRAME__BODY__CASE)
 } Fleet__Frame__BodyCase;
 
@@ -353,6 +372,7 @@
     Fleet__Removed *removed;
     Fleet__Synced *synced;
     Fleet__Fetch *fetch;
+    Fleet__Heard *heard;
   };
 };
 #define FLEET__FRAME__INIT \
@@ -843,6 +863,25 @@
 void   fleet__fetch__free_unpacked
                      (Fleet__Fetch *message,
                       ProtobufCAllocator *allocator);
+/* Fleet__Heard methods */
+void   fleet__heard__init
+                     (Fleet__Heard         *message);
+size_t fleet__heard__get_packed_size
+                     (const Fleet__Heard   *message);
+size_t fleet__heard__pack
+                     (const Fleet__Heard   *message,
+                      uint8_t             *out);
+size_t fleet__heard__pack_to_buffer
+                     (const Fleet__Heard   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Heard *
+       fleet__heard__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__heard__free_unpacked
+                     (Fleet__Heard *message,
+                      ProtobufCAllocator *allocator);
 /* Fleet__Cache methods */
 void   fleet__cache__init
                      (Fleet__Cache         *message);
@@ -1102,6 +1141,9 @@
 typedef void (*Fleet__Fetch_Closure)
                  (const Fleet__Fetch *message,
                   void *closure_data);
+typedef void (*Fleet__Heard_Closure)
+                 (const Fleet__Heard *message,
+                  void *closure_data);
 typedef void (*Fleet__Cache_Closure)
                  (const Fleet__Cache *message,
                   void *closure_data);
@@ -1158,6 +1200,7 @@
 extern const ProtobufCMessageDescriptor fleet__ping__descriptor;
 extern const ProtobufCMessageDescriptor fleet__synced__descriptor;
 extern const ProtobufCMessageDescriptor fleet__fetch__descriptor;
+extern const ProtobufCMessageDescriptor fleet__heard__descriptor;
 extern const ProtobufCMessageDescriptor fleet__cache__descriptor;
 extern const ProtobufCMessageDescriptor fleet__frame__descriptor;
 extern const ProtobufCMessageDescriptor fleet__state__descriptor;
--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -183,6 +183,7 @@
             "limits.cpu_share": "0.35", "limits.cores": "1",
             "limits.memory_mb": "260", "limits.max_fds": "1024",
             "fault_tolerance.machines": "1",
+            "heartbeat_ms": str(self.bed.heartbeat_ms),
             "bounds": "grace_s=6,retry_budget_ratio=0.2,retry_window_s=10,"
                       "retry_slack=62,ttl_max_s=5,probe_per_s=60",
         }
@@ -229,7 +230,8 @@
 class Bed:
     """Instances, targets and an operator."""
 
-    def __init__(self, instances=1, cores=1):
+    def __init__(self, instances=1, cores=1, heartbeat_ms=1500):
+        self.heartbeat_ms = heartbeat_ms
         self.folder = tempfile.mkdtemp(prefix="gypsummill-platform-")
         self.port = free_port_run("127.0.7.1", 10)
         self.seeds = ["127.0.7.%d" % (i + 1) for i in range(min(cores, 3))]
@@ -267,7 +269,7 @@
             for target in list(self.targets):
                 if target.open:
                     self.send_report(target)
-            time.sleep(0.5)
+            time.sleep(min(0.5, self.heartbeat_ms / 1000))
 
     def config(self, version, paths, services=("svc",)):
         return {
--- a/test/functional/test_platform_group.py
+++ b/test/functional/test_platform_group.py
@@ -12,6 +12,49 @@
 from support import wait_until
 
 
+class Kept(unittest.TestCase):
+    """A target is kept for 40 heartbeats; here these take two seconds."""
+
+    KEPT_S = 2.0
+
+    def setUp(self):
+        self.bed = Bed(instances=4, cores=4, heartbeat_ms=50)
+        self.bed.set_config(self.bed.config(1, [self.bed.path("/a/")]))
+
+    def tearDown(self):
+        self.bed.close()
+
+    def knows(self, instance, target):
+        with open(instance.log("flow"), encoding="utf-8") as log:
+            lines = [line for line in log if "target=" + target in line and
+                     "event=target" in line]
+        return bool(lines) and "event=target_gone" not in lines[-1]
+
+    def test_target_stays_known_where_it_does_not_report(self):
+        # All reports go to the first control instance that answers.
+        self.bed.target("t1", "svc")
+        self.bed.wait_ready()
+        end = time.time() + 3 * self.KEPT_S
+        while time.time() < end:
+            for i in range(4):
+                self.assertEqual(self.bed.ask("/a/x", instance=i)[0], 200)
+            time.sleep(0.2)
+        for one in self.bed.instances:
+            self.assertTrue(self.knows(one, "t1"), one.name)
+
+    def test_silent_target_is_forgotten_everywhere(self):
+        silent = self.bed.target("t1", "svc")
+        self.bed.target("t2", "svc")
+        self.bed.wait_ready()
+        for one in self.bed.instances:
+            wait_until(lambda o=one: self.knows(o, "t1"), "t1 is known")
+        silent.close()
+        for one in self.bed.instances:
+            wait_until(lambda o=one: not self.knows(o, "t1"),
+                       one.name + " has forgotten it")
+            self.assertTrue(self.knows(one, "t2"))
+
+
 class Group(unittest.TestCase):
     def setUp(self):
         self.bed = Bed(instances=4, cores=4)
