Read the settings file again when it changes; check all settings at start

Cause: SIGHUP and a changed file were logged and not read, so that seeds that were exchanged counted from the next start only; a number that could not be read became its default without a word; the two programs repeated each other's start.

The file is read again on a signal and when it has changed, every half second; seeds, losses, repeats, probes and times are taken over, a wrong file changes nothing and is logged.

Result: test_platform_settings, 5 tests; before the change an entry that was started with a wrong seed never became ready.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -84,6 +84,18 @@
 	return STATUS_OK;
 }
 
+/*
+ * Takes over what may change while it runs.
+ */
+void
+core_reload(struct core *core, const struct core_settings *settings)
+{
+	core->settings.seeds = settings->seeds;
+	core->settings.seed_count = settings->seed_count;
+	core->settings.losses = settings->losses;
+	core->settings.target_kept_ms = settings->target_kept_ms;
+}
+
 /*
  * Closes a control instance; the loop must run once more to free it.
  */
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -35,6 +35,9 @@
 
 enum status core_open(uv_loop_t *loop, const struct core_settings *settings,
     struct core **out) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
+/* Takes over seeds, losses and times; names and addresses hold. */
+void core_reload(
+    struct core *core, const struct core_settings *settings) ATTR_NONNULL_ALL;
 /* Hands over the lead where it holds it, and closes all. */
 void core_close(struct core *core);
 
--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -137,6 +137,20 @@
 	return STATUS_OK;
 }
 
+/*
+ * Takes over what may change while it runs.
+ */
+void
+flow_reload(struct flow *flow, const struct flow_settings *settings)
+{
+	flow->settings.seeds = settings->seeds;
+	flow->settings.seed_count = settings->seed_count;
+	flow->settings.repeats.ratio = settings->repeats.ratio;
+	flow->settings.repeats.slack = settings->repeats.slack;
+	flow->settings.probes_per_second = settings->probes_per_second;
+	flow->settings.target_kept_ms = settings->target_kept_ms;
+}
+
 /*
  * Returns whether this entry takes callers: it has a document and has heard
  * enough of the fleet.
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -47,6 +47,9 @@
 enum status flow_open(uv_loop_t *loop, const struct flow_settings *settings,
     const struct flow_dialect *dialect,
     struct flow **out) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
+/* Takes over seeds, repeats, probes and times; names and addresses hold. */
+void flow_reload(
+    struct flow *flow, const struct flow_settings *settings) ATTR_NONNULL_ALL;
 /* Stops in peace; stopped is called when all that was in hand is answered. */
 void flow_stop(struct flow *flow, void (*stopped)(void *ctx), void *ctx)
     ATTR_NONNULL(1, 2);
--- /dev/null
+++ b/test/functional/test_platform_settings.py
@@ -0,0 +1,103 @@
+"""The settings file of the programs on the provider's platform: checked at
+start, all faults at once, and read again when it changes."""
+
+import os
+import signal
+import subprocess
+import tempfile
+import unittest
+
+from platform_bed import Bed
+from support import BIN, wait_until
+
+PROGRAMS = ("gypsummill-core", "gypsummill-flow")
+
+
+class Checks(unittest.TestCase):
+    def check(self, program, lines, *arguments):
+        with tempfile.NamedTemporaryFile("w", suffix=".conf") as out:
+            out.write("\n".join(lines) + "\n")
+            out.flush()
+            return subprocess.run(
+                [os.path.join(BIN, program), *arguments],
+                env=dict(os.environ, GYPSUMMILL_NODE_FILE=out.name),
+                capture_output=True, text=True, timeout=30, check=False)
+
+    def test_all_faults_are_named_at_once(self):
+        wrong = ["node=n", "ip=127.0.0.1", "listen.front=nowhere",
+                 "limits.memory_mb=many", "seeds=1.2.3.4:5,there",
+                 "bounds=grace_s=soon,retry_slack=62"]
+        for program in PROGRAMS:
+            done = self.check(program, wrong, "--check-settings")
+            self.assertEqual(done.returncode, 78, done.stderr)
+            for name in ("zone", "internal_port_range", "listen.front",
+                         "limits.memory_mb", "seeds", "bounds.grace_s"):
+                self.assertIn("setting " + name, done.stderr)
+            self.assertNotIn("retry_slack", done.stderr)
+            # The same without the flag: it does not start.
+            self.assertEqual(self.check(program, wrong).returncode, 78)
+
+    def test_empty_and_unknown_fields_are_no_faults(self):
+        good = ["node=n", "ip=127.0.0.1", "zone=a", "role=",
+                "internal_port_range=7000,7015", "seeds=", "limits.disk_mb=",
+                "listen.front=127.0.0.1:7100", "listen.ready=127.0.0.1:7101",
+                "listen.control=127.0.0.1:7102", "bounds=", "news.of=today",
+                "fault_tolerance.machines="]
+        for program in PROGRAMS:
+            done = self.check(program, good, "--check-settings")
+            self.assertEqual(done.returncode, 0, done.stderr)
+
+    def test_help_and_unknown_flags(self):
+        for program in PROGRAMS:
+            self.assertEqual(self.check(program, [], "--help").returncode, 0)
+            self.assertEqual(self.check(program, [], "--fast").returncode, 64)
+
+
+class Reload(unittest.TestCase):
+    """Seeds change while an entry knows no control instance at all: only
+    the new ones lead it to the group."""
+
+    def setUp(self):
+        self.bed = Bed(instances=2, cores=1)
+        self.bed.set_config(self.bed.config(1, [self.bed.path("/a/")]))
+        self.entry = self.bed.instances[1]
+        self.entry.kill("flow")
+        self.right = self.bed.seeds
+        # Nobody listens there.
+        self.bed.seeds = ["127.0.7.99"]
+        self.entry.start("flow")
+
+    def tearDown(self):
+        self.bed.close()
+
+    def is_ready(self):
+        return self.entry.call("GET", "/ready", port=1)[0] == 200
+
+    def lines(self, text):
+        with open(self.entry.log("flow"), encoding="utf-8") as log:
+            return [line for line in log if text in line]
+
+    def test_changed_file_is_read_without_a_signal(self):
+        wait_until(lambda: len(self.lines("event=started")) == 2, "a start")
+        self.assertFalse(self.is_ready())
+        self.bed.seeds = self.right
+        self.entry.settings("flow")
+        wait_until(self.is_ready, "the entry to find the group")
+        self.assertIn("outcome=taken", self.lines("cause=file")[-1])
+
+    def test_signal_reads_the_file_and_a_wrong_one_changes_nothing(self):
+        wait_until(lambda: len(self.lines("event=started")) == 2, "a start")
+        self.bed.seeds = self.right
+        path = self.entry.settings("flow")
+        self.entry.processes["flow"].send_signal(signal.SIGHUP)
+        wait_until(self.is_ready, "the entry to find the group")
+        with open(path, "w", encoding="utf-8") as out:
+            out.write("node=half\n")
+        self.entry.processes["flow"].send_signal(signal.SIGHUP)
+        wait_until(lambda: self.lines("outcome=left"), "a refused reload")
+        self.assertTrue(self.is_ready())
+        self.assertIsNone(self.entry.processes["flow"].poll())
+
+
+if __name__ == "__main__":
+    unittest.main()
