Tell newcomers of one tick the same bytes; find routes by hash

Ruled out: time to start (0.1 s for all).

Change: news of targets and entries goes out once a tick of 20 ms, whoever came within one tick is greeted with the same bytes, the document is packed once; routes are found by a hash of the prefix.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -20,6 +20,7 @@
 	core_replica_tick(core, now);
 	core_propose_tick(core, now);
 	core_link_tick(core, now);
+	core_push_tick(core);
 	core_cache_tick(core, now);
 	core_heard_tick(core, now);
 }
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -17,6 +17,7 @@
 struct core_peer {
 	struct channel *channel;
 	bool greeted;
+	bool greet_due; /* it is told what is known at the next tick */
 	bool is_control;
 	bool wants_all; /* targets and entries too */
 	uint64_t replica; /* 0: an entry, or a control without a disk */
@@ -68,6 +69,10 @@
 	Fleet__Cache *cache; /* of the last run; NULL once the log knows more */
 	bool cache_dirty;
 	uint64_t cache_us; /* when the cache may be written next */
+	struct str_buf news; /* of targets and entries, told at the next tick */
+	/* The document as it is sent: named only, and with its text. */
+	struct packed_frame *packed_document[2];
+	uint64_t packed_index;
 	uint64_t heard_due_us; /* when others are told next who was heard of */
 	/* The replica; NULL on an instance without a disk. */
 	struct replica *replica;
@@ -139,28 +144,25 @@
 core_on_announcement(struct core *core, const Fleet__Announcement *message);
 enum status core_link_open(struct core *core) ATTR_UNUSED_RESULT;
 void core_link_close(struct core *core);
-/*
- * Sends to all who have greeted, or only to those who want all; the functions
- * below append to a batch instead where one is given.
- */
-void core_push(struct core *core, const Fleet__Frame *frame, bool to_everyone);
-/* The text goes to entries of this failure domain; others ask if they must. */
-void core_push_document(struct core *core);
-void core_send_document(struct core *core, const struct core_peer *peer);
-void core_push_entry(
-    struct core *core, Fleet__Hello *hello, bool gone, struct str_buf *batch);
-/* Tells a newcomer, or one that wants more than before, what is known. */
-void core_greet(struct core *core, struct core_peer *peer);
-void core_push_departure(struct core *core,
-    const struct roster_departure *departure, struct str_buf *batch);
-void core_push_members(struct core *core, struct str_buf *batch);
-void core_push_announcement(struct core *core,
-    const struct roster_target *target, struct str_buf *batch);
-struct core_neighbour *core_neighbour(struct core *core, const char *address);
-void core_link_tick(struct core *core, uint64_t now_us);
 /* Takes an announcement and tells the others when it is news. */
 void
 core_take_announcement(struct core *core, const struct roster_target *target);
+struct core_neighbour *core_neighbour(struct core *core, const char *address);
+void core_link_tick(struct core *core, uint64_t now_us);
+
+/* core_push.c: what the other processes are told, and how often it is packed */
+/* To all who have greeted, at once. */
+void core_push_departure(
+    struct core *core, const struct roster_departure *departure);
+void core_push_members(struct core *core);
+/* The text goes to entries of this failure domain; others ask if they must. */
+void core_push_document(struct core *core);
+void core_send_document(struct core *core, const struct core_peer *peer);
+/* At the next tick, to those who want all. */
+void core_tell_entry(struct core *core, Fleet__Hello *hello, bool gone);
+void core_tell_target(struct core *core, const struct roster_target *target);
+void core_push_tick(struct core *core);
+void core_push_close(struct core *core);
 
 /* core_propose.c */
 void core_propose_open(struct core *core);
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -53,10 +53,9 @@
 		    core->settings.instance, peer_name(peer), peer->is_control,
 		    peer->replica, hello->failure_domain);
 	}
-	if (first || more)
-		core_greet(core, peer);
+	peer->greet_due = peer->greet_due || first || more;
 	if (!peer->is_control) {
-		core_push_entry(core, peer->hello, false, NULL);
+		core_tell_entry(core, peer->hello, false);
 		return;
 	}
 	if (hello->replica != 0) {
@@ -71,21 +70,6 @@
 		(void)core_neighbour(core, hello->link_address);
 }
 
-static void
-tell_neighbours(struct core *core, const struct roster_target *target)
-{
-	struct str_buf batch = {0};
-	GHashTableIter iter;
-	gpointer value;
-
-	core_push_announcement(core, target, &batch);
-	g_hash_table_iter_init(&iter, core->neighbours);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		channel_send_batch(
-		    ((struct core_neighbour *)value)->channel, &batch);
-	str_buf_free(&batch);
-}
-
 /*
  * Takes what a target said of itself to another instance or to this one.
  */
@@ -101,10 +85,7 @@
 	    target->address, target->failure_domain, target->started_ms,
 	    target->sequence, target->slots);
 	core->cache_dirty = true;
-	core_push_announcement(core, target, NULL);
-	/* Instances without a disk are no neighbours: they dial, and tell. */
-	if (core->settings.data == NULL)
-		tell_neighbours(core, target);
+	core_tell_target(core, target);
 }
 
 /*
@@ -327,7 +308,7 @@
 	peer->channel = NULL;
 	if (peer->greeted && !peer->is_control) {
 		peer->greeted = false;
-		core_push_entry(core, peer->hello, true, NULL);
+		core_tell_entry(core, peer->hello, true);
 	}
 	g_ptr_array_remove_fast(core->peers, peer);
 }
@@ -455,7 +436,7 @@
 		return;
 	core->members_us = now_us + MEMBERS_MS * US_PER_MS;
 	g_hash_table_foreach_remove(core->neighbours, is_forgotten, &now_us);
-	core_push_members(core, NULL);
+	core_push_members(core);
 }
 
 /*
@@ -492,6 +473,7 @@
 core_link_close(struct core *core)
 {
 	channel_listener_close(core->listener);
+	core_push_close(core);
 	g_hash_table_destroy(core->neighbours);
 	for (guint i = 0; i < core->peers->len; i++) {
 		struct core_peer *peer = core->peers->pdata[i];
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -4,32 +4,21 @@
 #include "core/core_internal.h"
 
 /*
- * Sends a frame to all who have greeted, or to those who want all.
+ * Sends a packed frame to all who have greeted, and lets go of it.
  */
-void
-core_push(struct core *core, const Fleet__Frame *frame, bool to_everyone)
+static void
+push(const struct core *core, struct packed_frame *packed)
 {
-	struct packed_frame *packed = channel_pack(frame);
 
 	for (guint i = 0; i < core->peers->len; i++) {
 		const struct core_peer *peer = core->peers->pdata[i];
 
-		if (peer->greeted && (to_everyone || peer->wants_all))
+		if (peer->greeted)
 			channel_send_packed(peer->channel, packed);
 	}
 	channel_packed_put(packed);
 }
 
-static void
-push_to(struct core *core, const Fleet__Frame *frame, bool to_everyone,
-    struct str_buf *batch)
-{
-	if (batch != NULL)
-		channel_batch(batch, frame);
-	else
-		core_push(core, frame, to_everyone);
-}
-
 static bool
 is_near(const struct core *core, const struct core_peer *peer)
 {
@@ -37,43 +26,71 @@
 		   core->settings.failure_domain) == 0;
 }
 
+static void
+drop_packed_document(struct core *core)
+{
+	for (int i = 0; i < 2; i++) {
+		if (core->packed_document[i] != NULL)
+			channel_packed_put(core->packed_document[i]);
+		core->packed_document[i] = NULL;
+	}
+}
+
+/*
+ * Returns the document as it is sent, packed once for all; NULL when none is
+ * known.
+ */
 static struct packed_frame *
-pack_document(const struct core *core, bool with_text)
+packed_document(struct core *core, bool with_text)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Document document = core_known_document(core);
+	struct packed_frame **packed = &core->packed_document[with_text];
 
-	if (!with_text)
-		document.text = (ProtobufCBinaryData){0};
-	frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
-	frame.document = &document;
-	return channel_pack(&frame);
+	if (document.index == 0)
+		return NULL;
+	if (document.index != core->packed_index)
+		drop_packed_document(core);
+	core->packed_index = document.index;
+	if (*packed == NULL) {
+		if (!with_text)
+			document.text = (ProtobufCBinaryData){0};
+		frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
+		frame.document = &document;
+		*packed = channel_pack(&frame);
+	}
+	return *packed;
 }
 
 /*
- * Tells all of the document in force.  Bytes between failure domains are
- * dear: the text goes to the entries of this one, and to instances that have
- * no log.
+ * Tells one peer of the document in force.  Bytes between failure domains
+ * are dear: the text goes to the entries of this one, and to instances that
+ * have no log; those with one have it by that.
  */
-void
-core_push_document(struct core *core)
+static void
+send_known_document(struct core *core, const struct core_peer *peer)
 {
-	struct packed_frame *whole, *named;
+	struct packed_frame *packed;
 
-	if (core_known_document(core).index == 0)
+	if (peer->is_control && peer->replica != 0)
 		return;
-	whole = pack_document(core, true);
-	named = pack_document(core, false);
+	packed = packed_document(core, peer->is_control || is_near(core, peer));
+	if (packed != NULL)
+		channel_send_packed(peer->channel, packed);
+}
+
+/*
+ * Tells all of the document in force.
+ */
+void
+core_push_document(struct core *core)
+{
 	for (guint i = 0; i < core->peers->len; i++) {
 		const struct core_peer *peer = core->peers->pdata[i];
 
-		if (!peer->greeted || (peer->is_control && peer->replica != 0))
-			continue;
-		channel_send_packed(peer->channel,
-		    peer->is_control || is_near(core, peer) ? whole : named);
+		if (peer->greeted)
+			send_known_document(core, peer);
 	}
-	channel_packed_put(whole);
-	channel_packed_put(named);
 }
 
 /*
@@ -82,21 +99,14 @@
 void
 core_send_document(struct core *core, const struct core_peer *peer)
 {
-	struct packed_frame *whole;
+	struct packed_frame *packed = packed_document(core, true);
 
-	if (core_known_document(core).index == 0)
-		return;
-	whole = pack_document(core, true);
-	channel_send_packed(peer->channel, whole);
-	channel_packed_put(whole);
+	if (packed != NULL)
+		channel_send_packed(peer->channel, packed);
 }
 
-/*
- * Sends a departure, to one or to all.
- */
-void
-core_push_departure(struct core *core, const struct roster_departure *departure,
-    struct str_buf *batch)
+static void
+batch_departure(struct str_buf *batch, const struct roster_departure *departure)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Departure message = FLEET__DEPARTURE__INIT;
@@ -106,15 +116,24 @@
 	message.recorded_ms = departure->recorded_ms;
 	frame.body_case = FLEET__FRAME__BODY_DEPARTURE;
 	frame.departure = &message;
-	push_to(core, &frame, true, batch);
+	channel_batch(batch, &frame);
 }
 
 /*
- * Sends what a target says of itself, to one or to all.
+ * Sends a departure to all.
  */
 void
-core_push_announcement(struct core *core, const struct roster_target *target,
-    struct str_buf *batch)
+core_push_departure(struct core *core, const struct roster_departure *departure)
+{
+	struct str_buf batch = {0};
+
+	batch_departure(&batch, departure);
+	push(core, channel_pack_batch(&batch));
+	str_buf_free(&batch);
+}
+
+static void
+batch_target(struct str_buf *batch, const struct roster_target *target)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Announcement message = FLEET__ANNOUNCEMENT__INIT;
@@ -132,14 +151,48 @@
 		    (uint32_t)((target->warm_us - now) / US_PER_MS);
 	frame.body_case = FLEET__FRAME__BODY_ANNOUNCEMENT;
 	frame.announcement = &message;
-	push_to(core, &frame, false, batch);
+	channel_batch(batch, &frame);
+}
+
+/*
+ * Tells those who want all what a target says of itself.
+ */
+void
+core_tell_target(struct core *core, const struct roster_target *target)
+{
+	batch_target(&core->news, target);
+}
+
+static void
+batch_entry(struct str_buf *batch, Fleet__Hello *hello, bool gone)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Entry entry = FLEET__ENTRY__INIT;
+
+	entry.hello = hello;
+	entry.gone = gone;
+	frame.body_case = FLEET__FRAME__BODY_ENTRY;
+	frame.entry = &entry;
+	channel_batch(batch, &frame);
 }
 
 /*
- * Sends the link addresses of all instances with a disk that are known.
+ * Tells those who want all of an entry that is connected here or was until
+ * now.
  */
 void
-core_push_members(struct core *core, struct str_buf *batch)
+core_tell_entry(struct core *core, Fleet__Hello *hello, bool gone)
+{
+	batch_entry(&core->news, hello, gone);
+}
+
+/*
+ * Fills a frame with the link addresses of all known instances that have a
+ * disk, and hands it on.
+ */
+static void
+with_members(struct core *core,
+    void (*use)(void *ctx, const Fleet__Frame *frame), void *ctx)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Members message = FLEET__MEMBERS__INIT;
@@ -158,89 +211,166 @@
 	message.leader_address = (char *)core_leader_address(core);
 	frame.body_case = FLEET__FRAME__BODY_MEMBERS;
 	frame.members = &message;
-	push_to(core, &frame, true, batch);
+	use(ctx, &frame);
+}
+
+static void
+push_frame(void *ctx, const Fleet__Frame *frame)
+{
+	push(ctx, channel_pack(frame));
+}
+
+static void
+batch_frame(void *ctx, const Fleet__Frame *frame)
+{
+	channel_batch(ctx, frame);
 }
 
 /*
- * Sends an entry that is connected here or was until now.
+ * Tells all which instances there are.
  */
 void
-core_push_entry(
-    struct core *core, Fleet__Hello *hello, bool gone, struct str_buf *batch)
+core_push_members(struct core *core)
 {
-	Fleet__Frame frame = FLEET__FRAME__INIT;
-	Fleet__Entry entry = FLEET__ENTRY__INIT;
-
-	entry.hello = hello;
-	entry.gone = gone;
-	frame.body_case = FLEET__FRAME__BODY_ENTRY;
-	frame.entry = &entry;
-	push_to(core, &frame, false, batch);
+	with_members(core, push_frame, core);
 }
 
-struct greeting {
-	struct core *core;
-	struct str_buf batch;
-};
-
 static void
 greet_target(void *ctx, struct roster_target *target)
 {
-	struct greeting *g = ctx;
-
-	core_push_announcement(g->core, target, &g->batch);
+	batch_target(ctx, target);
 }
 
 static void
 greet_departure(void *ctx, const struct roster_departure *departure)
 {
-	struct greeting *g = ctx;
-
-	core_push_departure(g->core, departure, &g->batch);
+	batch_departure(ctx, departure);
 }
 
-static void
-batch_document(
-    struct core *core, const struct core_peer *peer, struct str_buf *batch)
+/*
+ * Returns the first part of a greeting.  Departures go first, so that nobody
+ * takes a departed target for a moment.
+ */
+static struct packed_frame *
+pack_first_part(struct core *core)
 {
-	Fleet__Frame frame = FLEET__FRAME__INIT;
-	Fleet__Document document = core_known_document(core);
+	struct str_buf batch = {0};
+	struct packed_frame *packed;
 
-	if (document.index == 0 || (peer->is_control && peer->replica != 0))
-		return;
-	if (!peer->is_control && !is_near(core, peer))
-		document.text = (ProtobufCBinaryData){0};
-	frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
-	frame.document = &document;
-	channel_batch(batch, &frame);
+	with_members(core, batch_frame, &batch);
+	roster_each_departure(core->roster, greet_departure, &batch);
+	packed = channel_pack_batch(&batch);
+	str_buf_free(&batch);
+	return packed;
 }
 
 /*
- * Tells a newcomer, or one that wants more than before, what is known here,
- * in one piece.  Departures go first, so that nobody takes a departed target
- * for a moment.
+ * Returns the last part of a greeting: targets and entries for those who
+ * want all, and the word that this is all.
  */
-void
-core_greet(struct core *core, struct core_peer *peer)
+static struct packed_frame *
+pack_last_part(const struct core *core, bool wants_all)
 {
-	struct greeting g = {.core = core};
+	struct str_buf batch = {0};
+	struct packed_frame *packed;
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Synced synced = FLEET__SYNCED__INIT;
 
-	core_push_members(core, &g.batch);
-	roster_each_departure(core->roster, greet_departure, &g);
-	batch_document(core, peer, &g.batch);
-	if (peer->wants_all)
-		roster_each(core->roster, greet_target, &g);
-	for (guint i = 0; peer->wants_all && i < core->peers->len; i++) {
+	if (wants_all)
+		roster_each(core->roster, greet_target, &batch);
+	for (guint i = 0; wants_all && i < core->peers->len; i++) {
 		const struct core_peer *other = core->peers->pdata[i];
 
 		if (other->greeted && !other->is_control)
-			core_push_entry(core, other->hello, false, &g.batch);
+			batch_entry(&batch, other->hello, false);
 	}
 	frame.body_case = FLEET__FRAME__BODY_SYNCED;
 	frame.synced = &synced;
-	channel_batch(&g.batch, &frame);
-	channel_send_batch(peer->channel, &g.batch);
-	str_buf_free(&g.batch);
+	channel_batch(&batch, &frame);
+	packed = channel_pack_batch(&batch);
+	str_buf_free(&batch);
+	return packed;
+}
+
+/*
+ * Tells newcomers, and those that want more than before, what is known here.
+ * All who came within one tick get the same bytes: after a restart of all
+ * every process comes at once.
+ */
+static void
+greet_newcomers(struct core *core)
+{
+	struct packed_frame *first = NULL;
+	struct packed_frame *last[2] = {NULL, NULL};
+
+	for (guint i = 0; i < core->peers->len; i++) {
+		struct core_peer *peer = core->peers->pdata[i];
+		struct packed_frame **rest = &last[peer->wants_all];
+
+		if (!peer->greet_due)
+			continue;
+		peer->greet_due = false;
+		if (first == NULL)
+			first = pack_first_part(core);
+		if (*rest == NULL)
+			*rest = pack_last_part(core, peer->wants_all);
+		channel_send_packed(peer->channel, first);
+		send_known_document(core, peer);
+		channel_send_packed(peer->channel, *rest);
+	}
+	for (int i = 0; i < 2; i++) {
+		if (last[i] != NULL)
+			channel_packed_put(last[i]);
+	}
+	if (first != NULL)
+		channel_packed_put(first);
+}
+
+/*
+ * Sends the news of this tick to those who want all, in one piece.
+ */
+static void
+push_news(struct core *core)
+{
+	struct packed_frame *packed;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (core->news.len == 0)
+		return;
+	packed = channel_pack_batch(&core->news);
+	str_buf_clear(&core->news);
+	for (guint i = 0; i < core->peers->len; i++) {
+		const struct core_peer *peer = core->peers->pdata[i];
+
+		if (peer->greeted && peer->wants_all)
+			channel_send_packed(peer->channel, packed);
+	}
+	/* Instances without a disk are no neighbours: they dial, and tell. */
+	g_hash_table_iter_init(&iter, core->neighbours);
+	while (core->settings.data == NULL &&
+	    g_hash_table_iter_next(&iter, NULL, &value))
+		channel_send_packed(
+		    ((struct core_neighbour *)value)->channel, packed);
+	channel_packed_put(packed);
+}
+
+/*
+ * Tells what has come up since the last tick.
+ */
+void
+core_push_tick(struct core *core)
+{
+	push_news(core);
+	greet_newcomers(core);
+}
+
+/*
+ * Frees what was packed.
+ */
+void
+core_push_close(struct core *core)
+{
+	drop_packed_document(core);
+	str_buf_free(&core->news);
 }
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -100,7 +100,7 @@
 		    "instance=%s index=%" PRIu64 " target=%s started=%" PRIu64,
 		    core->settings.instance, index, effect.departed.id,
 		    effect.departed.started_ms);
-		core_push_departure(core, &effect.departed, NULL);
+		core_push_departure(core, &effect.departed);
 	}
 	fleet__command__free_unpacked(command, NULL);
 	core_on_applied(core, index, term, effect.outcome);
@@ -117,7 +117,7 @@
 static void
 push_one_departure(void *ctx, const struct roster_departure *departure)
 {
-	core_push_departure(ctx, departure, NULL);
+	core_push_departure(ctx, departure);
 }
 
 static enum status
--- a/src/net/channel.c
+++ b/src/net/channel.c
@@ -62,6 +62,8 @@
 	struct packed_frame *packed;
 };
 
+static uint64_t deflates;
+
 static void on_timer(uv_timer_t *timer);
 static void dial(struct channel *channel);
 
@@ -455,6 +457,7 @@
 	    mem_alloc(sizeof(*packed) + 2 * HEADER_BYTES + bound);
 
 	refcount_init(&packed->ref);
+	deflates += len >= DEFLATE_FROM_BYTES ? 1 : 0;
 	if (len >= DEFLATE_FROM_BYTES &&
 	    compress2(packed->bytes + 2 * HEADER_BYTES, &bound, run, len,
 		DEFLATE_LEVEL) == Z_OK &&
@@ -556,16 +559,21 @@
 }
 
 /*
- * Sends a batch of frames in one piece.
+ * Returns a batch of frames as it goes over the wire, with one reference.
  */
-void
-channel_send_batch(struct channel *channel, const struct str_buf *batch)
+struct packed_frame *
+channel_pack_batch(const struct str_buf *batch)
 {
-	struct packed_frame *packed =
-	    pack_run((const uint8_t *)batch->data, batch->len);
+	return pack_run((const uint8_t *)batch->data, batch->len);
+}
 
-	channel_send_packed(channel, packed);
-	channel_packed_put(packed);
+/*
+ * Returns how many runs of frames this process has deflated.
+ */
+uint64_t
+channel_deflates(void)
+{
+	return deflates;
 }
 
 /*
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -46,11 +46,13 @@
 void channel_packed_put(struct packed_frame *packed);
 void channel_send_packed(
     struct channel *channel, struct packed_frame *packed) ATTR_NONNULL_ALL;
-/* Appends a frame to a batch, and sends a batch as a whole. */
+/* Appends a frame to a batch, and packs a batch as a whole. */
 void channel_batch(
     struct str_buf *batch, const Fleet__Frame *frame) ATTR_NONNULL_ALL;
-void channel_send_batch(
-    struct channel *channel, const struct str_buf *batch) ATTR_NONNULL_ALL;
+struct packed_frame *channel_pack_batch(
+    const struct str_buf *batch) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
+/* Runs of frames that this process has deflated. */
+uint64_t channel_deflates(void);
 bool channel_is_open(const struct channel *channel) ATTR_NONNULL_ALL;
 const char *channel_address(const struct channel *channel) ATTR_NONNULL_ALL;
 /* Ends it for good, without a call to closed(). */
--- a/src/routing/routes.c
+++ b/src/routing/routes.c
@@ -22,15 +22,38 @@
 
 	mem_free(route->name);
 	mem_free(route->host);
-	mem_free(route->prefix);
+	mem_free((char *)route->prefix.data);
 	mem_free(route->parts);
 	mem_free(route);
 }
 
+/* The routes of one host, found by the lengths that their prefixes have. */
+struct route_host {
+	GHashTable
+	    *routes; /* struct str of the prefix -> struct route, owned */
+	GArray *lengths; /* of size_t: those of the prefixes, longest first */
+};
+
+static guint
+prefix_hash(gconstpointer key)
+{
+	return (guint)str_hash(*(const struct str *)key);
+}
+
+static gboolean
+prefix_equal(gconstpointer a, gconstpointer b)
+{
+	return str_equal(*(const struct str *)a, *(const struct str *)b);
+}
+
 static void
 host_free(void *value)
 {
-	g_ptr_array_free(value, TRUE);
+	struct route_host *host = value;
+
+	g_hash_table_destroy(host->routes);
+	g_array_free(host->lengths, TRUE);
+	mem_free(host);
 }
 
 /*
@@ -104,9 +127,10 @@
 {
 	if (route->host[0] == '\0')
 		return status_set(STATUS_INVALID, "a route has no host");
-	if (route->prefix[0] != '/')
+	if (!str_has_prefix(route->prefix, STR_LITERAL("/")))
 		return status_set(STATUS_INVALID,
-		    "prefix \"%s\" does not begin with a slash", route->prefix);
+		    "prefix \"%.*s\" does not begin with a slash",
+		    STR_ARG(route->prefix));
 	if (route->timeout_ms > ROUTE_TIMEOUT_MAX_MS)
 		return status_set(STATUS_INVALID,
 		    "route \"%s\": timeout over ten minutes", route->name);
@@ -116,58 +140,69 @@
 /*
  * Returns a host's routes, made at the first use.
  */
-static GPtrArray *
-host_routes(struct routes *routes, const char *host)
+static struct route_host *
+host_routes(struct routes *routes, const char *name)
 {
-	GPtrArray *list = g_hash_table_lookup(routes->hosts, host);
+	char *lower = g_ascii_strdown(name, -1);
+	struct route_host *host = g_hash_table_lookup(routes->hosts, lower);
 
-	if (list == NULL) {
-		list = g_ptr_array_new_with_free_func(route_free);
-		g_hash_table_insert(
-		    routes->hosts, g_ascii_strdown(host, -1), list);
+	if (host != NULL) {
+		g_free(lower);
+		return host;
 	}
-	return list;
+	host = mem_calloc(1, sizeof(*host));
+	host->routes =
+	    g_hash_table_new_full(prefix_hash, prefix_equal, NULL, route_free);
+	host->lengths = g_array_new(FALSE, FALSE, sizeof(size_t));
+	g_hash_table_insert(routes->hosts, lower, host);
+	return host;
+}
+
+/*
+ * Notes that a host has prefixes of a length; the longest stands first.
+ */
+static void
+add_length(struct route_host *host, size_t len)
+{
+	guint at = 0;
+
+	while (at < host->lengths->len &&
+	    g_array_index(host->lengths, size_t, at) > len)
+		at++;
+	if (at < host->lengths->len &&
+	    g_array_index(host->lengths, size_t, at) == len)
+		return;
+	g_array_insert_val(host->lengths, at, len);
 }
 
 /*
- * Adds a route in its place: the longest prefix first, so that the first
- * match is the right one.
+ * Adds a route to its host.
  */
 enum status
 routes_add(
     struct routes *routes, const struct route *from, struct route **added)
 {
 	enum status status = check_route(from);
-	char *host;
-	GPtrArray *list;
+	struct route_host *host;
 	struct route *route;
-	guint at = 0;
 
 	if (status != STATUS_OK)
 		return status;
-	host = g_ascii_strdown(from->host, -1);
-	list = host_routes(routes, host);
-	g_free(host);
-	for (guint i = 0; i < list->len; i++) {
-		const struct route *other = list->pdata[i];
-
-		if (strcmp(other->prefix, from->prefix) == 0)
-			return status_set(STATUS_INVALID,
-			    "host \"%s\" has prefix \"%s\" twice", from->host,
-			    from->prefix);
-		if (other->prefix_len >= strlen(from->prefix))
-			at = i + 1;
-	}
+	host = host_routes(routes, from->host);
+	if (g_hash_table_lookup(host->routes, &from->prefix) != NULL)
+		return status_set(STATUS_INVALID,
+		    "host \"%s\" has prefix \"%.*s\" twice", from->host,
+		    STR_ARG(from->prefix));
 	route = mem_alloc(sizeof(*route));
 	*route = *from;
 	route->name = str_dup(str_from(from->name));
 	route->host = str_dup(str_from(from->host));
-	route->prefix = str_dup(str_from(from->prefix));
-	route->prefix_len = strlen(from->prefix);
+	route->prefix = str_from(str_dup(from->prefix));
 	route->id = (uint32_t)str_hash(str_from(from->name));
 	route->parts = NULL;
 	route->part_count = 0;
-	g_ptr_array_insert(list, (gint)at, route);
+	g_hash_table_insert(host->routes, &route->prefix, route);
+	add_length(host, route->prefix.len);
 	*added = route;
 	return STATUS_OK;
 }
@@ -207,7 +242,7 @@
 	char name[256];
 	const char *colon = memchr(host.data, ':', host.len);
 	size_t len = colon != NULL ? (size_t)(colon - host.data) : host.len;
-	GPtrArray *list;
+	const struct route_host *list;
 
 	if (len == 0 || len >= sizeof(name))
 		return NULL;
@@ -215,11 +250,14 @@
 		name[i] = g_ascii_tolower(host.data[i]);
 	name[len] = '\0';
 	list = g_hash_table_lookup(routes->hosts, name);
-	for (guint i = 0; list != NULL && i < list->len; i++) {
-		struct route *route = list->pdata[i];
-
-		if (path.len >= route->prefix_len &&
-		    memcmp(path.data, route->prefix, route->prefix_len) == 0)
+	for (guint i = 0; list != NULL && i < list->lengths->len; i++) {
+		size_t length = g_array_index(list->lengths, size_t, i);
+		const struct str prefix = str_of(path.data, length);
+		struct route *route = length <= path.len
+		    ? g_hash_table_lookup(list->routes, &prefix)
+		    : NULL;
+
+		if (route != NULL)
 			return route;
 	}
 	return NULL;
@@ -253,6 +291,22 @@
 	return best->service;
 }
 
+static void
+shuffle_host(const struct route_host *host, struct random *random)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, host->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct route *route = value;
+
+		for (unsigned i = 0; i < route->part_count; i++)
+			route->parts[i].balance =
+			    route->parts[i].weight * random_unit(random);
+	}
+}
+
 /*
  * Starts each rotation at a random point: many instances with few requests
  * each would otherwise all begin with the heaviest part.
@@ -266,18 +320,8 @@
 
 	random_seed(&random, seed);
 	g_hash_table_iter_init(&iter, routes->hosts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const GPtrArray *list = value;
-
-		for (guint i = 0; i < list->len; i++) {
-			struct route *route = list->pdata[i];
-
-			for (unsigned k = 0; k < route->part_count; k++)
-				route->parts[k].balance =
-				    route->parts[k].weight *
-				    random_unit(&random);
-		}
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		shuffle_host(value, &random);
 }
 
 /*
--- a/src/routing/routes.h
+++ b/src/routing/routes.h
@@ -34,8 +34,7 @@
 struct route {
 	char *name;
 	char *host;
-	char *prefix; /* begins with a slash */
-	size_t prefix_len;
+	struct str prefix; /* begins with a slash */
 	enum repeat_rule repeat;
 	uint32_t id; /* hash of the name */
 	uint32_t rank; /* 0 is the most urgent */
@@ -59,8 +58,7 @@
 	uint64_t version; /* the operator's number */
 	struct request_limits limits;
 	GHashTable *services; /* name -> struct route_service, owned */
-	GHashTable
-	    *hosts; /* name -> GPtrArray of struct route, longest first */
+	GHashTable *hosts; /* name -> struct route_host, owned */
 };
 
 enum {
--- a/test/unit/test_channel.c
+++ b/test/unit/test_channel.c
@@ -88,6 +88,7 @@
 	Fleet__Document document = FLEET__DOCUMENT__INIT;
 	Fleet__Synced synced = FLEET__SYNCED__INIT;
 	struct str_buf batch = {0};
+	struct packed_frame *packed;
 
 	for (size_t i = 0; i < sizeof(text); i++)
 		text[i] = (uint8_t)(i / 7);
@@ -99,7 +100,9 @@
 	channel_send(channel, &frame);
 	channel_batch(&batch, &frame);
 	channel_batch(&batch, &frame);
-	channel_send_batch(channel, &batch);
+	packed = channel_pack_batch(&batch);
+	channel_send_packed(channel, packed);
+	channel_packed_put(packed);
 	str_buf_free(&batch);
 	frame.body_case = FLEET__FRAME__BODY_SYNCED;
 	frame.synced = &synced;
--- /dev/null
+++ b/test/unit/test_core_greeting.c
@@ -0,0 +1,270 @@
+/*
+ * All entries of a fleet come back at once, as after a loss of power: each
+ * is told the document, the targets and the other entries, and what is told
+ * to all is packed a few times, not once for each.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "base/memory.h"
+#include "core/core.h"
+#include "net/channel.h"
+
+enum {
+	ENTRIES = 120,
+	TARGETS = 240,
+	TEXT_BYTES = 200000,
+	PORT_FIRST = 31000,
+	PORT_LAST = 32000,
+	GUARD_MS = 60000, /* only against a hang */
+	ADDRESS_MAX = 64
+};
+
+struct bed;
+
+struct entry {
+	struct bed *bed;
+	struct channel *channel;
+	unsigned number;
+	unsigned targets;
+	unsigned others;
+	size_t text_bytes;
+	bool synced;
+};
+
+struct bed {
+	uv_loop_t loop;
+	uv_timer_t guard;
+	uv_timer_t watch;
+	struct core *core;
+	char folder[ADDRESS_MAX];
+	char address[ADDRESS_MAX];
+	bool hung;
+	bool accepted;
+	struct entry entries[ENTRIES];
+};
+
+static void
+on_guard(uv_timer_t *timer)
+{
+	struct bed *bed = timer->data;
+
+	bed->hung = true;
+	uv_stop(&bed->loop);
+}
+
+static void
+on_opened(void *ctx, struct channel *channel)
+{
+	const struct entry *entry = ctx;
+	char name[ADDRESS_MAX], datagram[ADDRESS_MAX];
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Hello hello = FLEET__HELLO__INIT;
+
+	snprintf(name, sizeof(name), "entry-%u", entry->number);
+	snprintf(
+	    datagram, sizeof(datagram), "127.0.7.9:%u", 100 + entry->number);
+	hello.instance = name;
+	/* A third is of the instance's own failure domain. */
+	hello.failure_domain = (char *)(entry->number % 3 == 0 ? "a" : "b");
+	hello.datagram_address = datagram;
+	hello.caller_address = datagram;
+	hello.wants_all = true;
+	frame.body_case = FLEET__FRAME__BODY_HELLO;
+	frame.hello = &hello;
+	channel_send(channel, &frame);
+}
+
+static void
+on_message(
+    void *ctx, struct channel *channel ATTR_UNUSED, const Fleet__Frame *frame)
+{
+	struct entry *entry = ctx;
+
+	switch (frame->body_case) {
+	case FLEET__FRAME__BODY_DOCUMENT:
+		entry->text_bytes = frame->document->text.len;
+		break;
+	case FLEET__FRAME__BODY_ANNOUNCEMENT:
+		entry->targets++;
+		break;
+	case FLEET__FRAME__BODY_ENTRY:
+		entry->others++;
+		break;
+	case FLEET__FRAME__BODY_SYNCED:
+		entry->synced = true;
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+on_edited(void *ctx, enum core_outcome outcome)
+{
+	struct bed *bed = ctx;
+
+	bed->accepted = outcome == CORE_ACCEPTED;
+	uv_stop(&bed->loop);
+}
+
+/*
+ * Opens a group of one with its log in a new folder.
+ */
+static void
+open_bed(struct bed *bed)
+{
+	enum status status = STATUS_IO;
+
+	memset(bed, 0, sizeof(*bed));
+	uv_loop_init(&bed->loop);
+	uv_timer_init(&bed->loop, &bed->guard);
+	bed->guard.data = bed;
+	uv_timer_start(&bed->guard, on_guard, GUARD_MS, 0);
+	snprintf(bed->folder, sizeof(bed->folder), "/tmp/gypsummill-XXXXXX");
+	assert_non_null(mkdtemp(bed->folder));
+	for (unsigned port = PORT_FIRST;
+	     status != STATUS_OK && port < PORT_LAST; port++) {
+		static const char *seeds[1];
+		struct core_settings settings = {
+		    .instance = "core",
+		    .failure_domain = "a",
+		    .link_address = bed->address,
+		    .data = bed->folder,
+		    .seeds = seeds,
+		    .seed_count = 1,
+		    .bootstrap = true,
+		    .target_kept_ms = GUARD_MS,
+		};
+
+		snprintf(
+		    bed->address, sizeof(bed->address), "127.0.7.9:%u", port);
+		seeds[0] = bed->address;
+		status = core_open(&bed->loop, &settings, &bed->core);
+	}
+	assert_int_equal(status, STATUS_OK);
+}
+
+/*
+ * Runs the loop for some time.
+ */
+static void
+run_for(struct bed *bed, unsigned turns)
+{
+	for (unsigned i = 0; i < turns && !bed->hung; i++)
+		uv_run(&bed->loop, UV_RUN_ONCE);
+}
+
+static void
+accept_document(struct bed *bed)
+{
+	static char text[TEXT_BYTES];
+
+	for (size_t i = 0; i < sizeof(text); i++)
+		text[i] = (char)('a' + i / 97 % 26);
+	while (!bed->accepted && !bed->hung) {
+		/* A group of one leads after its first election. */
+		run_for(bed, 20);
+		core_edit(bed->core, 0, 1, str_of(text, sizeof(text)),
+		    on_edited, bed);
+		uv_run(&bed->loop, UV_RUN_DEFAULT);
+	}
+}
+
+static void
+announce_targets(const struct bed *bed)
+{
+	for (unsigned i = 0; i < TARGETS; i++) {
+		char id[ADDRESS_MAX], address[ADDRESS_MAX];
+		const struct roster_target target = {
+		    .id = id,
+		    .service = (char *)"svc",
+		    .address = address,
+		    .failure_domain = (char *)"a",
+		    .started_ms = 1,
+		    .sequence = 1,
+		    .slots = 4,
+		    .heard_us = clock_boot_us(),
+		};
+
+		snprintf(id, sizeof(id), "target-%u", i);
+		snprintf(address, sizeof(address), "10.0.0.1:%u", 1000 + i);
+		core_announce(bed->core, &target);
+	}
+}
+
+static bool
+all_synced(const struct bed *bed)
+{
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		if (!bed->entries[i].synced)
+			return false;
+	}
+	return true;
+}
+
+static void
+all_entries_come_at_once(void **state ATTR_UNUSED)
+{
+	static struct bed bed;
+	char command[2 * ADDRESS_MAX];
+	uint64_t before;
+
+	open_bed(&bed);
+	accept_document(&bed);
+	announce_targets(&bed);
+	run_for(&bed, 50);
+	before = channel_deflates();
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		struct entry *entry = &bed.entries[i];
+		const struct channel_callbacks callbacks = {
+		    .ctx = entry, .opened = on_opened, .message = on_message};
+
+		entry->bed = &bed;
+		entry->number = i;
+		entry->channel =
+		    channel_dial(&bed.loop, bed.address, &callbacks);
+	}
+	while (!all_synced(&bed) && !bed.hung)
+		uv_run(&bed.loop, UV_RUN_ONCE);
+	run_for(&bed, 50);
+	assert_false(bed.hung);
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		const struct entry *entry = &bed.entries[i];
+
+		assert_true(entry->targets >= TARGETS);
+		assert_true(entry->others >= ENTRIES);
+		/* The text crosses between failure domains on demand only. */
+		assert_int_equal(
+		    entry->text_bytes, i % 3 == 0 ? TEXT_BYTES : 0);
+	}
+	assert_true(channel_deflates() - before <= ENTRIES / 4);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		channel_close(bed.entries[i].channel);
+	core_close(bed.core);
+	uv_close((uv_handle_t *)&bed.guard, NULL);
+	uv_run(&bed.loop, UV_RUN_DEFAULT);
+	assert_int_equal(uv_loop_close(&bed.loop), 0);
+	snprintf(command, sizeof(command), "rm -rf %s", bed.folder);
+	assert_int_equal(system(command), 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(all_entries_come_at_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/unit/test_flow.c
+++ b/test/unit/test_flow.c
@@ -103,7 +103,7 @@
 	const struct route from = {
 	    .name = (char *)"r",
 	    .host = (char *)"h",
-	    .prefix = (char *)"/",
+	    .prefix = STR_LITERAL("/"),
 	    .repeat = repeat,
 	    .max_attempts = 2,
 	    .timeout_ms = 5000,
--- a/test/unit/test_roster.c
+++ b/test/unit/test_roster.c
@@ -218,7 +218,7 @@
 {
 	const struct route from = {.name = (char *)prefix,
 	    .host = (char *)host,
-	    .prefix = (char *)prefix,
+	    .prefix = str_from(prefix),
 	    .timeout_ms = 1000};
 	struct route *route = NULL;
 
@@ -231,7 +231,7 @@
 	const struct route *route =
 	    routes_find(routes, str_from(host), str_from(path));
 
-	return route != NULL ? route->prefix : "none";
+	return route != NULL ? route->prefix.data : "none";
 }
 
 static void
@@ -259,7 +259,7 @@
 	struct route *route = add_route(routes, "h", "/a/");
 	struct route late = {.name = (char *)"r",
 	    .host = (char *)"h",
-	    .prefix = (char *)"/late/",
+	    .prefix = str_from("/late/"),
 	    .timeout_ms = ROUTE_TIMEOUT_MAX_MS + 1};
 	struct route *out;
 
