Learn when targets change their speed; probe when they do

Cause: of calm seconds of the grown site 3 to 4 of 100 orders were late or timed out: their target turned slow while it worked on them.

Change: rhythm.c learns the period that the changes of a service's targets have in common and the phase of each target; placement compares targets by the time at known speed until the next change. Probes go out when a change must have happened, and every 125 ms in place of 50; changes without a period leave all as it was.

--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -88,7 +88,7 @@
 	GQueue idle;
 	GQueue all; /* idle ones among them */
 	struct upstream *probing; /* NULL: no probe is on its way */
-	uint64_t probe_due_us;
+	uint64_t probed_us; /* when the last probe was sent; 0: never */
 	unsigned probe_failures;
 };
 
--- a/src/flow/flow_probe.c
+++ b/src/flow/flow_probe.c
@@ -2,32 +2,29 @@
 #include "flow/flow_internal.h"
 
 enum {
-	PROBE_TICK_MS = 10,
-	/* A tenth of the time in which speeds shift, 500 ms. */
-	PROBE_INTERVAL_MS = 50,
+	/* A target's word on a new speed is fresh by a hundredth of its time. */
+	PROBE_TICK_MS = 5,
 	/* A target that does not answer is looked for less often. */
 	PROBE_SILENT_MS = 250,
-	PROBE_SILENT_AFTER = 3,
-	/* Of one scheduler: about 2 % of a small instance's processor. */
-	PROBES_PER_SECOND = 2000
+	PROBE_SILENT_AFTER = 3
 };
 
 /*
- * Returns the time between two probes of a target: well within what its
- * owner allows.
+ * Returns when a target is probed next: well within what its owner allows.
  */
 static uint64_t
-interval_us(const struct pool *pool)
+due_us(const struct pool *pool, uint64_t now_us)
 {
 	const struct flow *flow = pool->flow;
-	double allowed_us =
-	    2.0 * (double)US_PER_S / flow->settings.probes_per_second;
-	uint64_t wanted =
-	    (pool->probe_failures >= PROBE_SILENT_AFTER ? PROBE_SILENT_MS
-							: PROBE_INTERVAL_MS) *
-	    US_PER_MS;
+	uint64_t due = placement_probe_due(
+	    pool->of->placement, pool->id, pool->probed_us, now_us);
+	uint64_t earliest = pool->probed_us +
+	    (uint64_t)(2.0 * (double)US_PER_S /
+		flow->settings.probes_per_second);
 
-	return wanted > (uint64_t)allowed_us ? wanted : (uint64_t)allowed_us;
+	if (pool->probe_failures >= PROBE_SILENT_AFTER)
+		due = pool->probed_us + PROBE_SILENT_MS * US_PER_MS;
+	return due > earliest ? due : earliest;
 }
 
 static const char *
@@ -55,17 +52,19 @@
 	g_hash_table_iter_init(&iter, flow->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool *pool = value;
-		const char *path = health_path(pool);
+		const char *path;
 
-		if (!schedule_is_active(pool->of) || path == NULL ||
-		    now < pool->probe_due_us)
+		if (!schedule_is_active(pool->of))
 			continue;
 		/* Spread over the interval, so that they come evenly. */
-		if (pool->probe_due_us == 0)
-			pool->probe_due_us = now +
-			    random_below(&flow->random, interval_us(pool));
-		else
-			pool->probe_due_us = now + interval_us(pool);
+		if (pool->probed_us == 0)
+			pool->probed_us = now -
+			    random_below(
+				&flow->random, PROBE_SILENT_MS * US_PER_MS);
+		path = health_path(pool);
+		if (path == NULL || now < due_us(pool, now))
+			continue;
+		pool->probed_us = now;
 		(void)target_probe(pool, path);
 	}
 }
--- a/src/net/channel.c
+++ b/src/net/channel.c
@@ -22,8 +22,8 @@
 	READ_BYTES = 64 << 10,
 	PING_MS = 400, /* a third of the silence that closes */
 	SILENCE_MS = 1400, /* below half of the shortest stable window, 3 s */
-	/* Twice there and back between regions, 70 ms. */
-	DIAL_FIRST_MS = 150,
+	/* Ten times there and back in a region; between two the second does. */
+	DIAL_FIRST_MS = 50,
 	DIAL_MAX_MS = 1000, /* as callers allow for a new connection */
 	REDIAL_MS = 40, /* a local process is back within tens of ms */
 	REDIAL_MAX_MS = 300 /* a fifth of a heartbeat */
--- a/src/placement/estimate.c
+++ b/src/placement/estimate.c
@@ -74,11 +74,21 @@
  */
 double
 time_for_work(double work_us, double slowness, double mean)
+{
+	if (slowness <= mean)
+		return work_us * slowness;
+	return time_until_change(work_us, slowness, ESTIMATE_SHIFT_US, mean);
+}
+
+/*
+ * Returns the time for work in microseconds.
+ */
+double
+time_until_change(double work_us, double slowness, double left_us, double mean)
 {
 	double whole = work_us * slowness;
 
-	if (whole <= ESTIMATE_SHIFT_US || slowness <= mean)
-		return whole;
-	return ESTIMATE_SHIFT_US +
-	    (work_us - ESTIMATE_SHIFT_US / slowness) * mean;
+	return whole <= left_us
+	    ? whole
+	    : left_us + (work_us - left_us / slowness) * mean;
 }
--- a/src/placement/estimate.h
+++ b/src/placement/estimate.h
@@ -41,5 +41,8 @@
  * the mean after ESTIMATE_SHIFT_US.
  */
 double time_for_work(double work_us, double slowness, double mean);
+/* The same on a target whose speed holds for left_us and is redrawn then. */
+double
+time_until_change(double work_us, double slowness, double left_us, double mean);
 
 #endif
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -12,6 +12,8 @@
 static const double second_send_share = 0.6;
 /* Weight of one report in the service's mean slowness. */
 static const double mean_share = 0.01;
+/* A speed that differs by so much has been drawn anew. */
+static const double changed_ratio = 1.3;
 /* Work that has overrun its usual time goes on for this part of it. */
 static const double overrun_share = 0.3;
 /* Part of its spare time for which a new request may have to wait. */
@@ -162,10 +164,7 @@
 		const struct target *t = p->order->pdata[i];
 
 		if (target_is_usable(p, t, now_us))
-			sum += t->slots /
-			    time_for_work(work_us,
-				target_slowness(p, t, now_us),
-				p->mean_slowness);
+			sum += t->slots / target_likely(p, t, work_us, now_us);
 	}
 	return sum;
 }
@@ -412,9 +411,16 @@
 take_load(struct placement *p, struct target *t, const struct target_load *load,
     uint64_t now_us)
 {
+	double slowness = load->slowness > 0 ? load->slowness / 100.0 : 1;
+
 	if (load->slots > 0)
 		t->slots = load->slots;
-	t->slowness = load->slowness > 0 ? load->slowness / 100.0 : 1;
+	if (t->reported_us != 0 &&
+	    (slowness > t->slowness * changed_ratio ||
+		slowness * changed_ratio < t->slowness))
+		rhythm_note_change(
+		    &p->rhythm, &t->pulse, t->reported_us, now_us);
+	t->slowness = slowness;
 	t->reported_us = now_us;
 	p->mean_slowness += mean_share * (t->slowness - p->mean_slowness);
 }
@@ -453,11 +459,18 @@
  * response may still count the request that it answers.
  */
 static void
-take_count(struct placement *p, struct target *t, unsigned occupied)
+take_count(
+    struct placement *p, struct target *t, unsigned occupied, uint64_t now_us)
 {
 	t->external = occupied > t->in_flight ? occupied - t->in_flight : 0;
-	t->over_reports = occupied < t->in_flight ? t->over_reports + 1 : 0;
-	if (t->over_reports < OVER_REPORTS_MAX)
+	if (occupied >= t->in_flight) {
+		t->over_reports = 0;
+		return;
+	}
+	if (t->over_reports++ == 0)
+		t->over_since_us = now_us;
+	if (t->over_reports < OVER_REPORTS_MIN ||
+	    now_us - t->over_since_us < OVER_US)
 		return;
 	t->over_reports = 0;
 	drop_oldest_send(p, t);
@@ -490,8 +503,7 @@
 		return INFINITY;
 	if (left < overrun_share * work)
 		left = overrun_share * work;
-	return time_for_work(
-	    left, target_slowness(p, send->target, now_us), p->mean_slowness);
+	return target_likely(p, send->target, left, now_us);
 }
 
 /*
@@ -653,6 +665,25 @@
 	dispatch(p, now_us);
 }
 
+/*
+ * Returns when a target should be probed next.
+ */
+uint64_t
+placement_probe_due(const struct placement *p, const char *target,
+    uint64_t probed_us, uint64_t now_us)
+{
+	const struct target *t = g_hash_table_lookup(p->targets, target);
+	uint64_t latest = probed_us + PROBE_KNOWN_US;
+	uint64_t best;
+
+	if (t == NULL)
+		return latest;
+	best = pulse_next_report(&p->rhythm, &t->pulse, t->reported_us, now_us);
+	if (best == 0)
+		return probed_us + PROBE_UNKNOWN_US;
+	return best < latest ? best : latest;
+}
+
 /*
  * Takes what a probe found.
  */
@@ -670,7 +701,7 @@
 	if (load != NULL) {
 		take_load(p, t, load, now_us);
 		if (load->slots > 0)
-			take_count(p, t, load->running + load->waiting);
+			take_count(p, t, load->running + load->waiting, now_us);
 		t->down_until_us = 0;
 	}
 	look_at_sends(p, t, now_us);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -118,6 +118,13 @@
 void placement_done(struct placement *placement, void *user, const char *target,
     enum placement_outcome outcome, uint64_t took_us,
     const struct target_load *load, uint64_t now_us) ATTR_NONNULL(1, 3);
+/*
+ * When a target should be probed next, after its last probe: often while its
+ * rhythm is not known, else when its speed changes and often enough to count
+ * its requests.
+ */
+uint64_t placement_probe_due(const struct placement *placement,
+    const char *target, uint64_t probed_us, uint64_t now_us) ATTR_NONNULL_ALL;
 /* What a probe found; load NULL: the target did not answer. */
 void placement_report(struct placement *placement, const char *target,
     const struct target_load *load, uint64_t now_us) ATTR_NONNULL(1, 2);
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "placement/estimate.h"
 #include "placement/placement.h"
+#include "placement/rhythm.h"
 
 enum {
 	SENDS_MAX = 4,
@@ -19,8 +20,13 @@
 	FULL_US = 30 * 1000, /* a third of the shortest work */
 	EXPIRED_US = 500 * 1000, /* past its deadline, a call is forgotten */
 	RETRY_AFTER_MIN_US = 50 * 1000,
-	/* Probes in a row, 50 ms apart: far above any transit of a message. */
-	OVER_REPORTS_MAX = 8,
+	/* Far above any transit of a message, and probes in a row. */
+	OVER_US = 400 * 1000,
+	OVER_REPORTS_MIN = 3,
+	/* A tenth of the time in which speeds shift, 500 ms. */
+	PROBE_UNKNOWN_US = 50 * 1000,
+	/* A target that went dark keeps requests waiting no longer than this. */
+	PROBE_KNOWN_US = 125 * 1000,
 	/* Work this many times overdue will hardly be answered. */
 	OVERDUE_TIMES = 3,
 	/* Below the shortest time that a target keeps an idle connection. */
@@ -35,10 +41,12 @@
 	uint64_t warm_us;
 	unsigned in_flight;
 	unsigned external; /* others' requests, by the last probe */
-	unsigned
-	    over_reports; /* probes in a row that found less than we count */
+	/* Probes in a row that found less than we count, and the first. */
+	unsigned over_reports;
+	uint64_t over_since_us;
 	double slowness; /* reported; 1 is usual */
 	uint64_t reported_us; /* 0: never */
+	struct pulse pulse;
 	double failing; /* share of failures lately */
 	uint64_t failed_us; /* when the share was updated */
 	uint64_t down_until_us;
@@ -69,6 +77,7 @@
 	struct placement_callbacks callbacks;
 	struct repeat_budget budget;
 	struct work_table work;
+	struct rhythm rhythm;
 	struct random random;
 	GHashTable *targets; /* id -> struct target */
 	GPtrArray *order; /* of the same, for quick scans */
@@ -82,6 +91,10 @@
 /* placement_target.c */
 double target_slowness(
     const struct placement *p, const struct target *t, uint64_t now_us);
+double target_likely(const struct placement *p, const struct target *t,
+    double work_us, uint64_t now_us);
+double target_expected(const struct placement *p, const struct target *t,
+    double work_us, uint64_t now_us);
 double target_failing(const struct target *t, uint64_t now_us);
 void target_note(struct target *t, double failed, uint64_t now_us);
 void target_note_down(struct target *t, uint64_t now_us);
--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -17,15 +17,20 @@
 static const double home_preference = 1.1;
 
 /*
- * Returns the slowness to expect of a target.
+ * Returns the slowness of a target as far as it is known: its report as long
+ * as that holds, or fading where it is not known when speeds change.
  */
 double
 target_slowness(
     const struct placement *p, const struct target *t, uint64_t now_us)
 {
+	const struct pulse_view view =
+	    pulse_look(&p->rhythm, &t->pulse, t->reported_us, now_us);
 	double slowness = p->mean_slowness;
 
-	if (t->reported_us != 0)
+	if (view.current)
+		slowness = t->slowness;
+	else if (t->reported_us != 0)
 		slowness = slowness_now(
 		    t->slowness, now_us - t->reported_us, p->mean_slowness);
 	if (now_us < t->warm_us && slowness < cold_slowness)
@@ -33,6 +38,41 @@
 	return slowness;
 }
 
+/*
+ * Returns the time that work will likely take: a quick target stays quick,
+ * a slow one goes back to the mean.
+ */
+double
+target_likely(const struct placement *p, const struct target *t, double work_us,
+    uint64_t now_us)
+{
+	const struct pulse_view view =
+	    pulse_look(&p->rhythm, &t->pulse, t->reported_us, now_us);
+	double slowness = target_slowness(p, t, now_us);
+
+	if (view.current && slowness > p->mean_slowness)
+		return time_until_change(
+		    work_us, slowness, (double)view.left_us, p->mean_slowness);
+	return time_for_work(work_us, slowness, p->mean_slowness);
+}
+
+/*
+ * Returns the mean time that work will take, by which targets are compared:
+ * what goes on beyond the next change of speed goes on at the mean.
+ */
+double
+target_expected(const struct placement *p, const struct target *t,
+    double work_us, uint64_t now_us)
+{
+	const struct pulse_view view =
+	    pulse_look(&p->rhythm, &t->pulse, t->reported_us, now_us);
+
+	if (!view.known)
+		return target_likely(p, t, work_us, now_us);
+	return time_until_change(work_us, target_slowness(p, t, now_us),
+	    view.current ? (double)view.left_us : 0, p->mean_slowness);
+}
+
 /*
  * Returns the share of failures, 0 to 1, which fades with time.
  */
@@ -106,19 +146,27 @@
 }
 
 /*
- * Returns when a call sent now would be answered, in microseconds from now.
+ * Returns what a target's other requests add to its work, as a factor.
+ */
+static double
+crowd(const struct target *t, uint64_t now_us)
+{
+	return 1 +
+	    crowding * (double)target_occupied(t, now_us) /
+	    (double)(t->slots + 1);
+}
+
+/*
+ * Returns when a call sent now would likely be answered, in microseconds
+ * from now.
  */
 double
 target_finish(const struct placement *p, const struct target *t,
     const struct call *call, uint64_t now_us)
 {
-	double work = work_estimate(&p->work, call->request.route);
-	double filled =
-	    (double)target_occupied(t, now_us) / (double)(t->slots + 1);
-
-	return time_for_work(
-		   work, target_slowness(p, t, now_us), p->mean_slowness) *
-	    (1 + crowding * filled);
+	return target_likely(
+		   p, t, work_estimate(&p->work, call->request.route), now_us) *
+	    crowd(t, now_us);
 }
 
 static bool
@@ -200,6 +248,7 @@
 	struct target *best[2] = {NULL, NULL}; /* anywhere, at home */
 	double cost[2] = {INFINITY, INFINITY};
 	double finish[2] = {INFINITY, INFINITY};
+	double work = work_estimate(&p->work, call->request.route);
 	bool home;
 
 	for (guint i = 0; i < p->order->len; i++) {
@@ -210,7 +259,8 @@
 		    !target_has_room(t, now_us) || is_excluded(call, t))
 			continue;
 		f = target_finish(p, t, call, now_us);
-		c = f * (is_warm(t, call, now_us) ? 1 : 1 + cold_connection) +
+		c = target_expected(p, t, work, now_us) * crowd(t, now_us);
+		c = c * (is_warm(t, call, now_us) ? 1 : 1 + cold_connection) +
 		    failure_cost(t, call, now_us);
 		for (int k = 0; k < 2; k++) {
 			if ((k == 1 &&
