Tell from a caller's time left how long it has been trying

Change: patience.c learns the usual times of a route's callers; what a request lacks to the next usual time is how long it has been tried, and its objective counts from there. Requests log it as tried_ms.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -123,6 +123,7 @@
 	/* Numbers of questions differ from those before a restart. */
 	flow->next_ask = flow->started_ms << 20;
 	register_counters(flow);
+	flow->patiences = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	uv_update_time(loop);
 	status = schedule_open(flow);
 	if (status != STATUS_OK)
@@ -226,6 +227,7 @@
 	targets_close(flow);
 	fleet_close(flow);
 	routes_put(flow->routes);
+	g_hash_table_destroy(flow->patiences);
 }
 
 /*
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -41,12 +41,12 @@
 	log_info("request",
 	    "instance=%s request=%" PRIu64 " attempt=%s route=%s service=%s "
 	    "version=%" PRIu64 " outcome=%s status=%d reason=\"%s\" ms=%" PRIu64
-	    " sends=%u ran=%d target=%s",
+	    " tried_ms=%" PRIu64 " sends=%u ran=%d target=%s",
 	    x->flow->settings.instance, x->id, x->attempt_id,
 	    x->route != NULL ? x->route->name : "-",
 	    x->service != NULL ? x->service->name : "-",
 	    x->routes != NULL ? x->routes->version : 0, outcome, status, reason,
-	    elapsed_ms(x), x->attempt_count, x->any_ran,
+	    elapsed_ms(x), x->spent_ms, x->attempt_count, x->any_ran,
 	    x->attempt_count > 0 && x->attempts[x->attempt_count - 1].target
 		? x->attempts[x->attempt_count - 1].target
 		: "-");
@@ -247,6 +247,24 @@
 	return ms;
 }
 
+/*
+ * Returns what is known of the patience of a route's callers; it outlives
+ * changes of the document.
+ */
+static struct patience *
+patience_of(struct flow *flow, uint32_t route)
+{
+	struct patience *patience =
+	    g_hash_table_lookup(flow->patiences, GUINT_TO_POINTER(route));
+
+	if (patience == NULL) {
+		patience = g_new0(struct patience, 1);
+		g_hash_table_insert(
+		    flow->patiences, GUINT_TO_POINTER(route), patience);
+	}
+	return patience;
+}
+
 static void
 set_deadlines(struct exchange *x)
 {
@@ -254,6 +272,13 @@
 	uint64_t route_ms = x->route->timeout_ms;
 	uint64_t objective_ms = x->route->objective_ms;
 
+	struct patience *patience = patience_of(x->flow, x->route->id);
+	uint64_t spent_ms = patience_spent_ms(patience, wait_ms);
+
+	patience_note(patience, wait_ms);
+	/* What counts as late counts from the caller's first try. */
+	objective_ms = objective_ms > spent_ms ? objective_ms - spent_ms : 0;
+	x->spent_ms = spent_ms;
 	x->caller_deadline_us = x->begun_us + wait_ms * US_PER_MS;
 	if (route_ms > 0 && route_ms < wait_ms)
 		wait_ms = route_ms;
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -14,6 +14,7 @@
 #include "base/random.h"
 #include "flow/flow.h"
 #include "flow/head.h"
+#include "flow/patience.h"
 #include "net/address.h"
 #include "net/channel.h"
 #include "roster/roster.h"
@@ -131,6 +132,7 @@
 	struct route *route;
 	struct service *service;
 	uint64_t begun_us;
+	uint64_t spent_ms; /* by the caller on tries before this one */
 	uint64_t objective_us;
 	uint64_t deadline_us; /* caller's and route's, the earlier */
 	uint64_t caller_deadline_us; /* by the caller alone */
@@ -224,6 +226,7 @@
 	uint64_t named_us;
 	struct channel *named_by;
 	struct roster *roster;
+	GHashTable *patiences; /* route id -> struct patience */
 	GHashTable *pools; /* target id -> struct pool */
 	GQueue connecting; /* of struct upstream, the oldest first */
 	GHashTable *services; /* name, or name#part -> struct service */
--- /dev/null
+++ b/test/unit/test_patience.c
@@ -0,0 +1,98 @@
+/*
+ * Callers of a route: those who come for the first time, those who come back
+ * with less time left, and routes whose callers differ.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "base/random.h"
+#include "flow/patience.h"
+
+static void
+who_comes_back_is_told_from_who_is_new(void **state ATTR_UNUSED)
+{
+	struct patience p = {0};
+	struct random random;
+
+	random_seed(&random, 1);
+	/* The time left of a browse request: 2.5 s less a few milliseconds. */
+	for (int i = 0; i < 200; i++) {
+		bool returned = random_below(&random, 3) == 0;
+		uint64_t left = 2500 - 3 - random_below(&random, 8);
+
+		if (returned)
+			left -= 100 + random_below(&random, 1500);
+		patience_note(&p, left);
+	}
+	assert_int_equal(patience_spent_ms(&p, 2497), 0);
+	assert_int_equal(patience_spent_ms(&p, 2480), 0);
+	assert_in_range(patience_spent_ms(&p, 2090), 390, 410);
+	assert_in_range(patience_spent_ms(&p, 1200), 1280, 1300);
+	/* More than anybody had. */
+	assert_int_equal(patience_spent_ms(&p, 9000), 0);
+}
+
+static void
+few_requests_tell_nothing(void **state ATTR_UNUSED)
+{
+	struct patience p = {0};
+
+	for (int i = 0; i < 10; i++)
+		patience_note(&p, 2500);
+	assert_int_equal(patience_spent_ms(&p, 300), 0);
+}
+
+static void
+callers_of_two_patiences_are_both_new(void **state ATTR_UNUSED)
+{
+	struct patience p = {0};
+
+	for (int i = 0; i < 100; i++)
+		patience_note(&p, i % 3 == 0 ? 800 : 5000);
+	assert_int_equal(patience_spent_ms(&p, 5000), 0);
+	assert_int_equal(patience_spent_ms(&p, 795), 0);
+	assert_int_equal(patience_spent_ms(&p, 700), 100);
+}
+
+static void
+callers_without_a_usual_time_are_all_new(void **state ATTR_UNUSED)
+{
+	struct patience p = {0};
+
+	for (unsigned i = 0; i < 200; i++)
+		patience_note(&p, 100 + i * 37 % 5000);
+	for (unsigned left = 0; left < 5000; left += 100)
+		assert_int_equal(patience_spent_ms(&p, left), 0);
+}
+
+static void
+a_changed_patience_is_learnt(void **state ATTR_UNUSED)
+{
+	struct patience p = {0};
+
+	for (int i = 0; i < 100; i++)
+		patience_note(&p, 5000);
+	assert_int_equal(patience_spent_ms(&p, 1000), 4000);
+	for (int i = 0; i < 100; i++)
+		patience_note(&p, 1000);
+	assert_int_equal(patience_spent_ms(&p, 1000), 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(who_comes_back_is_told_from_who_is_new),
+	    cmocka_unit_test(few_requests_tell_nothing),
+	    cmocka_unit_test(callers_of_two_patiences_are_both_new),
+	    cmocka_unit_test(callers_without_a_usual_time_are_all_new),
+	    cmocka_unit_test(a_changed_patience_is_learnt),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/unit/test_placement.c
+++ b/test/unit/test_placement.c
@@ -39,6 +39,8 @@
 	uint64_t deadline_us;
 	uint64_t answered_us; /* 0: not yet */
 	double work_us;
+	uint64_t return_us; /* when it comes back; 0: it does not */
+	bool returned;
 	bool rejected;
 	bool ended;
 	struct run runs[RUNS_MAX];
@@ -56,6 +58,8 @@
 	double noise; /* share of targets that are seven times slower */
 	bool own_times; /* each target's speed is redrawn at times of its own */
 	bool unsafe; /* requests may run once */
+	bool returns; /* rejected requests come back once */
+	bool spent_known; /* it shows how long they have been tried */
 	double shed; /* share of sends that a target rejects */
 	double lost; /* share of ends of which no word comes */
 	bool naive;
@@ -110,6 +114,13 @@
 	struct request *r = user;
 
 	assert_true(retry_after_us > 0);
+	if (w->pattern->returns && !r->returned) {
+		uint64_t third = (r->deadline_us - w->now_us) / 3;
+
+		r->return_us = w->now_us +
+		    (retry_after_us < third ? retry_after_us : third);
+		return;
+	}
 	r->rejected = true;
 	r->ended = true;
 	if (w->now_us - r->begun_us > (r->objective_us - r->begun_us) / 8)
@@ -125,7 +136,9 @@
 	    .idempotent = !w->pattern->unsafe,
 	    .sends_left = 1,
 	    .repeat = repeat,
-	    .objective_us = r->objective_us,
+	    .objective_us = r->returned && !w->pattern->spent_known
+		? w->now_us + r->objective_us - r->begun_us
+		: r->objective_us,
 	    .deadline_us = r->deadline_us,
 	    .asker = (uint32_t)random_below(&w->random, 15) + 1,
 	    .user = r,
@@ -219,6 +232,11 @@
 static void
 work_on(struct world *w, struct request *r)
 {
+	if (r->return_us != 0 && w->now_us >= r->return_us) {
+		r->return_us = 0;
+		r->returned = true;
+		ask(w, r, false);
+	}
 	for (unsigned i = 0; i < r->run_count; i++) {
 		struct run *run = &r->runs[i];
 		double crowd;
@@ -471,6 +489,33 @@
 	compare("proofs, burst of 2", &p, 0.90);
 }
 
+/* A burst for twice as long as it takes to be over capacity. */
+static const struct pattern returning = {
+    .slots = 2,
+    .per_second = 60,
+    .burst = 1.7,
+    .work_ms = 235,
+    .objective_ms = 600,
+    .deadline_ms = 2500,
+    .noise = 0.35,
+    .own_times = true,
+    .returns = true,
+    .seconds = 14,
+};
+
+static void
+returns_do_not_take_the_places_of_what_can_be_in_time(void **state ATTR_UNUSED)
+{
+	struct pattern p = returning;
+	struct figures blind = replay_seeds("burst, returns taken as new", p);
+	struct figures known;
+
+	p.spent_known = true;
+	known = replay_seeds("burst, returns known", p);
+	assert_true(share_in_time(&known) >= share_in_time(&blind));
+	assert_true(known.rejected <= blind.rejected);
+}
+
 static void
 overload_serves_what_it_can_and_rejects_at_once(void **state ATTR_UNUSED)
 {
@@ -688,6 +733,8 @@
 	    cmocka_unit_test(noisy_targets_at_a_steady_load),
 	    cmocka_unit_test(a_rhythm_of_speeds_is_learnt_and_used),
 	    cmocka_unit_test(a_burst_is_served_without_a_wave),
+	    cmocka_unit_test(
+		returns_do_not_take_the_places_of_what_can_be_in_time),
 	    cmocka_unit_test(overload_serves_what_it_can_and_rejects_at_once),
 	    cmocka_unit_test(lost_words_do_not_use_up_the_slots),
 	    cmocka_unit_test(repeats_keep_within_the_budget),
