Name entries with wide links to half of the callers

Change: an entry tells the width of its link; an answer to a lookup names the wide ones and as many others, each time the next. An entry whose timers come late says that it is busy, and then all are named.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -72,7 +72,7 @@
  * Writes the addresses of entries that a caller of a failure domain may
  * connect to and returns how many: texts hold until the loop goes on.
  */
-unsigned core_lookup(const struct core *core, struct str failure_domain,
+unsigned core_lookup(struct core *core, struct str failure_domain,
     const char **addresses, unsigned max) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -73,6 +73,7 @@
 	/* The document as it is sent: named only, and with its text. */
 	struct packed_frame *packed_document[2];
 	uint64_t packed_index;
+	unsigned lookups; /* answered */
 	uint64_t heard_due_us; /* when others are told next who was heard of */
 	/* The replica; NULL on an instance without a disk. */
 	struct replica *replica;
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -34,6 +34,7 @@
 	const char *const *seeds; /* link addresses of control instances */
 	unsigned seed_count;
 	unsigned processor_millis;
+	unsigned link_kbps; /* of the instance's own link */
 	uint64_t memory_bytes;
 	unsigned descriptors;
 	uint64_t grace_ms; /* from the order to stop to the end */
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -230,6 +230,8 @@
 	hello.datagram_address = (char *)flow->settings.datagram_address;
 	hello.ready = flow->ready && !flow->stopping;
 	hello.processor_millis = flow->settings.processor_millis;
+	hello.link_kbps = flow->settings.link_kbps;
+	hello.busy = flow->strain.busy;
 	hello.started_ms = flow->started_ms;
 	hello.wants_all = control->primary;
 	frame.body_case = FLEET__FRAME__BODY_HELLO;
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -15,6 +15,7 @@
 #include "flow/flow.h"
 #include "flow/head.h"
 #include "flow/patience.h"
+#include "flow/strain.h"
 #include "net/address.h"
 #include "net/channel.h"
 #include "roster/roster.h"
@@ -255,6 +256,7 @@
 	GHashTable *asks; /* number -> struct exchange */
 	GHashTable *remote_calls; /* key text -> struct remote_call */
 	uv_timer_t place_timer;
+	struct strain strain;
 	uv_timer_t probe_timer;
 	/* Logs are bounded: so many lines in each second. */
 	uint64_t log_second;
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -624,6 +624,14 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	/* The wall's time, not the loop's: a late turn is what is looked for. */
+	if (strain_note(&flow->strain, clock_monotonic_us(),
+		PLACE_TICK_MS * US_PER_MS)) {
+		log_info("strain", "instance=%s busy=%d lag_us=%.0f callers=%u",
+		    flow->settings.instance, flow->strain.busy,
+		    flow->strain.lag_us, flow->callers.length);
+		fleet_greet(flow);
+	}
 	g_hash_table_foreach_remove(flow->remote_calls, is_over, &now);
 	g_hash_table_iter_init(&iter, flow->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
--- /dev/null
+++ b/src/flow/strain.h
@@ -0,0 +1,25 @@
+/*
+ * Whether a process is short of processor time, by how late its own timer
+ * comes.  Answers load that gathers on few instances: callers are then sent
+ * to more of them.  No input or output; time is an argument.
+ */
+#ifndef FLOW_STRAIN_H
+#define FLOW_STRAIN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/attr.h"
+
+struct strain {
+	uint64_t turned_us; /* the timer's last turn; 0: none yet */
+	uint64_t calm_since_us;
+	double lag_us; /* mean lateness of late turns */
+	bool busy;
+};
+
+/* Notes a turn of a timer; true when busy has changed. */
+bool strain_note(struct strain *strain, uint64_t now_us,
+    uint64_t interval_us) ATTR_NONNULL_ALL;
+
+#endif
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1223,7 +1223,7 @@
 	protobuf_c_message_free_unpacked(
 	    (ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor fleet__hello__field_descriptors[11] = {
+static const ProtobufCFieldDescriptor fleet__hello__field_descriptors[13] = {
     {
 	"is_control", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
 	0, /* quantifier_offset */
@@ -1295,14 +1295,28 @@
 	offsetof(Fleet__Hello, wants_all), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"link_kbps", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, link_kbps), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"busy", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, busy), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__hello__field_indices_by_name[] = {
+    12, /* field[12] = busy */
     3, /* field[3] = caller_address */
     4, /* field[4] = datagram_address */
     2, /* field[2] = failure_domain */
     1, /* field[1] = instance */
     0, /* field[0] = is_control */
     5, /* field[5] = link_address */
+    11, /* field[11] = link_kbps */
     8, /* field[8] = processor_millis */
     7, /* field[7] = ready */
     6, /* field[6] = replica */
@@ -1310,10 +1324,10 @@
     10, /* field[10] = wants_all */
 };
 static const ProtobufCIntRange fleet__hello__number_ranges[1 + 1] = {
-    {1, 0}, {0, 11}};
+    {1, 0}, {0, 13}};
 const ProtobufCMessageDescriptor fleet__hello__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Hello", "Hello",
-    "Fleet__Hello", "fleet", sizeof(Fleet__Hello), 11,
+    "Fleet__Hello", "fleet", sizeof(Fleet__Hello), 13,
     fleet__hello__field_descriptors, fleet__hello__field_indices_by_name, 1,
     fleet__hello__number_ranges, (ProtobufCMessageInit)fleet__hello__init, NULL,
     NULL, NULL /* reserved[123] */
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -93,10 +93,18 @@
    * targets and entries too, not only edits
    */
   protobuf_c_boolean wants_all;
+  /*
+   * entries: of the instance's own link
+   */
+  uint32_t link_kbps;
+  /*
+   * entries: short of processor time
+   */
+  protobuf_c_boolean busy;
 };
 #define FLEET__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__hello__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Fleet__Announcement
--- a/test/unit/test_core_greeting.c
+++ b/test/unit/test_core_greeting.c
@@ -63,10 +63,19 @@
 	uv_stop(&bed->loop);
 }
 
+static bool
+is_wide(unsigned number)
+{
+	return number % 30 == 0;
+}
+
+/*
+ * What an entry says of itself.  A third is of the instance's own failure
+ * domain, four of these have wide links.
+ */
 static void
-on_opened(void *ctx, struct channel *channel)
+say_hello(const struct entry *entry, bool busy)
 {
-	const struct entry *entry = ctx;
 	char name[ADDRESS_MAX], datagram[ADDRESS_MAX];
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Hello hello = FLEET__HELLO__INIT;
@@ -75,14 +84,22 @@
 	snprintf(
 	    datagram, sizeof(datagram), "127.0.7.9:%u", 100 + entry->number);
 	hello.instance = name;
-	/* A third is of the instance's own failure domain. */
+	hello.ready = true;
+	hello.busy = busy;
+	hello.link_kbps = is_wide(entry->number) ? 100000 : 2400;
 	hello.failure_domain = (char *)(entry->number % 3 == 0 ? "a" : "b");
 	hello.datagram_address = datagram;
 	hello.caller_address = datagram;
 	hello.wants_all = true;
 	frame.body_case = FLEET__FRAME__BODY_HELLO;
 	frame.hello = &hello;
-	channel_send(channel, &frame);
+	channel_send(entry->channel, &frame);
+}
+
+static void
+on_opened(void *ctx, struct channel *channel ATTR_UNUSED)
+{
+	say_hello(ctx, false);
 }
 
 static void
@@ -213,6 +230,56 @@
 	return true;
 }
 
+/*
+ * Looks up many times: how many entries an answer names at most, and which
+ * ones are named at all.
+ */
+static unsigned
+look_up(const struct bed *bed, unsigned *wide_least, unsigned *different)
+{
+	bool named[ENTRIES] = {false};
+	unsigned most = 0;
+
+	*wide_least = ENTRIES;
+	*different = 0;
+	for (int i = 0; i < 100; i++) {
+		const char *addresses[64];
+		unsigned count =
+		    core_lookup(bed->core, str_from("a"), addresses, 64);
+		unsigned wide = 0;
+
+		most = count > most ? count : most;
+		for (unsigned k = 0; k < count; k++) {
+			unsigned number =
+			    (unsigned)atoi(strchr(addresses[k], ':') + 1) - 100;
+
+			assert_int_equal(number % 3, 0);
+			wide += is_wide(number) ? 1 : 0;
+			*different += named[number] ? 0 : 1;
+			named[number] = true;
+		}
+		*wide_least = wide < *wide_least ? wide : *wide_least;
+	}
+	return most;
+}
+
+/*
+ * Wide links are named in each answer, with as many narrow ones, and all
+ * once a wide one has no processor time left.
+ */
+static void
+check_lookups(struct bed *bed)
+{
+	unsigned wide, different;
+
+	assert_int_equal(look_up(bed, &wide, &different), 8);
+	assert_int_equal(wide, 4);
+	assert_int_equal(different, ENTRIES / 3);
+	say_hello(&bed->entries[30], true);
+	run_for(bed, 50);
+	assert_int_equal(look_up(bed, &wide, &different), ENTRIES / 3);
+}
+
 static void
 all_entries_come_at_once(void **state ATTR_UNUSED)
 {
@@ -249,6 +316,7 @@
 		    entry->text_bytes, i % 3 == 0 ? TEXT_BYTES : 0);
 	}
 	assert_true(channel_deflates() - before <= ENTRIES / 4);
+	check_lookups(&bed);
 	for (unsigned i = 0; i < ENTRIES; i++)
 		channel_close(bed.entries[i].channel);
 	core_close(bed.core);
--- /dev/null
+++ b/test/unit/test_strain.c
@@ -0,0 +1,73 @@
+/*
+ * A process that is short of processor time, by its timer: told from one that
+ * was frozen once, and without switching on every late turn.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "flow/strain.h"
+
+enum {
+	MS = 1000,
+	INTERVAL_US = 10 * MS
+};
+
+/*
+ * Lets the timer come late by late_us for so many turns; returns how often
+ * busy changed.
+ */
+static unsigned
+turn(struct strain *s, uint64_t *now_us, unsigned turns, uint64_t late_us)
+{
+	unsigned changes = 0;
+
+	for (unsigned i = 0; i < turns; i++) {
+		*now_us += INTERVAL_US + late_us;
+		changes += strain_note(s, *now_us, INTERVAL_US) ? 1 : 0;
+	}
+	return changes;
+}
+
+static void
+late_turns_make_it_busy_until_calm(void **state ATTR_UNUSED)
+{
+	struct strain s = {0};
+	uint64_t now = MS;
+
+	assert_int_equal(turn(&s, &now, 500, 1 * MS), 0);
+	assert_int_equal(turn(&s, &now, 300, 30 * MS), 1);
+	assert_true(s.busy);
+	/* Not calm at once, and not by turns. */
+	assert_int_equal(turn(&s, &now, 100, 0), 0);
+	assert_true(s.busy);
+	assert_int_equal(turn(&s, &now, 1000, 1 * MS), 1);
+	assert_false(s.busy);
+}
+
+static void
+a_freeze_is_no_lack_of_time(void **state ATTR_UNUSED)
+{
+	struct strain s = {0};
+	uint64_t now = MS;
+
+	(void)turn(&s, &now, 100, 0);
+	now += 8000 * MS;
+	assert_int_equal(turn(&s, &now, 100, 0), 0);
+	assert_false(s.busy);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(late_turns_make_it_busy_until_calm),
+	    cmocka_unit_test(a_freeze_is_no_lack_of_time),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
