Agree on the parts of a service; serve who splits it otherwise

A scheduler that was asked for a part it does not have rejected all with no target usable: two instances alone gave 386 such lines, false ones.

Change: where entries differ the larger number wins if the targets are many enough; asks and grants carry it. A part that is not known here is served from one that is.

Result: test_flow, two tests; without the mapping the first gets rejections.

--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -295,6 +295,16 @@
 void fleet_suspect(struct flow *flow, struct fellow *fellow);
 /* Part of a service's targets that a request of ours goes to. */
 struct service *fleet_pick(struct flow *flow, const char *name);
+/*
+ * Takes over that a service is split into more parts, where its targets are
+ * many enough; returns into how many it is.
+ */
+unsigned fleet_adopt_parts(struct flow *flow, const char *name, unsigned parts);
+/* The part that another entry asks for, or one of ours in its place. */
+struct service *fleet_asked(struct flow *flow, const char *name);
+unsigned fleet_parts(struct flow *flow, const struct service *service);
+void fleet_note_parts(
+    struct flow *flow, const struct service *service, unsigned parts);
 
 /* flow_service.c: services, their parts, and who schedules them. */
 uint64_t service_mix(uint64_t a, uint64_t b);
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -271,6 +271,7 @@
 	grant.request = call->request;
 	grant.target = call->granted;
 	grant.expected_ms = (uint32_t)(expected_us / US_PER_MS);
+	grant.parts = fleet_parts(flow, call->service);
 	datagram.body_case = FLEET__DATAGRAM__BODY_GRANT;
 	datagram.grant = &grant;
 	send_datagram(flow, &call->from, &datagram);
@@ -390,7 +391,8 @@
 	uint64_t now = flow_now_us(flow);
 	char *key = remote_key(from, ask->request);
 	struct remote_call *call = g_hash_table_lookup(flow->remote_calls, key);
-	struct service *service = fleet_service(flow, ask->service);
+	struct service *service =
+	    call != NULL ? call->service : fleet_asked(flow, ask->service);
 	struct placement_request request = {
 	    .route = ask->route,
 	    .rank = ask->rank,
@@ -454,8 +456,9 @@
 {
 	char *key = remote_key(from, done->request);
 	struct remote_call *call = g_hash_table_lookup(flow->remote_calls, key);
-	struct service *service =
-	    g_hash_table_lookup(flow->services, done->service);
+	struct service *service = call != NULL
+	    ? call->service
+	    : g_hash_table_lookup(flow->services, done->service);
 	const struct target_load load = {
 	    .running = done->running,
 	    .waiting = done->waiting,
@@ -540,9 +543,11 @@
 		break;
 	case FLEET__DATAGRAM__BODY_GRANT:
 		x = answered(flow, d->grant->request);
-		if (x != NULL)
+		if (x != NULL) {
+			fleet_note_parts(flow, x->service, d->grant->parts);
 			exchange_on_grant(x, d->grant->target, true,
 			    d->grant->expected_ms * US_PER_MS);
+		}
 		break;
 	case FLEET__DATAGRAM__BODY_REJECT:
 		x = answered(flow, d->reject->request);
--- a/src/flow/flow_service.c
+++ b/src/flow/flow_service.c
@@ -209,24 +209,25 @@
 }
 
 /*
- * Splits a service's targets into more or fewer parts as their number
- * changes; a quarter of slack on the way down keeps it from changing often.
+ * Returns whether a service has too few targets for so many parts; a quarter
+ * of slack on the way down keeps it from changing often.
+ */
+static bool
+is_too_fine(const struct service_size *size, unsigned parts)
+{
+	return parts > 1 && size->targets * 4 < 3 * parts * PART_TARGETS;
+}
+
+/*
+ * Splits a service's targets into so many parts.
  */
 static void
-resize(struct flow *flow, const char *name, int change)
+split(struct flow *flow, const char *name, unsigned parts)
 {
 	struct service_size *size = size_of(flow, name);
-	unsigned parts = size->parts;
 	GHashTableIter iter;
 	gpointer value;
 
-	size->targets += (unsigned)change;
-	while (parts < PARTS_MAX && size->targets >= 2 * parts * PART_TARGETS)
-		parts *= 2;
-	while (parts > 1 && size->targets * 4 < 3 * parts * PART_TARGETS)
-		parts /= 2;
-	if (parts == size->parts)
-		return;
 	log_info("service_parts",
 	    "instance=%s service=%s targets=%u parts=%u before=%u",
 	    flow->settings.instance, name, size->targets, parts, size->parts);
@@ -242,6 +243,99 @@
 	}
 }
 
+/*
+ * Splits a service's targets into more or fewer parts as their number
+ * changes.
+ */
+static void
+resize(struct flow *flow, const char *name, int change)
+{
+	struct service_size *size = size_of(flow, name);
+	unsigned parts = size->parts;
+
+	size->targets += (unsigned)change;
+	while (parts < PARTS_MAX && size->targets >= 2 * parts * PART_TARGETS)
+		parts *= 2;
+	while (is_too_fine(size, parts))
+		parts /= 2;
+	if (parts != size->parts)
+		split(flow, name, parts);
+}
+
+/*
+ * Takes over more parts from another entry.  Which of two numbers holds
+ * between the thresholds depends on what an entry has seen, so the larger
+ * one wins where entries differ.
+ */
+unsigned
+fleet_adopt_parts(struct flow *flow, const char *name, unsigned parts)
+{
+	struct service_size *size = size_of(flow, name);
+
+	if (parts > size->parts && parts <= PARTS_MAX &&
+	    (parts & (parts - 1)) == 0 && !is_too_fine(size, parts))
+		split(flow, name, parts);
+	return size->parts;
+}
+
+/*
+ * Reads the name of a part, NAME#PART/PARTS or NAME alone, and returns the
+ * number of parts.
+ */
+static unsigned
+read_part(const char *text, char name[PART_NAME_BYTES])
+{
+	const char *mark = strrchr(text, '#');
+	const char *slash = mark != NULL ? strchr(mark, '/') : NULL;
+	uint64_t parts = 1;
+
+	snprintf(name, PART_NAME_BYTES, "%.*s",
+	    slash != NULL ? (int)(mark - text) : (int)strlen(text), text);
+	if (slash != NULL && !str_to_u64(str_from(slash + 1), &parts))
+		parts = 1;
+	return parts <= PARTS_MAX ? (unsigned)parts : 1;
+}
+
+/*
+ * Returns the part that another entry asks for.  One that splits the service
+ * otherwise is served from one of our parts.
+ */
+struct service *
+fleet_asked(struct flow *flow, const char *text)
+{
+	char name[PART_NAME_BYTES];
+	unsigned parts = read_part(text, name);
+
+	if (fleet_adopt_parts(flow, name, parts) == parts)
+		return fleet_service(flow, text);
+	return fleet_pick(flow, name);
+}
+
+/*
+ * Returns into how many parts the service of a part is split here.
+ */
+unsigned
+fleet_parts(struct flow *flow, const struct service *service)
+{
+	char name[PART_NAME_BYTES];
+
+	(void)read_part(service->name, name);
+	return size_of(flow, name)->parts;
+}
+
+/*
+ * Notes into how many parts the scheduler of a service splits it.
+ */
+void
+fleet_note_parts(
+    struct flow *flow, const struct service *service, unsigned parts)
+{
+	char name[PART_NAME_BYTES];
+
+	(void)read_part(service->name, name);
+	(void)fleet_adopt_parts(flow, name, parts);
+}
+
 /*
  * A target has announced itself: it gets requests from now on.
  */
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -2130,15 +2130,15 @@
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
     {
-	"recheck_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	"parts", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
 	0, /* quantifier_offset */
-	offsetof(Fleet__Grant, recheck_ms), NULL, NULL, 0, /* flags */
+	offsetof(Fleet__Grant, parts), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
 };
 static const unsigned fleet__grant__field_indices_by_name[] = {
     2, /* field[2] = expected_ms */
-    3, /* field[3] = recheck_ms */
+    3, /* field[3] = parts */
     0, /* field[0] = request */
     1, /* field[1] = target */
 };
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -457,7 +457,10 @@
   uint64_t request;
   char *target;
   uint32_t expected_ms;
-  uint32_t recheck_ms;
+  /*
+   * into which the service is split
+   */
+  uint32_t parts;
 };
 #define FLEET__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__grant__descriptor) \
--- a/test/unit/test_flow.c
+++ b/test/unit/test_flow.c
@@ -185,6 +185,110 @@
 	}
 }
 
+/*
+ * Asks the entry for a target of a service by a datagram, as another entry
+ * does; returns what it answers, to be freed.
+ */
+static Fleet__Datagram *
+ask_by_datagram(struct bed *bed, const char *service)
+{
+	struct sockaddr_in at;
+	int len = sizeof(at);
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
+	Fleet__Ask ask = FLEET__ASK__INIT;
+	uint8_t bytes[1500];
+	ssize_t n = -1;
+
+	ask.request = 7;
+	ask.service = (char *)service;
+	ask.objective_left_ms = 1000;
+	ask.deadline_left_ms = 2000;
+	datagram.body_case = FLEET__DATAGRAM__BODY_ASK;
+	datagram.ask = &ask;
+	assert_int_equal(
+	    uv_udp_getsockname(&bed->flow->udp, (struct sockaddr *)&at, &len),
+	    0);
+	n = (ssize_t)fleet__datagram__pack(&datagram, bytes);
+	assert_int_equal(sendto(fd, bytes, (size_t)n, 0,
+			     (const struct sockaddr *)&at, sizeof(at)),
+	    n);
+	do {
+		(void)uv_run(&bed->loop, UV_RUN_ONCE);
+		n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+	} while (n < 0 && errno == EAGAIN);
+	(void)close(fd);
+	assert_true(n > 0);
+	return fleet__datagram__unpack(NULL, (size_t)n, bytes);
+}
+
+static void
+announce_many(struct bed *bed, unsigned from, unsigned to)
+{
+	for (unsigned i = from; i < to; i++) {
+		char id[32], address[ADDRESS_BYTES];
+
+		snprintf(id, sizeof(id), "many-%u", i);
+		snprintf(address, sizeof(address), "127.0.7.251:%u", 20 + i);
+		announce(bed, id, address);
+	}
+}
+
+static void
+entries_that_differ_on_the_parts_of_a_service_are_served(
+    void **state ATTR_UNUSED)
+{
+	/*
+	 * 78 targets: who has seen 80 has split them in two, who has started
+	 * since has not.  Asked by the others' names, a scheduler rejected
+	 * all, since the part had no target here.
+	 */
+	static const struct {
+		unsigned parts; /* of the scheduler */
+		const char *asked;
+		unsigned then; /* its parts afterwards */
+	} cases[] = {
+	    {2, "svc", 2}, {1, "svc#1/2", 2},
+	    {2, "svc#0/4", 2}, /* too many for so few targets */
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct bed bed;
+		struct exchange *x;
+		Fleet__Datagram *answer;
+
+		open_bed(&bed, REPEAT_ALLOWED);
+		announce_many(&bed, 0, 77);
+		fleet_adopt_parts(bed.flow, "svc", cases[i].parts);
+		answer = ask_by_datagram(&bed, cases[i].asked);
+		assert_int_equal(
+		    answer->body_case, FLEET__DATAGRAM__BODY_GRANT);
+		assert_int_equal(answer->grant->parts, cases[i].then);
+		fleet__datagram__free_unpacked(answer, NULL);
+		x = new_exchange(&bed);
+		close_bed(&bed, x);
+	}
+}
+
+static void
+more_parts_are_adopted_where_the_targets_are_many(void **state ATTR_UNUSED)
+{
+	struct bed bed;
+
+	open_bed(&bed, REPEAT_ALLOWED);
+	announce_many(&bed, 0, 50);
+	assert_int_equal(fleet_adopt_parts(bed.flow, "svc", 2), 1);
+	announce_many(&bed, 50, 70);
+	assert_int_equal(fleet_adopt_parts(bed.flow, "svc", 3), 1);
+	assert_int_equal(fleet_adopt_parts(bed.flow, "svc", 2), 2);
+	assert_int_equal(fleet_adopt_parts(bed.flow, "svc", 1), 2);
+	assert_int_equal(fleet_service(bed.flow, "svc#0/2")->targets +
+		fleet_service(bed.flow, "svc#1/2")->targets,
+	    71);
+	assert_int_equal(fleet_service(bed.flow, "svc")->targets, 0);
+	close_bed(&bed, new_exchange(&bed));
+}
+
 /*
  * Connects a caller that reads little at a time.
  */
@@ -266,6 +370,9 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(
 		a_second_grant_counts_only_for_what_may_be_repeated),
+	    cmocka_unit_test(
+		entries_that_differ_on_the_parts_of_a_service_are_served),
+	    cmocka_unit_test(more_parts_are_adopted_where_the_targets_are_many),
 	    cmocka_unit_test(a_last_answer_is_written_however_long_it_takes),
 	};
 
