--- a/src/core/core.h
+++ b/src/core/core.h
@@ -71,8 +71,10 @@
 /*
  * Writes the addresses of entries that a caller of a failure domain may
  * connect to and returns how many: texts hold until the loop goes on.
+ * domain_entries gets how many are ready in that domain, named or not.
  */
 unsigned core_lookup(struct core *core, struct str failure_domain,
-    const char **addresses, unsigned max) ATTR_NONNULL_ALL;
+    const char **addresses, unsigned max,
+    unsigned *domain_entries) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/core/core_lookup.c
+++ b/src/core/core_lookup.c
@@ -125,11 +125,11 @@
 
 /*
  * Names entries of the caller's failure domain that are connected and ready,
- * and others too where those are few.
+ * and others too where those are few; domain_entries is how many it has.
  */
 unsigned
 core_lookup(struct core *core, struct str failure_domain,
-    const char **addresses, unsigned max)
+    const char **addresses, unsigned max, unsigned *domain_entries)
 {
 	struct choice choice = {
 	    .core = core,
@@ -139,6 +139,7 @@
 	unsigned count;
 
 	add_entries(&choice);
+	*domain_entries = choice.count;
 	count = name_entries(&choice, core->lookups++, addresses, max);
 	if (count >= LOOKUP_OWN_MIN)
 		return count;
--- a/test/unit/test_core_greeting.c
+++ b/test/unit/test_core_greeting.c
@@ -244,11 +244,13 @@
 	*different = 0;
 	for (int i = 0; i < 100; i++) {
 		const char *addresses[64];
-		unsigned count =
-		    core_lookup(bed->core, str_from("a"), addresses, 64);
+		unsigned ready;
+		unsigned count = core_lookup(
+		    bed->core, str_from("a"), addresses, 64, &ready);
 		unsigned wide = 0;
 
 		most = count > most ? count : most;
+		assert_int_equal(ready, ENTRIES / 3);
 		for (unsigned k = 0; k < count; k++) {
 			unsigned number =
 			    (unsigned)atoi(strchr(addresses[k], ':') + 1) - 100;
