Split what an entry asks, schedules and sends by datagram; drop unused functions

flow_schedule.c held three jobs in 685 lines: our questions (flow_ask.c), the placements and others' questions (flow_schedule.c), the socket and signs (flow_datagram.c). exchange_is_unsent() and address_with_port() had no caller. No change of behaviour; the tests of flow, path and group pass.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -125,9 +125,10 @@
 	register_counters(flow);
 	flow->patiences = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	uv_update_time(loop);
-	status = schedule_open(flow);
+	status = datagram_open(flow);
 	if (status != STATUS_OK)
 		return status;
+	schedule_open(flow);
 	targets_open(flow);
 	fleet_open(flow);
 	probe_open(flow);
@@ -224,6 +225,7 @@
 	uv_close((uv_handle_t *)&flow->sweep, NULL);
 	probe_close(flow);
 	schedule_close(flow);
+	datagram_close(flow);
 	targets_close(flow);
 	fleet_close(flow);
 	routes_put(flow->routes);
--- /dev/null
+++ b/src/flow/flow_datagram.c
@@ -0,0 +1,152 @@
+/*
+ * Datagrams between entries.
+ */
+#include <string.h>
+
+#include "flow/flow_internal.h"
+
+enum {
+	DATAGRAM_BYTES = 1400 /* one packet on any link */
+};
+
+/*
+ * Sends a datagram to another entry.  It may be lost: what matters is asked
+ * for again.
+ */
+void
+datagram_send(struct flow *flow, const struct sockaddr_in *to,
+    const Fleet__Datagram *datagram)
+{
+	uint8_t bytes[DATAGRAM_BYTES];
+	size_t len = fleet__datagram__get_packed_size(datagram);
+	uv_buf_t buf;
+
+	if (len > sizeof(bytes))
+		return;
+	fleet__datagram__pack(datagram, bytes);
+	buf = uv_buf_init((char *)bytes, (unsigned)len);
+	/* A lost datagram is asked for again; so is one that can't be sent. */
+	(void)uv_udp_try_send(&flow->udp, &buf, 1, (const struct sockaddr *)to);
+}
+
+static void
+send_sign(struct flow *flow, const struct sockaddr_in *to, bool reply)
+{
+	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
+	Fleet__Sign sign = FLEET__SIGN__INIT;
+
+	sign.address = (char *)flow->settings.datagram_address;
+	sign.reply = reply;
+	datagram.body_case = FLEET__DATAGRAM__BODY_SIGN;
+	datagram.sign = &sign;
+	datagram_send(flow, to, &datagram);
+}
+
+/*
+ * Asks a silent entry for a sign.
+ */
+void
+datagram_ask_sign(struct flow *flow, const struct fellow *fellow)
+{
+	send_sign(flow, &fellow->datagram, false);
+}
+
+static void
+on_sign(
+    struct flow *flow, const struct sockaddr_in *from, const Fleet__Sign *sign)
+{
+	struct fellow *fellow =
+	    g_hash_table_lookup(flow->fellows, sign->address);
+
+	if (fellow != NULL)
+		fellow->suspect = false;
+	if (!sign->reply && !flow->stopping)
+		send_sign(flow, from, true);
+}
+
+static void
+on_datagram_body(
+    struct flow *flow, const struct sockaddr_in *from, const Fleet__Datagram *d)
+{
+	switch (d->body_case) {
+	case FLEET__DATAGRAM__BODY_ASK:
+		schedule_on_ask(flow, from, d->ask);
+		break;
+	case FLEET__DATAGRAM__BODY_CANCEL:
+		schedule_on_cancel(flow, from, d->cancel->request);
+		break;
+	case FLEET__DATAGRAM__BODY_DONE:
+		schedule_on_done(flow, from, d->done);
+		break;
+	case FLEET__DATAGRAM__BODY_GRANT:
+		ask_on_grant(flow, d->grant);
+		break;
+	case FLEET__DATAGRAM__BODY_REJECT:
+		ask_on_reject(flow, d->reject);
+		break;
+	case FLEET__DATAGRAM__BODY_HELD:
+		ask_on_held(flow, d->held);
+		break;
+	case FLEET__DATAGRAM__BODY_SIGN:
+		on_sign(flow, from, d->sign);
+		break;
+	case FLEET__DATAGRAM__BODY__NOT_SET:
+	case _FLEET__DATAGRAM__BODY__CASE_IS_INT_SIZE:
+		break;
+	}
+}
+
+static void
+on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+    const struct sockaddr *from, unsigned flags ATTR_UNUSED)
+{
+	Fleet__Datagram *datagram;
+
+	if (n <= 0 || from == NULL)
+		return;
+	datagram = fleet__datagram__unpack(
+	    NULL, (size_t)n, (const uint8_t *)buf->base);
+	if (datagram == NULL)
+		return;
+	on_datagram_body(udp->data, (const struct sockaddr_in *)from, datagram);
+	fleet__datagram__free_unpacked(datagram, NULL);
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested ATTR_UNUSED, uv_buf_t *buf)
+{
+	struct flow *flow = handle->data;
+
+	*buf = uv_buf_init(flow->datagram, sizeof(flow->datagram));
+}
+
+/*
+ * Listens for datagrams of other entries.
+ */
+enum status
+datagram_open(struct flow *flow)
+{
+	struct sockaddr_in at;
+	int error = UV_EINVAL;
+
+	uv_udp_init(flow->loop, &flow->udp);
+	flow->udp.data = flow;
+	if (address_parse(flow->settings.datagram_address, &at))
+		error =
+		    uv_udp_bind(&flow->udp, (const struct sockaddr *)&at, 0);
+	if (error == 0)
+		error = uv_udp_recv_start(&flow->udp, on_alloc, on_datagram);
+	if (error != 0)
+		return status_set(STATUS_IO, "%s: %s",
+		    flow->settings.datagram_address, uv_strerror(error));
+	return STATUS_OK;
+}
+
+/*
+ * Stops listening.
+ */
+void
+datagram_close(struct flow *flow)
+{
+	uv_close((uv_handle_t *)&flow->udp, NULL);
+}
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -328,15 +328,6 @@
 	schedule_ask(x, false);
 }
 
-/*
- * Returns whether nothing of a request has been sent to any target.
- */
-bool
-exchange_is_unsent(const struct exchange *x)
-{
-	return x->attempt_count == 0;
-}
-
 /*
  * Tries again after a send that did not count, or gives up.
  */
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -19,6 +19,7 @@
 #include "net/address.h"
 #include "net/channel.h"
 #include "roster/roster.h"
+#include "wire/fleet.pb-c.h"
 
 enum {
 	READ_BYTES = 64 << 10,
@@ -344,7 +345,6 @@
 void exchange_on_piece(struct attempt *attempt);
 void exchange_refuse(struct exchange *x, int status, uint64_t retry_after_us,
     const char *reason);
-bool exchange_is_unsent(const struct exchange *x);
 
 /* flow_answer.c */
 void answer_own(struct exchange *x, int status, uint64_t retry_after_us,
@@ -363,19 +363,35 @@
 void upstream_close(struct upstream *up);
 void upstream_pause(struct upstream *up, bool pause);
 
-/* flow_schedule.c */
-enum status schedule_open(struct flow *flow);
-void schedule_close(struct flow *flow);
+/* flow_ask.c: our questions to schedulers */
 void schedule_ask(struct exchange *x, bool repeat);
 void schedule_forget(struct exchange *x);
 void schedule_done(struct attempt *attempt, enum placement_outcome outcome);
+void ask_on_grant(struct flow *flow, const Fleet__Grant *grant);
+void ask_on_reject(struct flow *flow, const Fleet__Reject *reject);
+void ask_on_held(struct flow *flow, const Fleet__Held *held);
+
+/* flow_schedule.c: placements, and the questions of other entries */
+void schedule_open(struct flow *flow);
+void schedule_close(struct flow *flow);
 void schedule_report(struct pool *pool, const struct target_load *load);
 struct placement *schedule_placement(struct service *service);
 /* Whether this entry keeps the service's counts and probes its targets. */
 bool schedule_is_active(const struct service *service);
+void schedule_on_ask(
+    struct flow *flow, const struct sockaddr_in *from, const Fleet__Ask *ask);
+void schedule_on_cancel(
+    struct flow *flow, const struct sockaddr_in *from, uint64_t request);
+void schedule_on_done(
+    struct flow *flow, const struct sockaddr_in *from, const Fleet__Done *done);
 
+/* flow_datagram.c */
+enum status datagram_open(struct flow *flow);
+void datagram_close(struct flow *flow);
+void datagram_send(struct flow *flow, const struct sockaddr_in *to,
+    const Fleet__Datagram *datagram);
 /* Asks a silent entry for a sign. */
-void schedule_ask_sign(struct flow *flow, const struct fellow *fellow);
+void datagram_ask_sign(struct flow *flow, const struct fellow *fellow);
 
 /* flow_probe.c */
 void probe_open(struct flow *flow);
--- a/src/flow/flow_service.c
+++ b/src/flow/flow_service.c
@@ -103,7 +103,7 @@
 		if (!fellow->suspect || now_us < fellow->sign_us)
 			continue;
 		fellow->sign_us = now_us + SIGN_MS * US_PER_MS;
-		schedule_ask_sign(flow, fellow);
+		datagram_ask_sign(flow, fellow);
 	}
 }
 
--- a/src/net/address.c
+++ b/src/net/address.c
@@ -21,20 +21,6 @@
 	return uv_ip4_addr(ip, port, out) == 0;
 }
 
-/*
- * Writes the IP of a text with another port; an empty text when it has none.
- */
-void
-address_with_port(const char *text, unsigned port, char out[ADDRESS_BYTES])
-{
-	const char *colon = strrchr(text, ':');
-	int len = colon != NULL ? (int)(colon - text) : 0;
-
-	out[0] = '\0';
-	if (len > 0 && len < ADDRESS_BYTES - 8)
-		snprintf(out, ADDRESS_BYTES, "%.*s:%u", len, text, port);
-}
-
 /*
  * Sends small messages at once and gives up on a peer that acknowledges
  * nothing for silence_ms, which a silent connection never does.
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -17,9 +17,6 @@
 
 bool address_parse(const char *text,
     struct sockaddr_in *out) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
-/* The same IP with another port. */
-void address_with_port(
-    const char *text, unsigned port, char out[ADDRESS_BYTES]) ATTR_NONNULL_ALL;
 /* TCP options of every connection between processes and to targets. */
 void address_tune(uv_tcp_t *tcp, unsigned silence_ms) ATTR_NONNULL_ALL;
 
