Bound the lines of control; dial again at once where nothing answered

Change: one budget of lines for both programs (base/log_budget), changes of roles, documents and departures outside of it. After an attempt that was not answered the next one follows at once; after a refusal as before.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -52,6 +52,18 @@
 	    "gypsummill_core_leader", "1 while this instance leads", NULL);
 }
 
+/*
+ * Returns whether one more line on a peer or a target may be logged: after a
+ * restart of all hundreds of them come at once.  Changes of roles, documents
+ * and departures are always logged.
+ */
+bool
+core_may_log(struct core *core)
+{
+	return log_budget_take(
+	    &core->log_budget, clock_boot_us() / US_PER_MS, false);
+}
+
 /*
  * Opens a control instance on a loop.  Fails when its address or its folder
  * can't be used; a replica that can't be opened is tried again later.
@@ -65,6 +77,7 @@
 
 	core->loop = loop;
 	core->settings = *settings;
+	core->log_budget.instance = settings->instance;
 	core->roster = roster_new(NULL);
 	core_state_init(&core->state, core->roster);
 	register_counters(core);
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "base/counter.h"
+#include "base/log_budget.h"
 #include "core/core.h"
 #include "core/core_state.h"
 #include "net/channel.h"
@@ -92,6 +93,7 @@
 	char leader_address[64]; /* as others say, without a replica */
 	uint64_t last_request;
 	GHashTable *waiters; /* request -> struct core_waiter */
+	struct log_budget log_budget; /* for lines on peers and targets */
 	struct counter *edits;
 	struct counter *departures;
 	struct counter *announcements;
@@ -112,6 +114,9 @@
 void core_empty_folder(const char *path);
 void core_empty_data(const struct core *core);
 
+/* Whether one more line on a peer or a target may be logged now. */
+bool core_may_log(struct core *core);
+
 /* core_replica.c */
 enum status core_replica_open(struct core *core) ATTR_UNUSED_RESULT;
 void core_replica_close(struct core *core);
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -46,7 +46,7 @@
 	peer->is_control = hello->is_control;
 	peer->wants_all = hello->wants_all || hello->is_control;
 	peer->replica = hello->replica;
-	if (first) {
+	if (first && core_may_log(core)) {
 		log_info("peer_connected",
 		    "instance=%s peer=%s control=%d replica=%" PRIu64
 		    " failure_domain=%s",
@@ -78,12 +78,14 @@
 {
 	if (!roster_announce(core->roster, target))
 		return;
-	log_info("target",
-	    "instance=%s target=%s service=%s address=%s failure_domain=%s "
-	    "started=%" PRIu64 " sequence=%" PRIu64 " slots=%u",
-	    core->settings.instance, target->id, target->service,
-	    target->address, target->failure_domain, target->started_ms,
-	    target->sequence, target->slots);
+	if (core_may_log(core))
+		log_info("target",
+		    "instance=%s target=%s service=%s address=%s "
+		    "failure_domain=%s "
+		    "started=%" PRIu64 " sequence=%" PRIu64 " slots=%u",
+		    core->settings.instance, target->id, target->service,
+		    target->address, target->failure_domain, target->started_ms,
+		    target->sequence, target->slots);
 	core->cache_dirty = true;
 	core_tell_target(core, target);
 }
@@ -303,8 +305,9 @@
 	core_forget_channel(core, channel);
 	if (peer == NULL)
 		return;
-	log_info("peer_lost", "instance=%s peer=%s reason=\"%s\"",
-	    core->settings.instance, peer_name(peer), reason);
+	if (core_may_log(core))
+		log_info("peer_lost", "instance=%s peer=%s reason=\"%s\"",
+		    core->settings.instance, peer_name(peer), reason);
 	peer->channel = NULL;
 	if (peer->greeted && !peer->is_control) {
 		peer->greeted = false;
--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -6,12 +6,6 @@
 #include "base/memory.h"
 #include "flow/flow_internal.h"
 
-enum {
-	/* Each line costs processor time that requests need. */
-	LOG_LINES_PER_SECOND = 40,
-	ROUTINE_LINES_PER_SECOND = 8
-};
-
 /*
  * Returns the loop's time: the same throughout one turn.
  */
@@ -21,31 +15,15 @@
 	return uv_now(flow->loop) * US_PER_MS;
 }
 
-/*
- * Returns whether one more line may be logged in this second, and says how
- * many were left out once there is room again.
- */
 static bool
 may_log(struct flow *flow, bool routine)
 {
-	uint64_t second = uv_now(flow->loop) / 1000;
-
-	if (second != flow->log_second) {
-		flow->log_second = second;
-		flow->log_lines = 0;
-		if (flow->log_left_out > 0)
-			log_info("lines_left_out", "instance=%s lines=%" PRIu64,
-			    flow->settings.instance, flow->log_left_out);
-		flow->log_left_out = 0;
-	}
-	if (flow->log_lines >= LOG_LINES_PER_SECOND ||
-	    (routine && flow->log_lines >= ROUTINE_LINES_PER_SECOND)) {
-		flow->log_left_out++;
+	bool may =
+	    log_budget_take(&flow->log_budget, uv_now(flow->loop), routine);
+
+	if (!may)
 		counter_add(flow->log_dropped, 1);
-		return false;
-	}
-	flow->log_lines++;
-	return true;
+	return may;
 }
 
 /*
@@ -115,6 +93,7 @@
 	flow->loop = loop;
 	flow->settings = *settings;
 	flow->dialect = *dialect;
+	flow->log_budget.instance = settings->instance;
 	flow->failure_domain =
 	    (uint32_t)str_hash(str_from(settings->failure_domain));
 	flow->started_ms = clock_wall_us() / US_PER_MS;
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/histogram.h"
+#include "base/log_budget.h"
 #include "base/random.h"
 #include "flow/flow.h"
 #include "flow/head.h"
@@ -259,10 +260,7 @@
 	uv_timer_t place_timer;
 	struct strain strain;
 	uv_timer_t probe_timer;
-	/* Logs are bounded: so many lines in each second. */
-	uint64_t log_second;
-	unsigned log_lines;
-	uint64_t log_left_out;
+	struct log_budget log_budget;
 	struct counter *requests;
 	struct counter *answered;
 	struct counter *rejected;
--- a/src/net/channel.c
+++ b/src/net/channel.c
@@ -26,6 +26,7 @@
 	DIAL_FIRST_MS = 50,
 	DIAL_MAX_MS = 1000, /* as callers allow for a new connection */
 	REDIAL_MS = 40, /* a local process is back within tens of ms */
+	REDIAL_UNANSWERED_MS = 5,
 	REDIAL_MAX_MS = 300 /* a fifth of a heartbeat */
 };
 
@@ -122,7 +123,10 @@
 	channel->redial_ms = was_open ? REDIAL_MS : channel->redial_ms * 2;
 	if (channel->redial_ms > REDIAL_MAX_MS)
 		channel->redial_ms = REDIAL_MAX_MS;
-	uv_timer_start(&channel->timer, on_timer, channel->redial_ms, 0);
+	/* An attempt without an answer was waiting enough. */
+	uv_timer_start(&channel->timer, on_timer,
+	    channel->unanswered > 0 ? REDIAL_UNANSWERED_MS : channel->redial_ms,
+	    0);
 }
 
 static bool take_run(
@@ -274,7 +278,6 @@
 {
 	address_tune(channel->tcp, SILENCE_MS);
 	channel->open = true;
-	channel->unanswered = 0;
 	channel->heard_ms = channel->sent_ms = uv_now(channel->loop);
 	uv_read_start((uv_stream_t *)channel->tcp, on_alloc, on_read);
 	uv_timer_start(&channel->timer, on_timer, PING_MS, PING_MS);
@@ -290,6 +293,8 @@
 	mem_free(request);
 	if (channel == NULL)
 		return;
+	/* Refused is an answer, too: the host is there. */
+	channel->unanswered = 0;
 	if (status != 0)
 		fail(channel, uv_strerror(status));
 	else
--- a/test/unit/test_logger.c
+++ b/test/unit/test_logger.c
@@ -11,6 +11,7 @@
 
 #include <cmocka.h>
 
+#include "base/log_budget.h"
 #include "base/logger.h"
 
 enum {
@@ -50,11 +51,30 @@
 	(void)close(kept);
 }
 
+static void
+lines_of_a_second_are_bounded(void **state ATTR_UNUSED)
+{
+	struct log_budget budget = {.instance = "test"};
+	unsigned routine = 0, failures = 0;
+
+	for (int i = 0; i < 1000; i++)
+		routine += log_budget_take(&budget, 5000, true) ? 1 : 0;
+	for (int i = 0; i < 1000; i++)
+		failures += log_budget_take(&budget, 5999, false) ? 1 : 0;
+	/* What went well leaves most lines to what did not. */
+	assert_true(routine > 0 && routine * 4 <= failures);
+	assert_int_equal(budget.left_out, 2000 - routine - failures);
+	assert_true(log_budget_take(&budget, 6000, true));
+	assert_int_equal(budget.left_out, 0);
+	assert_int_equal(budget.left_out_ever, 2000 - routine - failures);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_reader_that_stops_does_not_block),
+	    cmocka_unit_test(lines_of_a_second_are_bounded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
