Keep a connection for probes; take a reset probe for a full target

Each reset took the target out until the next probe and cost a connection.

Change: the connection of the last probe is kept for the next one, apart from those for requests; who accepts a connection and ends it is there.

--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -92,6 +92,7 @@
 	GQueue idle;
 	GQueue all; /* idle ones among them */
 	struct upstream *probing; /* NULL: no probe is on its way */
+	struct upstream *watch; /* kept for the next probe; NULL: none */
 	uint64_t probed_us; /* when the last probe was sent; 0: never */
 	unsigned probe_failures;
 };
--- a/src/flow/flow_target.c
+++ b/src/flow/flow_target.c
@@ -79,6 +79,8 @@
 	if (up->pool != NULL) {
 		if (up->pool->probing == up)
 			up->pool->probing = NULL;
+		if (up->pool->watch == up)
+			up->pool->watch = NULL;
 		g_queue_unlink(&up->pool->all, &up->pool_link);
 		up->pool = NULL;
 	}
@@ -95,11 +97,14 @@
 	struct attempt *attempt = up->attempt;
 	struct pool *pool = up->pool;
 	bool probe = up->probe;
+	bool refused = up->connected && outcome == OUTCOME_FAILED;
 
 	up->attempt = NULL;
 	upstream_close(up);
+	/* Who takes a connection and ends it is there, and may be full. */
 	if (probe && pool != NULL)
-		schedule_report(pool, NULL);
+		schedule_report(
+		    pool, refused ? &(struct target_load){0} : NULL);
 	if (attempt != NULL)
 		exchange_on_broken(attempt, outcome, reason);
 }
@@ -229,6 +234,7 @@
 
 	up->probe = false;
 	pool->probing = NULL;
+	pool->watch = up;
 	if (identity.data != NULL && !str_equal_c(identity, pool->id)) {
 		/* Another target has the address now. */
 		upstream_close(up);
@@ -510,9 +516,10 @@
 
 	if (pool->probing != NULL)
 		return true;
-	up = take(pool);
+	up = pool->watch != NULL ? pool->watch : take(pool);
 	if (up == NULL)
 		return false;
+	pool->watch = NULL;
 	up->probe = true;
 	pool->probing = up;
 	up->started_ms = uv_now(pool->flow->loop);
@@ -542,7 +549,9 @@
 	up->idle_since_ms = uv_now(up->flow->loop);
 	str_buf_free(&up->body);
 	up->body = (struct str_buf){0};
-	enter(up, &up->pool->idle);
+	/* A connection for probes is kept apart: a full target takes no other. */
+	if (up->pool->watch != up)
+		enter(up, &up->pool->idle);
 }
 
 /*
@@ -571,6 +580,9 @@
 		if (now_ms - up->idle_since_ms >= up->keep_ms)
 			upstream_close(up);
 	}
+	if (pool->watch != NULL &&
+	    now_ms - pool->watch->idle_since_ms >= pool->watch->keep_ms)
+		upstream_close(pool->watch);
 	if (pool->probing != NULL &&
 	    now_ms - pool->probing->started_ms > PROBE_MS)
 		break_off(pool->probing, OUTCOME_UNREACHED, "no answer");
@@ -607,6 +619,8 @@
 		upstream_close(up);
 	if (pool->probing != NULL)
 		upstream_close(pool->probing);
+	if (pool->watch != NULL)
+		upstream_close(pool->watch);
 	/* Requests in hand go on; their connections close after them. */
 	while ((up = g_queue_peek_tail(&pool->all)) != NULL) {
 		g_queue_unlink(&pool->all, &up->pool_link);
--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -54,6 +54,7 @@
         self.connections = 0
         self.behave = self.answer
         self.load = "0,0,%d,100" % slots
+        self.resets_probes = False
         self.lock = threading.Lock()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -99,6 +100,9 @@
                 method, path, _ = lines[0].split(" ")
                 request = {"method": method, "path": path, "fields": fields,
                            "body": body}
+                if path == "/health" and self.resets_probes:
+                    self.play(connection, ["reset"])
+                    return
                 if path == "/health":
                     connection.sendall(self.health())
                     continue
--- a/test/functional/test_platform_path.py
+++ b/test/functional/test_platform_path.py
@@ -194,6 +194,17 @@
             wait_until(lambda: "outcome=caller_left" in log.read(),
                        "the line of a caller that left")
 
+    def test_target_that_resets_probes_still_gets_requests(self):
+        # One that is full takes no connection more, and a probe is one.
+        self.one.resets_probes = True
+        self.addCleanup(setattr, self.one, "resets_probes", False)
+        time.sleep(0.5)  # several probes
+
+        def answered_by_both():
+            self.assertEqual(self.bed.ask("/safe/p")[0], 200)
+            return self.one.requests and self.two.requests
+        wait_until(answered_by_both, "requests at both targets")
+
     def test_large_answer_arrives_whole(self):
         body = bytes(range(256)) * 12000
         self.behave(lambda t, r: t.answer(r, body))
