Mend what the linter finds; say what two functions do

Loop counters of periods are whole microseconds; a division of whole numbers, a parameter named otherwise. No change of behaviour: test_placement prints the same figures.

--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -300,8 +300,8 @@
  * many enough; returns into how many it is.
  */
 unsigned fleet_adopt_parts(struct flow *flow, const char *name, unsigned parts);
-/* The part that another entry asks for, or one of ours in its place. */
-struct service *fleet_asked(struct flow *flow, const char *name);
+/* The part that another entry names, or one of ours in its place. */
+struct service *fleet_asked(struct flow *flow, const char *text);
 unsigned fleet_parts(struct flow *flow, const struct service *service);
 void fleet_note_parts(
     struct flow *flow, const struct service *service, unsigned parts);
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -222,6 +222,9 @@
 	}
 }
 
+/*
+ * Another entry takes back its question, or gives up its place in the counts.
+ */
 void
 schedule_on_cancel(
     struct flow *flow, const struct sockaddr_in *from, uint64_t request)
@@ -236,6 +239,9 @@
 	g_free(key);
 }
 
+/*
+ * Another entry tells how a send that was granted here has ended.
+ */
 void
 schedule_on_done(
     struct flow *flow, const struct sockaddr_in *from, const Fleet__Done *done)
--- a/src/placement/rhythm.c
+++ b/src/placement/rhythm.c
@@ -85,12 +85,12 @@
 	double best = 0;
 	double found = 0;
 
-	for (double p = PERIOD_MIN_US; p <= PERIOD_MAX_US; p += PERIOD_STEP_US)
+	for (int p = PERIOD_MIN_US; p <= PERIOD_MAX_US; p += PERIOD_STEP_US)
 		best = fmax(best, agreement(rhythm, p));
 	rhythm->period_us = 0;
 	if (best < agreement_min)
 		return;
-	for (double p = PERIOD_MIN_US; p <= PERIOD_MAX_US; p += PERIOD_STEP_US)
+	for (int p = PERIOD_MIN_US; p <= PERIOD_MAX_US; p += PERIOD_STEP_US)
 		if (agreement(rhythm, p) >= agreement_equal * best)
 			found = p;
 	for (int i = 0; i < REFINE_ROUNDS; i++)
@@ -148,7 +148,7 @@
 
 		if (after_us - before_us <= GAP_CHANGE_MAX_US &&
 		    pulse->to_us - pulse->from_us <= GAP_CHANGE_MAX_US &&
-		    gap > PERIOD_MIN_US / 2 && gap <= 4.0 * PERIOD_MAX_US)
+		    gap > PERIOD_MIN_US / 2.0 && gap <= 4.0 * PERIOD_MAX_US)
 			note_gap(rhythm, gap);
 	}
 	if (pulse->to_us != 0 && rhythm->period_us > 0) {
