Let the test of a target that resets probes fill both targets

The test now sends more at once than one target has slots for, and asks for answers to all of them as well.

--- a/test/functional/test_platform_path.py
+++ b/test/functional/test_platform_path.py
@@ -1,6 +1,7 @@
 """A request's path on the provider's platform: whole answers, truthful
 failures, at most once."""
 
+import threading
 import time
 import unittest
 
@@ -199,11 +200,18 @@
         self.one.resets_probes = True
         self.addCleanup(setattr, self.one, "resets_probes", False)
         time.sleep(0.5)  # several probes
-
-        def answered_by_both():
-            self.assertEqual(self.bed.ask("/safe/p")[0], 200)
-            return self.one.requests and self.two.requests
-        wait_until(answered_by_both, "requests at both targets")
+        # More at once than the slots of either.
+        self.behave(lambda t, r: [0.3, t.answer(r)])
+        answers = []
+        callers = [threading.Thread(target=lambda: answers.append(
+            self.bed.ask("/safe/p")[0])) for _ in range(8)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        self.assertEqual(answers, [200] * 8)
+        self.assertGreater(len(self.one.requests), 0)
+        self.assertGreater(len(self.two.requests), 0)
 
     def test_large_answer_arrives_whole(self):
         body = bytes(range(256)) * 12000
