--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 # A thin front to CMake.  `make help` lists the targets.
 BUILD ?= build
 JOBS ?= $(shell nproc)
+SEEDS ?= 1-5
 PACKAGES = $(shell cat cmake/packages.txt)
 SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'platform/*.[ch]' 'test/*.[ch]' | grep -v 'pb-c')
 TIDY_SOURCES = $(filter src/%.c platform/%.c,$(SOURCES))
 
-.PHONY: platform-names document-page all help packages build demo check test bench capacity format \
+.PHONY: soak platform-names document-page all help packages build demo check test bench capacity format \
 	format-check tidy cppcheck layers lines install clean asan generate
 
 all: build
@@ -34,6 +35,10 @@
 	@cmake --build build-asan -j $(JOBS) -- --no-print-directory
 	@ctest --test-dir build-asan -j $(JOBS) --output-on-failure
 
+soak: build		## random faults on real processes; SEEDS=1-50
+	@GYPSUMMILL_BIN=$(abspath $(BUILD))/bin /usr/bin/python3 \
+	    test/soak/soak.py --seeds $(SEEDS)
+
 bench: build		## the policies side by side, in virtual time
 	@$(BUILD)/bin/bench_balance
 
