--- a/src/control/control_main.c
+++ b/src/control/control_main.c
@@ -239,12 +239,13 @@
 	int code;
 
 	settings_parse(&all, &argc, &argv);
+	/* First: who sees the log may send a signal. */
+	signals_block(&set);
 	if (logger_open("gypsummill-control", settings.log_level,
 		settings.log_file) != STATUS_OK) {
 		fprintf(stderr, "gypsummill-control: %s\n", status_message());
 		return EX_CONFIG;
 	}
-	signals_block(&set);
 	rcu_register_thread();
 	code = serve(&set);
 	rcu_unregister_thread();
--- a/src/entry/entry_main.c
+++ b/src/entry/entry_main.c
@@ -526,12 +526,13 @@
 	int status;
 
 	settings_parse(&settings, &argc, &argv);
+	/* First: who sees the log may send a signal. */
+	signals_block(&set);
 	if (logger_open("gypsummill-entry", log_level, log_file) != STATUS_OK ||
 	    sodium_init() < 0) {
 		fprintf(stderr, "gypsummill-entry: %s\n", status_message());
 		return EXIT_IO;
 	}
-	signals_block(&set);
 	curl_global_init(CURL_GLOBAL_ALL);
 	raise_file_limit();
 	rcu_register_thread();
--- a/src/target/target_main.c
+++ b/src/target/target_main.c
@@ -219,9 +219,10 @@
 	sigset_t set;
 
 	settings_parse(&settings, &argc, &argv);
+	/* First: who sees the log may send a signal. */
+	signals_block(&set);
 	if (logger_open("gypsummill-target", log_level, NULL) != STATUS_OK)
 		return EXIT_IO;
-	signals_block(&set);
 	curl_global_init(CURL_GLOBAL_ALL);
 	work.id = id;
 	work.slots = slots_new((uint32_t)slots, (uint32_t)queue_max);
