Ask one control instance after the other for a document that was named

Change: every 300 ms the next open instance that has named it is asked.

Result: test_flow, two silent instances and one that answers; the loop ends with the document.

--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -13,7 +13,8 @@
 	/* One more than may be lost at once without any loss of news. */
 	PRIMARIES = 2,
 	/* Two of the leader's heartbeats: by then the near one has applied it. */
-	FETCH_AFTER_MS = 200
+	FETCH_AFTER_MS = 200,
+	FETCH_AGAIN_MS = 300 /* far above any way there and back */
 };
 
 /* Part of a service's slack of repeats for the one that schedules it. */
@@ -65,18 +66,21 @@
  * from an instance that is behind.
  */
 static void
-on_document(struct flow *flow, struct channel *from, const Fleet__Document *m)
+on_document(struct flow *flow, struct control *from, const Fleet__Document *m)
 {
 	struct routes *routes = NULL;
 
+	if (m->index > from->named_index)
+		from->named_index = m->index;
 	if (m->index <= flow->document_index)
 		return;
 	if (m->text.len == 0) {
 		/* Only named: the text comes from nearby, or is asked for. */
 		if (m->index > flow->named_index) {
-			flow->named_us = flow_now_us(flow);
 			flow->named_index = m->index;
-			flow->named_by = from;
+			flow->fetch_due_us =
+			    flow_now_us(flow) + FETCH_AFTER_MS * US_PER_MS;
+			flow->fetches = 0;
 		}
 		return;
 	}
@@ -188,7 +192,7 @@
 		return;
 	switch (frame->body_case) {
 	case FLEET__FRAME__BODY_DOCUMENT:
-		on_document(flow, channel, frame->document);
+		on_document(flow, control, frame->document);
 		break;
 	case FLEET__FRAME__BODY_ANNOUNCEMENT:
 		on_announcement(flow, frame->announcement);
@@ -345,8 +349,6 @@
 	log_warn("control_lost", "instance=%s control=%s reason=\"%s\"",
 	    flow->settings.instance, channel_address(channel), reason);
 	suspect_host(flow, channel_address(channel));
-	if (flow->named_by == channel)
-		flow->named_by = NULL;
 	if (control == NULL)
 		return;
 	control->synced = false;
@@ -474,23 +476,50 @@
 }
 
 /*
- * Asks for a document that has been named and does not come from nearby.
+ * Returns the turn-th of the open control instances that have named a document
+ * newer than the one in force; NULL when there is none.
+ */
+static struct control *
+fetch_from(const struct flow *flow, unsigned turn)
+{
+	struct control *named[CONTROLS_MAX];
+	unsigned count = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flow->controls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct control *control = value;
+
+		if (count < CONTROLS_MAX &&
+		    control->named_index > flow->document_index &&
+		    channel_is_open(control->channel))
+			named[count++] = control;
+	}
+	return count > 0 ? named[turn % count] : NULL;
+}
+
+/*
+ * Asks for a document that has been named and does not come from nearby: one
+ * control instance after the other, since any may be frozen or cut off.
  */
 static void
 fetch_document(struct flow *flow, uint64_t now_us)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Fetch fetch = FLEET__FETCH__INIT;
+	struct control *from;
 
 	if (flow->named_index <= flow->document_index ||
-	    now_us - flow->named_us < FETCH_AFTER_MS * US_PER_MS)
+	    now_us < flow->fetch_due_us)
+		return;
+	flow->fetch_due_us = now_us + FETCH_AGAIN_MS * US_PER_MS;
+	from = fetch_from(flow, flow->fetches++);
+	if (from == NULL)
 		return;
 	frame.body_case = FLEET__FRAME__BODY_FETCH;
 	frame.fetch = &fetch;
-	if (flow->named_by != NULL)
-		channel_send(flow->named_by, &frame);
-	/* Should the answer be lost, the next one that names it is asked. */
-	flow->named_index = flow->document_index;
+	channel_send(from->channel, &frame);
 }
 
 /*
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -203,6 +203,7 @@
 	bool primary; /* tells of targets and entries, too */
 	bool stale; /* lost; what it told holds until another has told all */
 	uint64_t opened_us;
+	uint64_t named_index; /* newest document that it has named */
 };
 
 /* A request of another entry that waits or runs under our placement. */
@@ -227,8 +228,8 @@
 	struct routes *routes;
 	uint64_t document_index;
 	uint64_t named_index; /* newest that a control instance has named */
-	uint64_t named_us;
-	struct channel *named_by;
+	uint64_t fetch_due_us; /* when its text is asked for next */
+	unsigned fetches; /* of that index */
 	struct roster *roster;
 	GHashTable *patiences; /* route id -> struct patience */
 	GHashTable *pools; /* target id -> struct pool */
--- a/test/unit/test_flow.c
+++ b/test/unit/test_flow.c
@@ -32,9 +32,10 @@
 }
 
 static enum status
-read_document(struct str text ATTR_UNUSED, struct routes **routes ATTR_UNUSED)
+read_document(struct str text ATTR_UNUSED, struct routes **routes)
 {
-	return STATUS_INVALID;
+	*routes = routes_new(5);
+	return STATUS_OK;
 }
 
 static void
@@ -289,6 +290,86 @@
 	close_bed(&bed, new_exchange(&bed));
 }
 
+/* A control instance that names a document and hands it out, or does not. */
+struct fake_control {
+	struct channel_listener *listener;
+	char address[ADDRESS_BYTES];
+	bool answers;
+	unsigned fetches;
+};
+
+static void
+fake_send(struct channel *channel, struct str text)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Document document = FLEET__DOCUMENT__INIT;
+
+	document.index = 5;
+	document.version = 5;
+	document.text.data = (uint8_t *)text.data;
+	document.text.len = text.len;
+	frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
+	frame.document = &document;
+	channel_send(channel, &frame);
+}
+
+static void
+fake_message(void *ctx, struct channel *channel, const Fleet__Frame *frame)
+{
+	struct fake_control *fake = ctx;
+
+	if (frame->body_case == FLEET__FRAME__BODY_HELLO)
+		fake_send(channel, str_of("", 0));
+	if (frame->body_case != FLEET__FRAME__BODY_FETCH)
+		return;
+	fake->fetches++;
+	if (fake->answers)
+		fake_send(channel, STR_LITERAL("text"));
+}
+
+static void
+fake_open(struct bed *bed, struct fake_control *fake)
+{
+	const struct channel_callbacks callbacks = {
+	    .ctx = fake, .message = fake_message};
+
+	for (unsigned port = 32100; fake->listener == NULL && port < 33000;
+	     port++) {
+		snprintf(fake->address, sizeof(fake->address), "127.0.7.252:%u",
+		    port);
+		fake->listener =
+		    channel_listen(&bed->loop, fake->address, &callbacks);
+	}
+	assert_non_null(fake->listener);
+}
+
+static void
+a_document_is_asked_for_until_one_answers(void **state ATTR_UNUSED)
+{
+	/* The instance that was asked first is frozen: nobody was asked after. */
+	struct fake_control fakes[3] = {
+	    {.answers = false}, {.answers = false}, {.answers = true}};
+	const char *seeds[3];
+	struct bed bed;
+
+	open_bed(&bed, REPEAT_ALLOWED);
+	for (int i = 0; i < 3; i++) {
+		fake_open(&bed, &fakes[i]);
+		seeds[i] = fakes[i].address;
+	}
+	bed.flow->settings.seeds = seeds;
+	bed.flow->settings.seed_count = 3;
+	while (bed.flow->document_index != 5 &&
+	    fakes[0].fetches + fakes[1].fetches < 20)
+		(void)uv_run(&bed.loop, UV_RUN_ONCE);
+	assert_int_equal(bed.flow->document_index, 5);
+	assert_true(fakes[2].fetches > 0);
+	for (int i = 0; i < 3; i++)
+		channel_listener_close(fakes[i].listener);
+	bed.flow->settings.seed_count = 0;
+	close_bed(&bed, new_exchange(&bed));
+}
+
 /*
  * Connects a caller that reads little at a time.
  */
@@ -372,6 +453,7 @@
 		a_second_grant_counts_only_for_what_may_be_repeated),
 	    cmocka_unit_test(
 		entries_that_differ_on_the_parts_of_a_service_are_served),
+	    cmocka_unit_test(a_document_is_asked_for_until_one_answers),
 	    cmocka_unit_test(more_parts_are_adopted_where_the_targets_are_many),
 	    cmocka_unit_test(a_last_answer_is_written_however_long_it_takes),
 	};
