--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -26,6 +26,15 @@
 	return may;
 }
 
+/*
+ * Counts what timers have looked at.
+ */
+void
+flow_note_visits(struct flow *flow, unsigned count)
+{
+	counter_add(flow->visits, count);
+}
+
 /*
  * Returns whether a line on a failure or a change may be logged.
  */
@@ -71,6 +80,8 @@
 		"New connections to targets (count)"},
 	    {&flow->fallbacks, "gypsummill_flow_fallbacks_total",
 		"Placements on this entry's own view (count)"},
+	    {&flow->visits, "gypsummill_flow_visits_total",
+		"Targets, entries and parts that timers looked at (count)"},
 	    {&flow->log_dropped, "gypsummill_flow_log_lines_left_out_total",
 		"Log lines beyond the budget of a second (count)"},
 	};
@@ -109,8 +120,8 @@
 		return status;
 	schedule_open(flow);
 	targets_open(flow);
-	fleet_open(flow);
 	probe_open(flow);
+	fleet_open(flow);
 	status = callers_open(flow);
 	if (status != STATUS_OK)
 		return status;
@@ -128,6 +139,7 @@
 	flow->settings.seed_count = settings->seed_count;
 	flow->settings.repeats.ratio = settings->repeats.ratio;
 	flow->settings.repeats.slack = settings->repeats.slack;
+	fleet_changed(flow);
 	flow->settings.probes_per_second = settings->probes_per_second;
 	flow->settings.target_kept_ms = settings->target_kept_ms;
 }
@@ -155,6 +167,7 @@
 	flow->stopping_ms = uv_now(flow->loop);
 	flow->stopped = stopped;
 	flow->stopped_ctx = ctx;
+	fleet_changed(flow);
 	fleet_tick(flow);
 	callers_stop(flow);
 }
@@ -202,11 +215,11 @@
 	if (flow->listening)
 		uv_close((uv_handle_t *)&flow->listener, NULL);
 	uv_close((uv_handle_t *)&flow->sweep, NULL);
-	probe_close(flow);
 	schedule_close(flow);
 	datagram_close(flow);
 	targets_close(flow);
 	fleet_close(flow);
+	probe_close(flow);
 	routes_put(flow->routes);
 	g_hash_table_destroy(flow->patiences);
 }
--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -61,8 +61,7 @@
 	struct placement_request request = request_of(x, repeat);
 
 	x->ask_is_local = true;
-	(void)placement_ask(
-	    x->service->placement, &request, flow_now_us(x->flow));
+	(void)schedule_place(x->service, &request);
 }
 
 static void
@@ -221,10 +220,8 @@
 	if (x == NULL)
 		return NULL;
 	fellow = g_hash_table_lookup(flow->fellows, x->asked_of);
-	if (fellow != NULL) {
-		fellow->timeouts = 0;
-		fellow->suspect = false;
-	}
+	if (fellow != NULL)
+		fleet_trust(flow, fellow);
 	uv_timer_stop(&x->ask_timer);
 	return x;
 }
--- a/src/flow/flow_caller.c
+++ b/src/flow/flow_caller.c
@@ -321,13 +321,31 @@
 	}
 }
 
+/*
+ * Notes how late this timer comes, by the clock and not the loop's time: a
+ * late turn is what is looked for.
+ */
+static void
+note_strain(struct flow *flow)
+{
+	if (!strain_note(
+		&flow->strain, clock_monotonic_us(), SWEEP_MS * US_PER_MS))
+		return;
+	log_info("strain", "instance=%s busy=%d lag_us=%.0f callers=%u",
+	    flow->settings.instance, flow->strain.busy, flow->strain.lag_us,
+	    flow->callers.length);
+	fleet_greet(flow);
+}
+
 static void
 on_sweep(uv_timer_t *timer)
 {
 	struct flow *flow = timer->data;
 
+	note_strain(flow);
 	callers_sweep(flow);
 	targets_sweep(flow);
+	schedule_sweep(flow, flow_now_us(flow));
 	fleet_tick(flow);
 }
 
--- a/src/flow/flow_datagram.c
+++ b/src/flow/flow_datagram.c
@@ -59,7 +59,7 @@
 	    g_hash_table_lookup(flow->fellows, sign->address);
 
 	if (fellow != NULL)
-		fellow->suspect = false;
+		fleet_trust(flow, fellow);
 	if (!sign->reply && !flow->stopping)
 		send_sign(flow, from, true);
 }
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -9,6 +9,8 @@
 enum {
 	/* An instance that few have told of yet is served by who knows it. */
 	SYNC_WAIT_MS = 2000,
+	/* As long as the slowest of those who start at once may take. */
+	OWNER_WAIT_MS = SYNC_WAIT_MS,
 	CONTROLS_MAX = 16,
 	/* One more than may be lost at once without any loss of news. */
 	PRIMARIES = 2,
@@ -101,6 +103,27 @@
 	    flow->settings.instance, m->index, m->version, m->text.len);
 }
 
+/*
+ * Notes that who may schedule has changed: schedulers are chosen anew at
+ * their next use, owners at the next tick.
+ */
+void
+fleet_changed(struct flow *flow)
+{
+	flow->fleet_state++;
+}
+
+/*
+ * One that nobody tells of as connected any more is forgotten at the next
+ * tick.
+ */
+static void
+note_sources(struct flow *flow, const struct fellow *fellow)
+{
+	if (fellow->sources == 0)
+		fleet_changed(flow);
+}
+
 /*
  * Takes news of another entry from one control instance.
  */
@@ -117,13 +140,16 @@
 		return;
 	fellow = g_hash_table_lookup(flow->fellows, hello->datagram_address);
 	if (m->gone) {
-		if (fellow != NULL)
+		if (fellow != NULL && (fellow->sources & bit) != 0) {
 			fellow->sources &= ~bit;
+			note_sources(flow, fellow);
+		}
 		return;
 	}
 	if (fellow == NULL) {
 		fellow = mem_calloc(1, sizeof(*fellow));
 		fellow->address = str_dup(str_from(hello->datagram_address));
+		fellow->address_hash = str_hash(str_from(fellow->address));
 		fellow->instance = str_dup(str_from(hello->instance));
 		if (!address_parse(fellow->address, &fellow->datagram)) {
 			fellow_free(fellow);
@@ -131,8 +157,13 @@
 		}
 		g_hash_table_insert(flow->fellows, fellow->address, fellow);
 	}
+	if (fellow->processor_millis != hello->processor_millis ||
+	    fellow->ready != hello->ready ||
+	    fellow->stopping != hello->stopping || fellow->sources == 0)
+		fleet_changed(flow);
 	fellow->processor_millis = hello->processor_millis;
 	fellow->ready = hello->ready;
+	fellow->stopping = hello->stopping;
 	fellow->sources |= bit;
 }
 
@@ -152,8 +183,12 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, flow->fellows);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct fellow *)value)->sources &= ~(1u << bit);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct fellow *fellow = value;
+
+		fellow->sources &= ~(1u << bit);
+		note_sources(flow, fellow);
+	}
 }
 
 /*
@@ -233,6 +268,7 @@
 	hello.caller_address = (char *)flow->settings.caller_address;
 	hello.datagram_address = (char *)flow->settings.datagram_address;
 	hello.ready = flow->ready && !flow->stopping;
+	hello.stopping = flow->stopping;
 	hello.processor_millis = flow->settings.processor_millis;
 	hello.link_kbps = flow->settings.link_kbps;
 	hello.busy = flow->strain.busy;
@@ -436,7 +472,7 @@
 	double parts = part != NULL ? g_ascii_strtod(part + 1, NULL) : 1;
 	struct repeat_limits limits = flow->settings.repeats;
 
-	if (schedule_is_active(service))
+	if (service->owner)
 		limits.slack *= SCHEDULER_SLACK / parts;
 	else
 		limits.slack *=
@@ -445,34 +481,79 @@
 }
 
 static void
-update_owners(struct flow *flow)
+set_owner(struct flow *flow, struct service *service, bool owner)
+{
+	if (owner != service->owner) {
+		log_info("scheduler",
+		    "instance=%s service=%s here=%d entries=%u targets=%u",
+		    flow->settings.instance, service->name, owner,
+		    fleet_size(flow), service->pools->len);
+		service->owner = owner;
+		if (owner)
+			placement_succeed(
+			    service->placement, flow_now_us(flow));
+		for (guint i = 0; i < service->pools->len; i++)
+			probe_update(service->pools->pdata[i]);
+	}
+	set_limits(flow, service);
+}
+
+/*
+ * Works out which services this entry schedules.  While all start at once
+ * only some count as ready: one that is connected and goes before is waited
+ * for, so that a service has one owner at a time.
+ */
+void
+fleet_update_owners(struct flow *flow)
 {
+	bool may = flow->ready && !flow->stopping;
+	bool waits =
+	    flow_now_us(flow) - flow->ready_us < OWNER_WAIT_MS * US_PER_MS;
+	bool settled = true;
 	GHashTableIter iter;
 	gpointer value;
 
+	flow_note_visits(flow, g_hash_table_size(flow->services));
 	g_hash_table_iter_init(&iter, flow->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct service *service = value;
-		bool owner =
-		    !flow->stopping && fleet_scheduler(flow, service) == NULL;
-
-		if (owner != service->owner)
-			log_info("scheduler",
-			    "instance=%s service=%s here=%d entries=%u",
-			    flow->settings.instance, service->name, owner,
-			    fleet_size(flow));
-		if (owner && !service->owner)
-			placement_succeed(
-			    service->placement, flow_now_us(flow));
-		service->owner = owner;
-		set_limits(flow, service);
+		bool owner = may && fleet_scheduler(flow, service) == NULL;
+
+		if (owner && waits &&
+		    fleet_expected_scheduler(flow, service) != NULL) {
+			owner = false;
+			settled = false;
+		}
+		set_owner(flow, service, owner);
 	}
+	flow->owners_of = settled ? flow->fleet_state : flow->fleet_state - 1;
 }
 
 static gboolean
-is_gone(void *key ATTR_UNUSED, void *value, void *ctx ATTR_UNUSED)
+is_gone(void *key ATTR_UNUSED, void *value, void *ctx)
+{
+	const struct fellow *fellow = value;
+	struct flow *flow = ctx;
+
+	if (fellow->sources != 0)
+		return FALSE;
+	flow->suspects -= fellow->suspect ? 1 : 0;
+	return TRUE;
+}
+
+/*
+ * Forgets entries that are gone and works out the owners, where who may
+ * schedule has changed.
+ */
+static void
+settle(struct flow *flow)
 {
-	return ((const struct fellow *)value)->sources == 0;
+	if (flow->owners_of == flow->fleet_state)
+		return;
+	flow_note_visits(flow, g_hash_table_size(flow->fellows));
+	if (g_hash_table_foreach_remove(flow->fellows, is_gone, flow) > 0)
+		fleet_changed(flow);
+	fleet_update_owners(flow);
 }
 
 /*
@@ -555,20 +636,21 @@
 fleet_tick(struct flow *flow)
 {
 	uint64_t now = flow_now_us(flow);
-	bool ready = !flow->stopping && has_heard_enough(flow);
+	bool ready = !flow->stopping && (flow->ready || has_heard_enough(flow));
 
 	for (unsigned i = 0; i < flow->settings.seed_count; i++)
 		(void)control_of(flow, flow->settings.seeds[i]);
-	g_hash_table_foreach_remove(flow->fellows, is_gone, NULL);
 	if (ready != flow->ready) {
 		flow->ready = ready;
+		flow->ready_us = now;
+		fleet_changed(flow);
 		log_info("ready",
 		    "instance=%s ready=%d index=%" PRIu64 " targets=%u",
 		    flow->settings.instance, ready, flow->document_index,
 		    g_hash_table_size(flow->pools));
 		fleet_greet(flow);
 	}
-	update_owners(flow);
+	settle(flow);
 	fetch_document(flow, now);
 	fleet_ask_signs(flow, now);
 	expire_targets(flow, now);
@@ -586,6 +668,8 @@
 	    .removed = service_on_removed,
 	};
 
+	flow->own_hash = str_hash(str_from(flow->settings.datagram_address));
+	flow->owners_of = flow->fleet_state - 1;
 	flow->roster = roster_new(&callbacks);
 	flow->services = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, service_release);
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -93,6 +93,9 @@
 	GQueue all; /* idle ones among them */
 	struct upstream *probing; /* NULL: no probe is on its way */
 	struct upstream *watch; /* kept for the next probe; NULL: none */
+	GList link; /* in flow->linked_pools, while it has a connection */
+	GSequenceIter *probe; /* in flow->probe_queue; NULL: not probed here */
+	uint64_t probe_due_us; /* when a probe is looked at next */
 	uint64_t probed_us; /* when the last probe was sent; 0: never */
 	unsigned probe_failures;
 };
@@ -171,8 +174,12 @@
 	struct flow *flow;
 	char *name;
 	struct placement *placement;
-	unsigned targets;
-	bool owner; /* this entry is its scheduler */
+	GPtrArray *pools; /* of struct pool: its targets */
+	uint64_t name_hash;
+	struct fellow *scheduler; /* NULL: this entry; see scheduler_of */
+	unsigned scheduler_of; /* state of the fleet in which it was chosen */
+	bool owner; /* this entry is its scheduler and probes its targets */
+	bool busy; /* in flow->busy_services: its placement has calls */
 };
 
 /* How many targets a service has, and into how many parts they are split. */
@@ -185,10 +192,12 @@
 /* Another entry, as control instances tell. */
 struct fellow {
 	char *address; /* for datagrams; the key */
+	uint64_t address_hash;
 	char *instance;
 	unsigned processor_millis;
 	unsigned sources; /* bit per channel that tells of it as connected */
 	bool ready;
+	bool stopping;
 	struct sockaddr_in datagram;
 	bool suspect; /* silent; asked for a sign now and then */
 	uint64_t sign_us; /* when it is asked next */
@@ -233,16 +242,24 @@
 	struct roster *roster;
 	GHashTable *patiences; /* route id -> struct patience */
 	GHashTable *pools; /* target id -> struct pool */
+	GQueue linked_pools; /* those with a connection */
+	GSequence *probe_queue; /* of struct pool, by the time of its probe */
 	GQueue connecting; /* of struct upstream, the oldest first */
+	GPtrArray *busy_services; /* whose placements have calls */
 	GHashTable *services; /* name, or name#part -> struct service */
 	GHashTable *sizes; /* name -> struct service_size */
 	GHashTable *fellows; /* datagram address -> struct fellow */
+	uint64_t own_hash; /* of this entry's datagram address */
+	unsigned fleet_state; /* counts changes of who may schedule */
+	unsigned owners_of; /* state for which the owners were worked out */
+	unsigned suspects; /* silent entries */
 	GHashTable *controls; /* link address -> struct control */
 	unsigned control_bits;
 	uint64_t first_synced_us;
 	uint64_t
 	    told_since_us; /* told of targets without a gap; 0: now in one */
 	bool ready;
+	uint64_t ready_us; /* since when */
 	bool stopping;
 	uint64_t stopping_ms;
 	bool listening;
@@ -272,11 +289,14 @@
 	struct counter *probes;
 	struct counter *connects;
 	struct counter *fallbacks;
+	struct counter *visits;
 	struct counter *log_dropped;
 	struct histogram latency; /* microseconds, answered requests */
 };
 
 uint64_t flow_now_us(const struct flow *flow);
+/* Counts targets, entries and parts that a timer has looked at. */
+void flow_note_visits(struct flow *flow, unsigned count);
 /* Whether one more line may be logged in this second. */
 bool flow_may_log(struct flow *flow);
 bool flow_may_log_routine(struct flow *flow);
@@ -288,12 +308,18 @@
 void fleet_greet(struct flow *flow);
 struct service *fleet_service(struct flow *flow, const char *name);
 /* The scheduler of a service; NULL: this entry. */
+struct fellow *fleet_scheduler(struct flow *flow, struct service *service);
+/* The same, were all connected entries ready. */
 struct fellow *
-fleet_scheduler(struct flow *flow, const struct service *service);
+fleet_expected_scheduler(struct flow *flow, const struct service *service);
 unsigned fleet_size(const struct flow *flow);
+/* Who may schedule has changed. */
+void fleet_changed(struct flow *flow);
+void fleet_update_owners(struct flow *flow);
 
 /* Takes a silent entry out of the choice until it gives a sign. */
 void fleet_suspect(struct flow *flow, struct fellow *fellow);
+void fleet_trust(struct flow *flow, struct fellow *fellow);
 /* Part of a service's targets that a request of ours goes to. */
 struct service *fleet_pick(struct flow *flow, const char *name);
 /*
@@ -376,8 +402,11 @@
 void schedule_close(struct flow *flow);
 void schedule_report(struct pool *pool, const struct target_load *load);
 struct placement *schedule_placement(struct service *service);
-/* Whether this entry keeps the service's counts and probes its targets. */
-bool schedule_is_active(const struct service *service);
+/* Asks the placement of a service here; its timer runs until all is over. */
+bool schedule_place(
+    struct service *service, const struct placement_request *request);
+/* Forgets questions of other entries whose time is over. */
+void schedule_sweep(struct flow *flow, uint64_t now_us);
 void schedule_on_ask(
     struct flow *flow, const struct sockaddr_in *from, const Fleet__Ask *ask);
 void schedule_on_cancel(
@@ -396,5 +425,8 @@
 /* flow_probe.c */
 void probe_open(struct flow *flow);
 void probe_close(struct flow *flow);
+/* Probes a target from now on if its service is scheduled here, or not. */
+void probe_update(struct pool *pool);
+void probe_forget(struct pool *pool);
 
 #endif
--- a/src/flow/flow_probe.c
+++ b/src/flow/flow_probe.c
@@ -1,4 +1,9 @@
-#include "base/logger.h"
+/*
+ * When targets are probed: a queue ordered by time, of the targets whose
+ * services are scheduled here, so that an entry without one does nothing.
+ */
+#include <string.h>
+
 #include "flow/flow_internal.h"
 
 enum {
@@ -38,47 +43,137 @@
 	return service != NULL ? service->health_path : NULL;
 }
 
+static gint
+by_due(gconstpointer a, gconstpointer b, gpointer ctx ATTR_UNUSED)
+{
+	const struct pool *x = a;
+	const struct pool *y = b;
+
+	if (x->probe_due_us != y->probe_due_us)
+		return x->probe_due_us < y->probe_due_us ? -1 : 1;
+	return strcmp(x->id, y->id);
+}
+
+static void on_probe_timer(uv_timer_t *timer);
+
 /*
- * Probes the targets of the services that are scheduled here.
+ * Sleeps until the first target is due; probes that are due within a tick go
+ * out together.
  */
 static void
-on_probe_tick(uv_timer_t *timer)
+set_timer(struct flow *flow)
 {
-	struct flow *flow = timer->data;
+	GSequenceIter *first = g_sequence_get_begin_iter(flow->probe_queue);
 	uint64_t now = flow_now_us(flow);
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, flow->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct pool *pool = value;
-		const char *path;
-
-		if (!schedule_is_active(pool->of))
-			continue;
-		/* Spread over the interval, so that they come evenly. */
-		if (pool->probed_us == 0)
-			pool->probed_us = now -
-			    random_below(
-				&flow->random, PROBE_SILENT_MS * US_PER_MS);
-		path = health_path(pool);
-		if (path == NULL || now < due_us(pool, now))
-			continue;
-		pool->probed_us = now;
+	uint64_t wait_us = PROBE_TICK_MS * US_PER_MS;
+	const struct pool *pool;
+
+	if (g_sequence_iter_is_end(first)) {
+		uv_timer_stop(&flow->probe_timer);
+		return;
+	}
+	pool = g_sequence_get(first);
+	if (pool->probe_due_us > now + wait_us)
+		wait_us = pool->probe_due_us - now;
+	uv_timer_start(&flow->probe_timer, on_probe_timer,
+	    (wait_us + US_PER_MS - 1) / US_PER_MS, 0);
+}
+
+/*
+ * Looks at one target whose time has come, and sets when it is looked at
+ * next: what was due may have been put off by reports that answers carried.
+ */
+static void
+visit(struct pool *pool, uint64_t now_us)
+{
+	struct flow *flow = pool->flow;
+	const char *path = health_path(pool);
+	uint64_t due = due_us(pool, now_us);
+
+	flow_note_visits(flow, 1);
+	if (path == NULL) {
+		due = now_us + PROBE_SILENT_MS * US_PER_MS;
+	} else if (due <= now_us) {
+		pool->probed_us = now_us;
 		(void)target_probe(pool, path);
+		due = due_us(pool, now_us);
+	}
+	pool->probe_due_us =
+	    due > now_us ? due : now_us + PROBE_TICK_MS * US_PER_MS;
+	/* A probe that failed at once may have ended the target's place. */
+	if (pool->probe != NULL)
+		g_sequence_sort_changed(pool->probe, by_due, NULL);
+}
+
+static void
+on_probe_timer(uv_timer_t *timer)
+{
+	struct flow *flow = timer->data;
+	uint64_t now = flow_now_us(flow);
+
+	for (;;) {
+		GSequenceIter *first =
+		    g_sequence_get_begin_iter(flow->probe_queue);
+		struct pool *pool;
+
+		if (g_sequence_iter_is_end(first))
+			break;
+		pool = g_sequence_get(first);
+		if (pool->probe_due_us > now)
+			break;
+		visit(pool, now);
+	}
+	set_timer(flow);
+}
+
+/*
+ * Takes a target out of the queue of probes.
+ */
+void
+probe_forget(struct pool *pool)
+{
+	if (pool->probe == NULL)
+		return;
+	g_sequence_remove(pool->probe);
+	pool->probe = NULL;
+}
+
+/*
+ * Probes a target from now on, or no longer: only who schedules its service
+ * does.  The first probes are spread over an interval, so that all come
+ * evenly.
+ */
+void
+probe_update(struct pool *pool)
+{
+	struct flow *flow = pool->flow;
+	uint64_t now = flow_now_us(flow);
+	uint64_t spread_us = PROBE_SILENT_MS * US_PER_MS;
+
+	if (!pool->of->owner) {
+		probe_forget(pool);
+		return;
 	}
+	if (pool->probe != NULL)
+		return;
+	if (pool->probed_us == 0)
+		pool->probed_us = now - random_below(&flow->random, spread_us);
+	pool->probe_due_us = now;
+	pool->probe =
+	    g_sequence_insert_sorted(flow->probe_queue, pool, by_due, NULL);
+	if (!uv_is_active((uv_handle_t *)&flow->probe_timer))
+		set_timer(flow);
 }
 
 /*
- * Starts to probe.
+ * Sets up the queue of probes, empty.
  */
 void
 probe_open(struct flow *flow)
 {
+	flow->probe_queue = g_sequence_new(NULL);
 	uv_timer_init(flow->loop, &flow->probe_timer);
 	flow->probe_timer.data = flow;
-	uv_timer_start(
-	    &flow->probe_timer, on_probe_tick, PROBE_TICK_MS, PROBE_TICK_MS);
 }
 
 /*
@@ -88,4 +183,5 @@
 probe_close(struct flow *flow)
 {
 	uv_close((uv_handle_t *)&flow->probe_timer, NULL);
+	g_sequence_free(flow->probe_queue);
 }
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -155,14 +155,25 @@
 	    random_next(&flow->random), flow_now_us(flow));
 }
 
+static void on_place_tick(uv_timer_t *timer);
+
 /*
- * Returns whether this entry schedules a service.  One that is only asked by
- * some, whose view differs, leaves probing to the other.
+ * Asks the placement of a service here; true when the request waits.  Its
+ * calls are looked at until the last is over.
  */
 bool
-schedule_is_active(const struct service *service)
+schedule_place(struct service *service, const struct placement_request *request)
 {
-	return service->owner;
+	struct flow *flow = service->flow;
+
+	if (!service->busy) {
+		service->busy = true;
+		g_ptr_array_add(flow->busy_services, service);
+	}
+	if (!uv_is_active((uv_handle_t *)&flow->place_timer))
+		uv_timer_start(&flow->place_timer, on_place_tick, PLACE_TICK_MS,
+		    PLACE_TICK_MS);
+	return placement_ask(service->placement, request, flow_now_us(flow));
 }
 
 /*
@@ -211,7 +222,7 @@
 		return;
 	}
 	if (placement_is_waiting(service->placement, call) ||
-	    placement_ask(service->placement, &request, now)) {
+	    schedule_place(service, &request)) {
 		Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
 		Fleet__Held held = FLEET__HELD__INIT;
 
@@ -281,32 +292,39 @@
 }
 
 /*
- * Looks at what waits in our placements.
+ * Forgets questions of other entries whose time is over.
+ */
+void
+schedule_sweep(struct flow *flow, uint64_t now_us)
+{
+	g_hash_table_foreach_remove(flow->remote_calls, is_over, &now_us);
+}
+
+/*
+ * Looks at what waits in the placements that have calls; stops when none has.
  */
 static void
 on_place_tick(uv_timer_t *timer)
 {
 	struct flow *flow = timer->data;
 	uint64_t now = flow_now_us(flow);
-	GHashTableIter iter;
-	gpointer value;
-
-	/* The wall's time, not the loop's: a late turn is what is looked for. */
-	if (strain_note(&flow->strain, clock_monotonic_us(),
-		PLACE_TICK_MS * US_PER_MS)) {
-		log_info("strain", "instance=%s busy=%d lag_us=%.0f callers=%u",
-		    flow->settings.instance, flow->strain.busy,
-		    flow->strain.lag_us, flow->callers.length);
-		fleet_greet(flow);
+
+	flow_note_visits(flow, flow->busy_services->len);
+	for (guint i = flow->busy_services->len; i-- > 0;) {
+		struct service *service = flow->busy_services->pdata[i];
+
+		placement_tick(service->placement, now);
+		if (!placement_is_idle(service->placement))
+			continue;
+		service->busy = false;
+		g_ptr_array_remove_index_fast(flow->busy_services, i);
 	}
-	g_hash_table_foreach_remove(flow->remote_calls, is_over, &now);
-	g_hash_table_iter_init(&iter, flow->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		placement_tick(((struct service *)value)->placement, now);
+	if (flow->busy_services->len == 0)
+		uv_timer_stop(timer);
 }
 
 /*
- * Sets up the tables of calls, and looks at what waits from now on.
+ * Sets up the tables of calls.
  */
 void
 schedule_open(struct flow *flow)
@@ -316,8 +334,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, remote_free);
 	uv_timer_init(flow->loop, &flow->place_timer);
 	flow->place_timer.data = flow;
-	uv_timer_start(
-	    &flow->place_timer, on_place_tick, PLACE_TICK_MS, PLACE_TICK_MS);
+	flow->busy_services = g_ptr_array_new();
 }
 
 /*
@@ -329,4 +346,5 @@
 	uv_close((uv_handle_t *)&flow->place_timer, NULL);
 	g_hash_table_destroy(flow->asks);
 	g_hash_table_destroy(flow->remote_calls);
+	g_ptr_array_free(flow->busy_services, TRUE);
 }
--- a/src/flow/flow_service.c
+++ b/src/flow/flow_service.c
@@ -11,7 +11,8 @@
 	/* Targets of one scheduler: what a tenth of a core keeps count of. */
 	PART_TARGETS = 40,
 	PARTS_MAX = 64,
-	PART_NAME_BYTES = 192
+	PART_NAME_BYTES = 192,
+	PART_MARK_BYTES = 24 /* # and / and two numbers */
 };
 
 /*
@@ -28,26 +29,16 @@
 }
 
 /*
- * Returns whether another entry counts as connected and takes requests.
- */
-static bool
-is_live(const struct fellow *fellow)
-{
-	return fellow->sources != 0 && fellow->ready;
-}
-
-/*
- * Returns the scheduler of a service: of the live entries with the most
+ * Returns the scheduler of a service: of the connected entries with the most
  * processor time the one that the hash ranks first, so that all entries agree
  * without a word.  NULL: this entry.
  */
-struct fellow *
-fleet_scheduler(struct flow *flow, const struct service *service)
+static struct fellow *
+choose(struct flow *flow, const struct service *service, bool only_ready)
 {
-	uint64_t name = str_hash(str_from(service->name));
+	uint64_t name = service->name_hash;
 	unsigned best_millis = flow->settings.processor_millis;
-	uint64_t best_rank = service_mix(
-	    name, str_hash(str_from(flow->settings.datagram_address)));
+	uint64_t best_rank = service_mix(name, flow->own_hash);
 	struct fellow *best = NULL;
 	GHashTableIter iter;
 	gpointer value;
@@ -57,10 +48,10 @@
 	g_hash_table_iter_init(&iter, flow->fellows);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct fellow *fellow = value;
-		uint64_t rank =
-		    service_mix(name, str_hash(str_from(fellow->address)));
+		uint64_t rank = service_mix(name, fellow->address_hash);
 
-		if (!is_live(fellow) || fellow->suspect ||
+		if (fellow->sources == 0 || fellow->stopping ||
+		    fellow->suspect || (only_ready && !fellow->ready) ||
 		    fellow->processor_millis < best_millis ||
 		    (fellow->processor_millis == best_millis &&
 			rank <= best_rank))
@@ -69,9 +60,33 @@
 		best_millis = fellow->processor_millis;
 		best_rank = rank;
 	}
+	flow_note_visits(flow, g_hash_table_size(flow->fellows));
 	return best;
 }
 
+/*
+ * Returns who schedules a service, of those that are ready; worked out once
+ * for each state of the fleet.
+ */
+struct fellow *
+fleet_scheduler(struct flow *flow, struct service *service)
+{
+	if (service->scheduler_of != flow->fleet_state) {
+		service->scheduler = choose(flow, service, true);
+		service->scheduler_of = flow->fleet_state;
+	}
+	return service->scheduler;
+}
+
+/*
+ * Returns who will schedule a service once all that are connected are ready.
+ */
+struct fellow *
+fleet_expected_scheduler(struct flow *flow, const struct service *service)
+{
+	return choose(flow, service, false);
+}
+
 /*
  * Takes a silent entry out of the choice of schedulers until it gives a sign,
  * so that all entries come to the same choice again.
@@ -83,10 +98,28 @@
 	if (!fellow->suspect)
 		log_warn("entry_silent", "instance=%s entry=%s",
 		    flow->settings.instance, fellow->instance);
+	if (!fellow->suspect) {
+		flow->suspects++;
+		fleet_changed(flow);
+	}
 	fellow->suspect = true;
 	fellow->sign_us = flow_now_us(flow);
 }
 
+/*
+ * Takes an entry that has given a sign back into the choice.
+ */
+void
+fleet_trust(struct flow *flow, struct fellow *fellow)
+{
+	fellow->timeouts = 0;
+	if (!fellow->suspect)
+		return;
+	fellow->suspect = false;
+	flow->suspects--;
+	fleet_changed(flow);
+}
+
 /*
  * Asks those who were silent for a sign.
  */
@@ -96,6 +129,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (flow->suspects == 0)
+		return;
+	flow_note_visits(flow, g_hash_table_size(flow->fellows));
 	g_hash_table_iter_init(&iter, flow->fellows);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct fellow *fellow = value;
@@ -125,6 +161,7 @@
 	struct service *service = value;
 
 	placement_free(service->placement);
+	g_ptr_array_free(service->pools, TRUE);
 	mem_free(service->name);
 	mem_free(service);
 }
@@ -142,15 +179,19 @@
 	service = mem_calloc(1, sizeof(*service));
 	service->flow = flow;
 	service->name = str_dup(str_from(name));
+	service->name_hash = str_hash(str_from(name));
+	service->scheduler_of = flow->fleet_state - 1;
+	service->pools = g_ptr_array_new();
 	service->placement = schedule_placement(service);
 	g_hash_table_insert(flow->services, service->name, service);
+	fleet_changed(flow);
 	return service;
 }
 
 static struct service *
 part_of(struct flow *flow, const char *name, unsigned parts, unsigned part)
 {
-	char text[PART_NAME_BYTES];
+	char text[PART_NAME_BYTES + PART_MARK_BYTES];
 
 	if (parts <= 1)
 		return fleet_service(flow, name);
@@ -194,7 +235,8 @@
 
 	pool->of = part_of(flow, pool->service, parts,
 	    (unsigned)(str_hash(str_from(pool->id)) % parts));
-	pool->of->targets++;
+	g_ptr_array_add(pool->of->pools, pool);
+	probe_update(pool);
 	if (target != NULL)
 		placement_add_target(pool->of->placement, pool->id,
 		    pool->failure_domain, target->slots, target->warm_us,
@@ -205,7 +247,8 @@
 unplace_pool(struct pool *pool)
 {
 	placement_remove_target(pool->of->placement, pool->id);
-	pool->of->targets--;
+	g_ptr_array_remove_fast(pool->of->pools, pool);
+	probe_forget(pool);
 }
 
 /*
--- a/src/flow/flow_target.c
+++ b/src/flow/flow_target.c
@@ -66,6 +66,31 @@
 	up->queue = NULL;
 }
 
+/*
+ * Counts a connection as its pool's; pools with one are looked after.
+ */
+static void
+link_to_pool(struct upstream *up, struct pool *pool)
+{
+	up->pool = pool;
+	up->pool_link.data = up;
+	pool->link.data = pool;
+	if (pool->all.length == 0)
+		g_queue_push_tail_link(&pool->flow->linked_pools, &pool->link);
+	g_queue_push_tail_link(&pool->all, &up->pool_link);
+}
+
+static void
+unlink_from_pool(struct upstream *up)
+{
+	struct pool *pool = up->pool;
+
+	g_queue_unlink(&pool->all, &up->pool_link);
+	if (pool->all.length == 0)
+		g_queue_unlink(&pool->flow->linked_pools, &pool->link);
+	up->pool = NULL;
+}
+
 /*
  * Closes a connection that serves no request any more.
  */
@@ -81,8 +106,7 @@
 			up->pool->probing = NULL;
 		if (up->pool->watch == up)
 			up->pool->watch = NULL;
-		g_queue_unlink(&up->pool->all, &up->pool_link);
-		up->pool = NULL;
+		unlink_from_pool(up);
 	}
 	uv_close((uv_handle_t *)&up->tcp, on_closed);
 }
@@ -418,9 +442,7 @@
 		return NULL;
 	up = mem_calloc(1, sizeof(*up));
 	up->flow = pool->flow;
-	up->pool = pool;
-	up->pool_link.data = up;
-	g_queue_push_tail_link(&pool->all, &up->pool_link);
+	link_to_pool(up, pool);
 	up->started_ms = uv_now(pool->flow->loop);
 	enter(up, &pool->flow->connecting);
 	uv_tcp_init(pool->flow->loop, &up->tcp);
@@ -597,12 +619,13 @@
 {
 	uint64_t now = uv_now(flow->loop);
 	const struct upstream *first;
-	GHashTableIter iter;
-	gpointer value;
+	GList *next;
 
-	g_hash_table_iter_init(&iter, flow->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		sweep_pool(value, now);
+	flow_note_visits(flow, flow->linked_pools.length);
+	for (GList *l = flow->linked_pools.head; l != NULL; l = next) {
+		next = l->next;
+		sweep_pool(l->data, now);
+	}
 	while ((first = g_queue_peek_head(&flow->connecting)) != NULL &&
 	    now - first->started_ms > CONNECT_MS)
 		break_off(g_queue_peek_head(&flow->connecting),
@@ -622,10 +645,9 @@
 	if (pool->watch != NULL)
 		upstream_close(pool->watch);
 	/* Requests in hand go on; their connections close after them. */
-	while ((up = g_queue_peek_tail(&pool->all)) != NULL) {
-		g_queue_unlink(&pool->all, &up->pool_link);
-		up->pool = NULL;
-	}
+	while ((up = g_queue_peek_tail(&pool->all)) != NULL)
+		unlink_from_pool(up);
+	probe_forget(pool);
 	mem_free(pool->id);
 	mem_free(pool->address);
 	mem_free(pool->service);
--- a/src/flow/strain.c
+++ b/src/flow/strain.c
@@ -8,8 +8,8 @@
 	PAUSE_US = 1000 * 1000
 };
 
-/* Weight of one turn: about a second of turns of 10 ms. */
-static const double turn_share = 0.01;
+/* Over which lateness is averaged. */
+static const double memory_us = 1e6;
 
 /*
  * Notes how late a timer comes.  Busy from a mean lateness of BUSY_LAG_US on,
@@ -25,7 +25,7 @@
 	s->turned_us = now_us;
 	if (first || took > PAUSE_US)
 		return false;
-	s->lag_us += turn_share *
+	s->lag_us += (double)interval_us / memory_us *
 	    ((took > interval_us ? (double)(took - interval_us) : 0) -
 		s->lag_us);
 	if (s->lag_us > CALM_LAG_US)
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -555,6 +555,11 @@
 {
 	GPtrArray *list = g_ptr_array_new();
 
+	/* Its own calls only, of which it has few. */
+	if (t->in_flight == 0) {
+		g_ptr_array_free(list, TRUE);
+		return;
+	}
 	for (GList *l = p->call_order.head; l != NULL; l = l->next) {
 		struct call *call = l->data;
 
@@ -704,10 +709,19 @@
 }
 
 /*
- * Looks at what waits and forgets calls that are long over.
+ * Returns whether no call waits or is sent.
  */
-void
-placement_tick(struct placement *p, uint64_t now_us)
+bool
+placement_is_idle(const struct placement *p)
+{
+	return p->call_order.length == 0;
+}
+
+/*
+ * Forgets calls that are long over.
+ */
+static void
+forget_old(struct placement *p, uint64_t now_us)
 {
 	GPtrArray *old = g_ptr_array_new();
 
@@ -721,6 +735,18 @@
 	for (guint i = 0; i < old->len; i++)
 		forget(p, old->pdata[i]);
 	g_ptr_array_free(old, TRUE);
+}
+
+/*
+ * Looks at what waits, and now and then for calls that are long over.
+ */
+void
+placement_tick(struct placement *p, uint64_t now_us)
+{
+	if (now_us >= p->old_due_us) {
+		p->old_due_us = now_us + EXPIRED_US / 4;
+		forget_old(p, now_us);
+	}
 	dispatch(p, now_us);
 }
 
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -128,6 +128,8 @@
 /* What a probe found; load NULL: the target did not answer. */
 void placement_report(struct placement *placement, const char *target,
     const struct target_load *load, uint64_t now_us) ATTR_NONNULL(1, 2);
+/* Whether it has no call, waiting or sent: nothing is due then. */
+bool placement_is_idle(const struct placement *placement) ATTR_NONNULL_ALL;
 /* Looks again at all that waits; every few milliseconds. */
 void
 placement_tick(struct placement *placement, uint64_t now_us) ATTR_NONNULL_ALL;
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -88,6 +88,7 @@
 	double mean_slowness; /* over targets, of work: 1 over the mean speed */
 	int silent_count;
 	bool dispatching;
+	uint64_t old_due_us; /* when calls that are over are looked for next */
 };
 
 /* placement_target.c */
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -9,6 +9,7 @@
 	GHashTable *targets; /* id -> struct roster_target */
 	GHashTable *addresses; /* address -> struct roster_target, borrowed */
 	GHashTable *departures; /* id -> struct roster_departure */
+	uint64_t oldest_us; /* no target was heard of last before this */
 };
 
 static void
@@ -90,6 +91,8 @@
 	target->service = str_dup(str_from(from->service));
 	target->address = str_dup(str_from(from->address));
 	target->failure_domain = str_dup(str_from(from->failure_domain));
+	if (target->heard_us < roster->oldest_us)
+		roster->oldest_us = target->heard_us;
 	g_hash_table_insert(roster->targets, target->id, target);
 	g_hash_table_insert(roster->addresses, target->address, target);
 	if (roster->callbacks.added != NULL)
@@ -223,16 +226,22 @@
 void
 roster_expire(struct roster *roster, uint64_t before_us)
 {
-	GPtrArray *old = g_ptr_array_new();
+	GPtrArray *old;
 	GHashTableIter iter;
 	gpointer value;
 
+	if (before_us <= roster->oldest_us)
+		return;
+	old = g_ptr_array_new();
+	roster->oldest_us = UINT64_MAX;
 	g_hash_table_iter_init(&iter, roster->targets);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct roster_target *target = value;
 
 		if (target->heard_us < before_us)
 			g_ptr_array_add(old, value);
+		else if (target->heard_us < roster->oldest_us)
+			roster->oldest_us = target->heard_us;
 	}
 	for (guint i = 0; i < old->len; i++)
 		remove_target(roster, old->pdata[i]);
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1223,7 +1223,7 @@
 	protobuf_c_message_free_unpacked(
 	    (ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor fleet__hello__field_descriptors[13] = {
+static const ProtobufCFieldDescriptor fleet__hello__field_descriptors[14] = {
     {
 	"is_control", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
 	0, /* quantifier_offset */
@@ -1307,6 +1307,12 @@
 	offsetof(Fleet__Hello, busy), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"stopping", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Hello, stopping), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__hello__field_indices_by_name[] = {
     12, /* field[12] = busy */
@@ -1321,13 +1327,14 @@
     7, /* field[7] = ready */
     6, /* field[6] = replica */
     9, /* field[9] = started_ms */
+    13, /* field[13] = stopping */
     10, /* field[10] = wants_all */
 };
 static const ProtobufCIntRange fleet__hello__number_ranges[1 + 1] = {
-    {1, 0}, {0, 13}};
+    {1, 0}, {0, 14}};
 const ProtobufCMessageDescriptor fleet__hello__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Hello", "Hello",
-    "Fleet__Hello", "fleet", sizeof(Fleet__Hello), 13,
+    "Fleet__Hello", "fleet", sizeof(Fleet__Hello), 14,
     fleet__hello__field_descriptors, fleet__hello__field_indices_by_name, 1,
     fleet__hello__number_ranges, (ProtobufCMessageInit)fleet__hello__init, NULL,
     NULL, NULL /* reserved[123] */
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -101,10 +101,14 @@
    * entries: short of processor time
    */
   protobuf_c_boolean busy;
+  /*
+   * entries: schedules nothing any more
+   */
+  protobuf_c_boolean stopping;
 };
 #define FLEET__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__hello__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Fleet__Announcement
--- /dev/null
+++ b/test/unit/support_flow.h
@@ -0,0 +1,53 @@
+/*
+ * An entry on a loop of its own, with a target that takes connections and
+ * never answers, and control instances that say what a test wants.
+ */
+#ifndef SUPPORT_FLOW_H
+#define SUPPORT_FLOW_H
+
+#include "flow/flow_internal.h"
+
+struct flow_bed {
+	uv_loop_t loop;
+	uv_tcp_t listener; /* takes connections and never answers */
+	char target_address[ADDRESS_BYTES];
+	struct flow *flow;
+	struct caller caller;
+	struct routes *routes;
+};
+
+/* Opens an entry with one target, "t1", of service "svc". */
+void flow_bed_open(struct flow_bed *bed, enum repeat_rule repeat);
+/* Frees a request, unless it is NULL, and the entry. */
+void flow_bed_close(struct flow_bed *bed, struct exchange *x);
+void
+flow_bed_announce(struct flow_bed *bed, const char *id, const char *address);
+/* Targets of "svc" numbered so. */
+void flow_bed_announce_many(struct flow_bed *bed, unsigned from, unsigned to);
+/* A whole request that waits for its first grant. */
+struct exchange *flow_bed_exchange(struct flow_bed *bed);
+/* Lets the loop run for so long. */
+void flow_bed_run(struct flow_bed *bed, uint64_t ms);
+
+/* A control instance. */
+struct flow_control {
+	struct channel_listener *listener;
+	char address[ADDRESS_BYTES];
+	/* Called with each frame that comes; may be NULL. */
+	void (*message)(
+	    void *ctx, struct channel *channel, const Fleet__Frame *frame);
+	void *ctx;
+	bool names_document; /* to each that greets */
+	bool hands_it_out; /* to each that asks */
+	unsigned fetches;
+};
+
+void flow_control_open(uv_loop_t *loop, struct flow_control *control);
+/* Sends the document that is in force, or only names it. */
+void flow_control_send_document(struct channel *channel, struct str text);
+/* Tells of another entry. */
+void flow_control_send_entry(
+    struct channel *channel, Fleet__Hello *hello, bool gone);
+void flow_control_send_synced(struct channel *channel);
+
+#endif
--- a/test/unit/test_flow.c
+++ b/test/unit/test_flow.c
@@ -14,148 +14,7 @@
 
 #include <cmocka.h>
 
-#include "flow/flow_internal.h"
-
-struct bed {
-	uv_loop_t loop;
-	uv_tcp_t listener; /* takes connections and never answers */
-	char target_address[ADDRESS_BYTES];
-	struct flow *flow;
-	struct caller caller;
-	struct routes *routes;
-};
-
-static bool
-read_load(struct str value ATTR_UNUSED, struct target_load *load ATTR_UNUSED)
-{
-	return false;
-}
-
-static enum status
-read_document(struct str text ATTR_UNUSED, struct routes **routes)
-{
-	*routes = routes_new(5);
-	return STATUS_OK;
-}
-
-static void
-ignore_connection(uv_stream_t *listener ATTR_UNUSED, int status ATTR_UNUSED)
-{
-}
-
-static void
-listen_anywhere(struct bed *bed)
-{
-	struct sockaddr_in at;
-	int len = sizeof(at);
-
-	assert_int_equal(uv_ip4_addr("127.0.7.251", 0, &at), 0);
-	uv_tcp_init(&bed->loop, &bed->listener);
-	assert_int_equal(
-	    uv_tcp_bind(&bed->listener, (struct sockaddr *)&at, 0), 0);
-	assert_int_equal(
-	    uv_listen((uv_stream_t *)&bed->listener, 16, ignore_connection), 0);
-	assert_int_equal(
-	    uv_tcp_getsockname(&bed->listener, (struct sockaddr *)&at, &len),
-	    0);
-	snprintf(bed->target_address, sizeof(bed->target_address),
-	    "127.0.7.251:%u", ntohs(at.sin_port));
-}
-
-static void
-announce(struct bed *bed, const char *id, const char *address)
-{
-	const struct roster_target target = {
-	    .id = (char *)id,
-	    .service = (char *)"svc",
-	    .address = (char *)address,
-	    .failure_domain = (char *)"a",
-	    .started_ms = 1,
-	    .slots = 4,
-	};
-
-	assert_true(roster_announce(bed->flow->roster, &target));
-}
-
-static void
-open_bed(struct bed *bed, enum repeat_rule repeat)
-{
-	static const struct flow_dialect dialect = {
-	    .attempt_header = "Attempt",
-	    .deadline_header = "Deadline",
-	    .expect_header = "Expect-Target",
-	    .identity_header = "Target",
-	    .proof_header = "Proof",
-	    .not_run_header = "Not-Run",
-	    .load_header = "Load",
-	    .read_load = read_load,
-	    .read_document = read_document,
-	};
-	struct flow_settings settings = {
-	    .instance = "test",
-	    .failure_domain = "a",
-	    .caller_address = "127.0.7.251:0",
-	    .datagram_address = "127.0.7.251:0",
-	    .memory_bytes = 64 << 20,
-	    .descriptors = 1024,
-	    .repeats = {.window_us = 10 * US_PER_S, .ratio = 0.2, .slack = 9},
-	    .probes_per_second = 10,
-	};
-	const struct route from = {
-	    .name = (char *)"r",
-	    .host = (char *)"h",
-	    .prefix = STR_LITERAL("/"),
-	    .repeat = repeat,
-	    .max_attempts = 2,
-	    .timeout_ms = 5000,
-	    .objective_ms = 5000,
-	};
-	struct route *route;
-
-	memset(bed, 0, sizeof(*bed));
-	uv_loop_init(&bed->loop);
-	listen_anywhere(bed);
-	assert_int_equal(
-	    flow_open(&bed->loop, &settings, &dialect, &bed->flow), STATUS_OK);
-	bed->routes = routes_new(1);
-	assert_int_equal(
-	    routes_add_service(bed->routes, "svc", "/health", 100), STATUS_OK);
-	assert_int_equal(routes_add(bed->routes, &from, &route), STATUS_OK);
-	assert_int_equal(
-	    routes_add_part(bed->routes, route, "svc", 1), STATUS_OK);
-	announce(bed, "t1", bed->target_address);
-	bed->caller.flow = bed->flow;
-}
-
-/*
- * Returns a whole request that waits for its first grant.
- */
-static struct exchange *
-new_exchange(struct bed *bed)
-{
-	struct exchange *x = exchange_new(&bed->caller);
-
-	x->caller = NULL;
-	x->routes = routes_get(bed->routes);
-	x->route = routes_find(bed->routes, str_from("h"), str_from("/x"));
-	x->service = fleet_service(bed->flow, "svc");
-	x->deadline_us = x->begun_us + 5 * US_PER_S;
-	x->objective_us = x->deadline_us;
-	str_buf_append_c(&x->target, "/x");
-	return x;
-}
-
-static void
-close_bed(struct bed *bed, struct exchange *x)
-{
-	exchange_free(x);
-	routes_put(bed->routes);
-	uv_close((uv_handle_t *)&bed->listener, NULL);
-	flow_close(bed->flow);
-	(void)uv_run(&bed->loop, UV_RUN_DEFAULT);
-	flow_free(bed->flow);
-	assert_int_equal(uv_loop_close(&bed->loop), 0);
-}
+#include "support_flow.h"
 
 static void
 a_second_grant_counts_only_for_what_may_be_repeated(void **state ATTR_UNUSED)
@@ -166,12 +25,12 @@
 	} cases[] = {{REPEAT_NEVER, 1}, {REPEAT_ALLOWED, 2}};
 
 	for (size_t i = 0; i < 2; i++) {
-		struct bed bed;
+		struct flow_bed bed;
 		struct exchange *x;
 
-		open_bed(&bed, cases[i].repeat);
-		announce(&bed, "t2", "127.0.7.251:9");
-		x = new_exchange(&bed);
+		flow_bed_open(&bed, cases[i].repeat);
+		flow_bed_announce(&bed, "t2", "127.0.7.251:9");
+		x = flow_bed_exchange(&bed);
 		exchange_on_grant(x, "t1", true, 0);
 		assert_int_equal(x->attempt_count, 1);
 		/* The answer to a question that was asked again. */
@@ -182,7 +41,7 @@
 		exchange_on_grant(x, "t1", true, 0);
 		exchange_on_grant(x, "t3", true, 0);
 		assert_int_equal(x->attempt_count, cases[i].sends);
-		close_bed(&bed, x);
+		flow_bed_close(&bed, x);
 	}
 }
 
@@ -191,7 +50,7 @@
  * does; returns what it answers, to be freed.
  */
 static Fleet__Datagram *
-ask_by_datagram(struct bed *bed, const char *service)
+ask_by_datagram(struct flow_bed *bed, const char *service)
 {
 	struct sockaddr_in at;
 	int len = sizeof(at);
@@ -223,18 +82,6 @@
 	return fleet__datagram__unpack(NULL, (size_t)n, bytes);
 }
 
-static void
-announce_many(struct bed *bed, unsigned from, unsigned to)
-{
-	for (unsigned i = from; i < to; i++) {
-		char id[32], address[ADDRESS_BYTES];
-
-		snprintf(id, sizeof(id), "many-%u", i);
-		snprintf(address, sizeof(address), "127.0.7.251:%u", 20 + i);
-		announce(bed, id, address);
-	}
-}
-
 static void
 entries_that_differ_on_the_parts_of_a_service_are_served(
     void **state ATTR_UNUSED)
@@ -254,107 +101,55 @@
 	};
 
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		struct bed bed;
+		struct flow_bed bed;
 		struct exchange *x;
 		Fleet__Datagram *answer;
 
-		open_bed(&bed, REPEAT_ALLOWED);
-		announce_many(&bed, 0, 77);
+		flow_bed_open(&bed, REPEAT_ALLOWED);
+		flow_bed_announce_many(&bed, 0, 77);
 		fleet_adopt_parts(bed.flow, "svc", cases[i].parts);
 		answer = ask_by_datagram(&bed, cases[i].asked);
 		assert_int_equal(
 		    answer->body_case, FLEET__DATAGRAM__BODY_GRANT);
 		assert_int_equal(answer->grant->parts, cases[i].then);
 		fleet__datagram__free_unpacked(answer, NULL);
-		x = new_exchange(&bed);
-		close_bed(&bed, x);
+		x = flow_bed_exchange(&bed);
+		flow_bed_close(&bed, x);
 	}
 }
 
 static void
 more_parts_are_adopted_where_the_targets_are_many(void **state ATTR_UNUSED)
 {
-	struct bed bed;
+	struct flow_bed bed;
 
-	open_bed(&bed, REPEAT_ALLOWED);
-	announce_many(&bed, 0, 50);
+	flow_bed_open(&bed, REPEAT_ALLOWED);
+	flow_bed_announce_many(&bed, 0, 50);
 	assert_int_equal(fleet_adopt_parts(bed.flow, "svc", 2), 1);
-	announce_many(&bed, 50, 70);
+	flow_bed_announce_many(&bed, 50, 70);
 	assert_int_equal(fleet_adopt_parts(bed.flow, "svc", 3), 1);
 	assert_int_equal(fleet_adopt_parts(bed.flow, "svc", 2), 2);
 	assert_int_equal(fleet_adopt_parts(bed.flow, "svc", 1), 2);
-	assert_int_equal(fleet_service(bed.flow, "svc#0/2")->targets +
-		fleet_service(bed.flow, "svc#1/2")->targets,
+	assert_int_equal(fleet_service(bed.flow, "svc#0/2")->pools->len +
+		fleet_service(bed.flow, "svc#1/2")->pools->len,
 	    71);
-	assert_int_equal(fleet_service(bed.flow, "svc")->targets, 0);
-	close_bed(&bed, new_exchange(&bed));
-}
-
-/* A control instance that names a document and hands it out, or does not. */
-struct fake_control {
-	struct channel_listener *listener;
-	char address[ADDRESS_BYTES];
-	bool answers;
-	unsigned fetches;
-};
-
-static void
-fake_send(struct channel *channel, struct str text)
-{
-	Fleet__Frame frame = FLEET__FRAME__INIT;
-	Fleet__Document document = FLEET__DOCUMENT__INIT;
-
-	document.index = 5;
-	document.version = 5;
-	document.text.data = (uint8_t *)text.data;
-	document.text.len = text.len;
-	frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
-	frame.document = &document;
-	channel_send(channel, &frame);
-}
-
-static void
-fake_message(void *ctx, struct channel *channel, const Fleet__Frame *frame)
-{
-	struct fake_control *fake = ctx;
-
-	if (frame->body_case == FLEET__FRAME__BODY_HELLO)
-		fake_send(channel, str_of("", 0));
-	if (frame->body_case != FLEET__FRAME__BODY_FETCH)
-		return;
-	fake->fetches++;
-	if (fake->answers)
-		fake_send(channel, STR_LITERAL("text"));
-}
-
-static void
-fake_open(struct bed *bed, struct fake_control *fake)
-{
-	const struct channel_callbacks callbacks = {
-	    .ctx = fake, .message = fake_message};
-
-	for (unsigned port = 32100; fake->listener == NULL && port < 33000;
-	     port++) {
-		snprintf(fake->address, sizeof(fake->address), "127.0.7.252:%u",
-		    port);
-		fake->listener =
-		    channel_listen(&bed->loop, fake->address, &callbacks);
-	}
-	assert_non_null(fake->listener);
+	assert_int_equal(fleet_service(bed.flow, "svc")->pools->len, 0);
+	flow_bed_close(&bed, flow_bed_exchange(&bed));
 }
 
 static void
 a_document_is_asked_for_until_one_answers(void **state ATTR_UNUSED)
 {
 	/* The instance that was asked first is frozen: nobody was asked after. */
-	struct fake_control fakes[3] = {
-	    {.answers = false}, {.answers = false}, {.answers = true}};
+	struct flow_control fakes[3] = {{.names_document = true},
+	    {.names_document = true},
+	    {.names_document = true, .hands_it_out = true}};
 	const char *seeds[3];
-	struct bed bed;
+	struct flow_bed bed;
 
-	open_bed(&bed, REPEAT_ALLOWED);
+	flow_bed_open(&bed, REPEAT_ALLOWED);
 	for (int i = 0; i < 3; i++) {
-		fake_open(&bed, &fakes[i]);
+		flow_control_open(&bed.loop, &fakes[i]);
 		seeds[i] = fakes[i].address;
 	}
 	bed.flow->settings.seeds = seeds;
@@ -367,14 +162,14 @@
 	for (int i = 0; i < 3; i++)
 		channel_listener_close(fakes[i].listener);
 	bed.flow->settings.seed_count = 0;
-	close_bed(&bed, new_exchange(&bed));
+	flow_bed_close(&bed, flow_bed_exchange(&bed));
 }
 
 /*
  * Connects a caller that reads little at a time.
  */
 static int
-connect_slow_caller(struct bed *bed)
+connect_slow_caller(struct flow_bed *bed)
 {
 	struct sockaddr_in at;
 	int len = sizeof(at);
@@ -400,7 +195,7 @@
 		ANSWER_BYTES = 900000,
 		UNREAD_MS = 2500
 	};
-	struct bed bed;
+	struct flow_bed bed;
 	struct caller *caller;
 	struct exchange *x;
 	uv_os_fd_t server;
@@ -411,7 +206,7 @@
 	ssize_t n;
 	char bytes[65536];
 
-	open_bed(&bed, REPEAT_ALLOWED);
+	flow_bed_open(&bed, REPEAT_ALLOWED);
 	fd = connect_slow_caller(&bed);
 	caller = g_queue_peek_head(&bed.flow->callers);
 	assert_int_equal(
