Take no answer that may be another's; end answers without end; void what was granted before a pause

An attempt id of 48 bytes or more was compared with its first 47: each answer counted as foreign and the caller got 504. - Bytes without end: interim answers and another request's body ran until the caller's deadline; the body of a failure or of an unproved answer was kept whole, up to the link's speed times the deadline. - A grant was acted on whenever it was read: after the deadline, and after the process had been suspended, when its target may have left. - A datagram that names a service nobody knows left a service and a placement behind, for good. - A stop ended all after 5.5 s whatever grace the owner gives. - A body that a caller never ends was waited for without bound.

Change: each ends with a logged reason; grants asked for before a pause of 1 s (by the boot-time clock) are asked for again and idle connections dropped; a stop lasts until half a second before its grace.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -6,6 +6,10 @@
 #include "base/memory.h"
 #include "flow/flow_internal.h"
 
+enum {
+	PAUSE_MS = 1000 /* ten turns of the slowest timer */
+};
+
 /*
  * Returns the loop's time: the same throughout one turn.
  */
@@ -26,6 +30,26 @@
 	return may;
 }
 
+/*
+ * Notes that the loop turns.  A longer gap is a pause of the process, by the
+ * clock that goes on while it is suspended: grants that were asked for before
+ * are void from now on, and connections may have been closed meanwhile.
+ */
+void
+flow_note_turn(struct flow *flow)
+{
+	uint64_t now = clock_boot_us();
+	uint64_t gap = now - flow->turned_boot_us;
+
+	flow->turned_boot_us = now;
+	if (gap < PAUSE_MS * US_PER_MS)
+		return;
+	flow->resumed_boot_us = now;
+	log_warn("resumed", "instance=%s paused_ms=%" PRIu64,
+	    flow->settings.instance, gap / US_PER_MS);
+	targets_drop_idle(flow);
+}
+
 /*
  * Counts what timers have looked at.
  */
@@ -108,6 +132,7 @@
 	flow->failure_domain =
 	    (uint32_t)str_hash(str_from(settings->failure_domain));
 	flow->started_ms = clock_wall_us() / US_PER_MS;
+	flow->turned_boot_us = clock_boot_us();
 	random_seed(&flow->random,
 	    clock_wall_us() ^ str_hash(str_from(settings->datagram_address)));
 	/* Numbers of questions differ from those before a restart. */
--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -71,6 +71,7 @@
 	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
 	Fleet__Ask ask = FLEET__ASK__INIT;
 
+	x->asked_boot_us = clock_boot_us();
 	ask.request = x->ask;
 	ask.service = x->service->name;
 	ask.route = r.route;
@@ -112,7 +113,6 @@
 	struct fellow *scheduler = fleet_scheduler(flow, x->service);
 
 	schedule_forget(x);
-	x->asked_us = flow_now_us(flow);
 	x->held = false;
 	x->ask_repeat = repeat;
 	x->ask_tries = 0;
@@ -129,6 +129,16 @@
 	uv_timer_start(&x->ask_timer, on_answer_timeout, ANSWER_MS, 0);
 }
 
+/*
+ * Returns whether the process was paused since a question was sent: what was
+ * granted then may not hold any more.
+ */
+bool
+schedule_is_stale(const struct exchange *x)
+{
+	return x->ask != 0 && x->asked_boot_us < x->flow->resumed_boot_us;
+}
+
 /*
  * Takes back a question that is open, or gives up a place in the counts.
  */
--- a/src/flow/flow_caller.c
+++ b/src/flow/flow_caller.c
@@ -15,7 +15,8 @@
 	LISTEN_ON_MS = 3500,
 	CLOSE_IDLE_MS = 2500, /* more than an answer to a lookup is kept */
 	CLOSE_ALL_MS = 4500,
-	END_MS = 5500, /* half a second before the least grace, 6 s */
+	/* Before the process is killed, for what is in hand to be written. */
+	END_MARGIN_MS = 500,
 	SPARE_DESCRIPTORS = 700 /* files, targets' and other connections */
 };
 
@@ -205,6 +206,7 @@
 	}
 	if (n == 0 || caller->final)
 		return;
+	flow_note_turn(caller->flow);
 	caller->active_ms = uv_now(caller->flow->loop);
 	caller_read(caller, buf->base, (size_t)n);
 	if (caller->closing)
@@ -292,6 +294,12 @@
 	    now_ms - caller->head_since_ms > routes->limits.header_timeout_ms) {
 		(void)caller_fail(caller, 408, "the header took too long");
 		caller_flush(caller);
+		return;
+	}
+	if (caller->in_body && !caller->final && !caller->paused &&
+	    idle_ms > routes->limits.idle_timeout_ms) {
+		(void)caller_fail(caller, 408, "the body took too long");
+		caller_flush(caller);
 	}
 }
 
@@ -315,7 +323,9 @@
 		uv_close((uv_handle_t *)&flow->listener, NULL);
 	}
 	if (!flow->listening &&
-	    (flow->callers.length == 0 || now - flow->stopping_ms > END_MS)) {
+	    (flow->callers.length == 0 ||
+		now - flow->stopping_ms + END_MARGIN_MS >
+		    flow->settings.grace_ms)) {
 		flow->stopped(flow->stopped_ctx);
 		flow->stopped = NULL;
 	}
@@ -342,6 +352,7 @@
 {
 	struct flow *flow = timer->data;
 
+	flow_note_turn(flow);
 	note_strain(flow);
 	callers_sweep(flow);
 	targets_sweep(flow);
--- a/src/flow/flow_datagram.c
+++ b/src/flow/flow_datagram.c
@@ -104,6 +104,7 @@
 
 	if (n <= 0 || from == NULL)
 		return;
+	flow_note_turn(udp->data);
 	datagram = fleet__datagram__unpack(
 	    NULL, (size_t)n, (const uint8_t *)buf->base);
 	if (datagram == NULL)
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -357,7 +357,8 @@
 {
 	uint32_t hash = (uint32_t)str_hash(str_from(target));
 
-	if (x->ended || x->streaming || x->attempt_count == ATTEMPTS_MAX)
+	if (x->ended || x->streaming || x->attempt_count == ATTEMPTS_MAX ||
+	    flow_now_us(x->flow) >= x->deadline_us)
 		return false;
 	if (!route_is_idempotent(x->route) &&
 	    (x->any_ran || has_open_attempt(x)))
@@ -372,6 +373,21 @@
 	return true;
 }
 
+/*
+ * Logs that a grant was left out, which this process was too late to use.
+ */
+static void
+log_stale(const struct exchange *x, const char *target)
+{
+	if (!flow_may_log(x->flow))
+		return;
+	log_warn("grant_stale",
+	    "instance=%s request=%" PRIu64 " attempt=%s target=%s "
+	    "asked_ms_ago=%" PRIu64,
+	    x->flow->settings.instance, x->id, x->attempt_id, target,
+	    (clock_boot_us() - x->asked_boot_us) / US_PER_MS);
+}
+
 /*
  * Sends a request to the target that the scheduler names.
  */
@@ -385,6 +401,12 @@
 
 	if (!may_send(x, target))
 		return;
+	if (remote && schedule_is_stale(x)) {
+		log_stale(x, target);
+		if (!has_open_attempt(x))
+			schedule_ask(x, x->ask_repeat);
+		return;
+	}
 	attempt = &x->attempts[x->attempt_count++];
 	*attempt = (struct attempt){
 	    .exchange = x,
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -78,6 +78,8 @@
 	bool writing;
 	bool probe; /* the attempt is a probe of its pool's target */
 	bool reused;
+	size_t foreign_bytes; /* of answers to others, in this request's time */
+	unsigned interim_count; /* responses before the answer */
 	uint64_t started_ms;
 };
 
@@ -162,7 +164,7 @@
 	bool held;
 	const char *asked_of; /* address of the scheduler; interned */
 	struct sockaddr_in asked; /* the scheduler */
-	uint64_t asked_us;
+	uint64_t asked_boot_us; /* when the question was sent last */
 	unsigned ask_tries;
 };
 
@@ -260,6 +262,8 @@
 	    told_since_us; /* told of targets without a gap; 0: now in one */
 	bool ready;
 	uint64_t ready_us; /* since when */
+	uint64_t turned_boot_us; /* when the loop was seen to turn last */
+	uint64_t resumed_boot_us; /* end of the last pause of the process */
 	bool stopping;
 	uint64_t stopping_ms;
 	bool listening;
@@ -295,6 +299,8 @@
 };
 
 uint64_t flow_now_us(const struct flow *flow);
+/* Notes that the loop turns; what was granted before a pause is void. */
+void flow_note_turn(struct flow *flow);
 /* Counts targets, entries and parts that a timer has looked at. */
 void flow_note_visits(struct flow *flow, unsigned count);
 /* Whether one more line may be logged in this second. */
@@ -327,7 +333,10 @@
  * many enough; returns into how many it is.
  */
 unsigned fleet_adopt_parts(struct flow *flow, const char *name, unsigned parts);
-/* The part that another entry names, or one of ours in its place. */
+/*
+ * The part that another entry names, or one of ours in its place; NULL for a
+ * service that has no targets here.
+ */
 struct service *fleet_asked(struct flow *flow, const char *text);
 unsigned fleet_parts(struct flow *flow, const struct service *service);
 void fleet_note_parts(
@@ -382,6 +391,8 @@
 void targets_open(struct flow *flow);
 void targets_close(struct flow *flow);
 void targets_sweep(struct flow *flow);
+/* Closes idle connections: after a pause nobody knows how old they are. */
+void targets_drop_idle(struct flow *flow);
 /* Starts a send; false when the target can't take it now. */
 bool target_send(struct attempt *attempt, struct pool *pool);
 bool target_probe(struct pool *pool, const char *path);
@@ -392,6 +403,7 @@
 /* flow_ask.c: our questions to schedulers */
 void schedule_ask(struct exchange *x, bool repeat);
 void schedule_forget(struct exchange *x);
+bool schedule_is_stale(const struct exchange *x);
 void schedule_done(struct attempt *attempt, enum placement_outcome outcome);
 void ask_on_grant(struct flow *flow, const Fleet__Grant *grant);
 void ask_on_reject(struct flow *flow, const Fleet__Reject *reject);
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -10,7 +10,8 @@
 #include "flow/flow_internal.h"
 
 enum {
-	PLACE_TICK_MS = 10 /* a seventh of the shortest work */
+	PLACE_TICK_MS = 10, /* a seventh of the shortest work */
+	UNKNOWN_RETRY_MS = 300 /* a fifth of a heartbeat */
 };
 
 /*
@@ -115,26 +116,52 @@
 	    retry_after_us / US_PER_MS);
 }
 
+static void
+send_reject(struct flow *flow, const struct sockaddr_in *to, uint64_t request,
+    uint64_t retry_after_us, enum placement_reason reason)
+{
+	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
+	Fleet__Reject reject = FLEET__REJECT__INIT;
+
+	reject.request = request;
+	reject.retry_after_ms = (uint32_t)(retry_after_us / US_PER_MS);
+	reject.reason = reason;
+	datagram.body_case = FLEET__DATAGRAM__BODY_REJECT;
+	datagram.reject = &reject;
+	datagram_send(flow, to, &datagram);
+}
+
+/*
+ * Answers a question on a service that has no targets here.
+ */
+static void
+refuse_unknown(
+    struct flow *flow, const struct sockaddr_in *from, const Fleet__Ask *ask)
+{
+	if (flow_may_log(flow))
+		log_info("placement_rejected",
+		    "instance=%s service=%.64s request=%" PRIu64
+		    " remote=1 reason=%d targets=0 retry_after_ms=%d",
+		    flow->settings.instance, ask->service, ask->request,
+		    REJECT_NO_TARGET, UNKNOWN_RETRY_MS);
+	send_reject(flow, from, ask->request, UNKNOWN_RETRY_MS * US_PER_MS,
+	    REJECT_NO_TARGET);
+}
+
 static void
 on_reject(void *ctx, void *user, uint64_t retry_after_us,
     enum placement_reason reason)
 {
 	struct service *service = ctx;
 	struct remote_call *call = user;
-	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
-	Fleet__Reject reject = FLEET__REJECT__INIT;
 
 	log_reject(service, call, retry_after_us, reason);
 	if (!call->asker.remote) {
 		exchange_on_reject(user, retry_after_us, reason);
 		return;
 	}
-	reject.request = call->request;
-	reject.retry_after_ms = (uint32_t)(retry_after_us / US_PER_MS);
-	reject.reason = reason;
-	datagram.body_case = FLEET__DATAGRAM__BODY_REJECT;
-	datagram.reject = &reject;
-	datagram_send(service->flow, &call->from, &datagram);
+	send_reject(
+	    service->flow, &call->from, call->request, retry_after_us, reason);
 	forget_remote(service->flow, call);
 }
 
@@ -202,6 +229,11 @@
 	    .asker = from->sin_addr.s_addr ^ from->sin_port,
 	};
 
+	if (service == NULL) {
+		g_free(key);
+		refuse_unknown(flow, from, ask);
+		return;
+	}
 	if (call == NULL) {
 		call = mem_calloc(1, sizeof(*call));
 		call->asker.remote = true;
--- a/src/flow/flow_service.c
+++ b/src/flow/flow_service.c
@@ -348,7 +348,12 @@
 {
 	char name[PART_NAME_BYTES];
 	unsigned parts = read_part(text, name);
+	const struct service_size *size =
+	    g_hash_table_lookup(flow->sizes, name);
 
+	/* Nothing is kept for names that only a datagram knows. */
+	if (size == NULL || size->targets == 0)
+		return NULL;
 	if (fleet_adopt_parts(flow, name, parts) == parts)
 		return fleet_service(flow, text);
 	return fleet_pick(flow, name);
--- a/src/flow/flow_target.c
+++ b/src/flow/flow_target.c
@@ -15,7 +15,9 @@
 	KEEP_MARGIN_MS = 1200, /* on a target's whole seconds */
 	KEEP_MAX_MS = 60 * 1000,
 	SHARE_MIN = 4, /* connections to one target, however many entries */
-	PROBE_MS = 250 /* half the time in which a speed shifts */
+	PROBE_MS = 250, /* half the time in which a speed shifts */
+	PROBE_BODY_MAX = 4096,
+	INTERIM_MAX = 16 /* before one answer */
 };
 
 static int on_begin(http_parser *parser);
@@ -186,16 +188,59 @@
 }
 
 /*
- * A response that names another attempt than ours belongs to an earlier
- * request of this connection.
+ * A response that names another attempt than ours, or one where a probe's is
+ * due, belongs to an earlier request of this connection.
  */
 static bool
 is_foreign(const struct upstream *up)
 {
-	struct str id = head_find(&up->head, up->flow->dialect.attempt_header);
+	const char *name = up->flow->dialect.attempt_header;
+	struct str id = head_find(&up->head, name);
+	struct str own;
 
-	return up->attempt != NULL && id.data != NULL &&
-	    !str_equal_c(id, up->attempt->exchange->attempt_id);
+	if (id.data == NULL || (up->attempt == NULL && !up->probe))
+		return false;
+	if (up->probe)
+		return true;
+	own = head_find(&up->attempt->exchange->head, name);
+	return own.data == NULL || !str_equal(id, own);
+}
+
+/*
+ * Returns whether nothing tells whose answer this is: it names no attempt,
+ * and the connection has served others.  A target that is full may turn a
+ * request away without reading what it names.
+ */
+static bool
+is_unattributed(const struct upstream *up)
+{
+	const char *name = up->flow->dialect.attempt_header;
+
+	return up->attempt != NULL && up->reused &&
+	    head_find(&up->head, name).data == NULL &&
+	    head_find(&up->head, up->flow->dialect.not_run_header).data ==
+	    NULL &&
+	    head_find(&up->attempt->exchange->head, name).data != NULL;
+}
+
+/*
+ * Returns why a response that does not end is read no further; NULL while it
+ * may be.  An answer that is handed on as it comes has no bound but the
+ * caller's time.
+ */
+static const char *
+excess(const struct upstream *up)
+{
+	if (up->interim_count > INTERIM_MAX)
+		return "too many interim responses";
+	if (up->foreign_bytes > WHOLE_RESPONSE_BYTES)
+		return "another request's answer does not end";
+	if (up->probe && up->body.len > PROBE_BODY_MAX)
+		return "a probe's answer does not end";
+	if (up->attempt != NULL && !up->attempt->exchange->streaming &&
+	    up->body.len > WHOLE_RESPONSE_BYTES)
+		return "an answer that does not count does not end";
+	return NULL;
 }
 
 static int
@@ -204,6 +249,11 @@
 	struct upstream *up = parser->data;
 
 	up->foreign = is_foreign(up);
+	if (parser->status_code >= 200 && is_unattributed(up)) {
+		break_off(
+		    up, OUTCOME_FAILED, "an answer that names no attempt");
+		return -1;
+	}
 	return up->attempt != NULL && up->attempt->exchange->method == HTTP_HEAD
 	    ? 1
 	    : 0;
@@ -214,13 +264,19 @@
 {
 	struct upstream *up = parser->data;
 
-	if (up->foreign || (up->attempt == NULL && !up->probe))
-		return 0;
-	str_buf_append(&up->body, str_of(at, len));
-	if (up->attempt != NULL &&
+	const char *reason;
+
+	if (up->foreign)
+		up->foreign_bytes += len;
+	else if (up->attempt != NULL || up->probe)
+		str_buf_append(&up->body, str_of(at, len));
+	if (!up->foreign && up->attempt != NULL &&
 	    (up->body.len > WHOLE_RESPONSE_BYTES ||
 		up->attempt->exchange->streaming))
 		exchange_on_piece(up->attempt);
+	reason = up->closing ? NULL : excess(up);
+	if (reason != NULL)
+		break_off(up, OUTCOME_FAILED, reason);
 	return up->closing ? 1 : 0;
 }
 
@@ -229,8 +285,13 @@
 {
 	struct upstream *up = parser->data;
 
-	if (parser->status_code < 200)
-		return 0;
+	if (parser->status_code < 200) {
+		up->interim_count++;
+		if (excess(up) == NULL)
+			return 0;
+		break_off(up, OUTCOME_FAILED, excess(up));
+		return 1;
+	}
 	if (up->foreign) {
 		up->in_response = false;
 		return 0;
@@ -520,6 +581,8 @@
 		return false;
 	up->attempt = attempt;
 	attempt->upstream = up;
+	up->foreign_bytes = 0;
+	up->interim_count = 0;
 	up->started_ms = uv_now(pool->flow->loop);
 	str_buf_clear(&up->request);
 	build_request(attempt, &up->request);
@@ -610,6 +673,26 @@
 		break_off(pool->probing, OUTCOME_UNREACHED, "no answer");
 }
 
+/*
+ * Closes all connections that serve nothing.
+ */
+void
+targets_drop_idle(struct flow *flow)
+{
+	GList *next;
+
+	for (GList *l = flow->linked_pools.head; l != NULL; l = next) {
+		struct pool *pool = l->data;
+		struct upstream *up;
+
+		next = l->next;
+		while ((up = g_queue_peek_tail(&pool->idle)) != NULL)
+			upstream_close(up);
+		if (pool->watch != NULL)
+			upstream_close(pool->watch);
+	}
+}
+
 /*
  * Closes idle connections before their targets do, and gives up on those
  * that do not come about.
--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -99,7 +99,7 @@
                 body, pending = pending[:length], pending[length:]
                 method, path, _ = lines[0].split(" ")
                 request = {"method": method, "path": path, "fields": fields,
-                           "body": body}
+                           "body": body, "connection": connection}
                 if path == "/health" and self.resets_probes:
                     self.play(connection, ["reset"])
                     return
@@ -306,6 +306,15 @@
             wait_until(lambda o=one: o.call("GET", "/ready", port=1)[0] == 200,
                        one.name + " ready")
 
+    def memory_kb(self, instance=0, role="flow"):
+        """What a process keeps in memory now."""
+        pid = self.instances[instance].processes[role].pid
+        with open("/proc/%d/status" % pid, encoding="utf-8") as lines:
+            for line in lines:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1])
+        raise AssertionError("no such process")
+
     def ask(self, path, method="GET", body=None, attempt="a1", instance=0,
             wait_ms=3000, fields=None):
         """One request of a caller; (status, body, fields)."""
--- a/test/functional/test_platform_path.py
+++ b/test/functional/test_platform_path.py
@@ -148,6 +148,75 @@
         status, body, _ = self.bed.ask("/safe/a")
         self.assertEqual((status, body), (200, b"right"))
 
+    def test_answer_to_a_long_attempt_id_is_its_own(self):
+        for i in range(3):
+            status, body, _ = self.bed.ask("/safe/a", attempt="l" * 64 + str(i))
+            self.assertEqual((status, body), (200, b"whole"))
+
+    def test_late_copy_on_a_used_connection_is_no_answer(self):
+        # The copy comes when the connection serves the next request, once
+        # with the id of the earlier attempt and once with none.
+        for named in (True, False):
+            held = {}
+
+            def copies(target, request, named=named, held=held):
+                late = held.pop((target.name, request["connection"]), b"")
+                copy = target.answer(
+                    request, b"copy of " + request["path"].encode())
+                if not named:
+                    copy = copy.replace(b"X-Attempt-Id: ", b"X-Else: ")
+                held[target.name, request["connection"]] = copy
+                return late + target.answer(request)
+            self.behave(copies)
+            for i in range(8):
+                status, body, _ = self.bed.ask(
+                    "/once/c", "POST", b"x", attempt="c%d%s" % (i, named))
+                self.assertNotIn(b"copy", body)
+                self.assertIn(status, (200,) if named else (200, 502))
+
+    def test_bytes_without_end_end_with_a_failure(self):
+        # Heads, header lines, interim answers, and bodies that count for
+        # nothing: each ends soon, and what is kept of it is bounded.
+        def forever(start, piece):
+            def steps(target, request):
+                yield start(target, request)
+                while True:
+                    yield piece
+            return steps
+
+        def failure(target, request, fields=""):
+            return target.head(request, "500 Broken", fields)
+
+        def named(name):
+            return (b"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + name.encode() +
+                    b"\r\n\r\n")
+        block = b"x" * 60000
+        answers = {
+            "status line": forever(lambda t, r: b"HTTP/1.1 2", block),
+            "header line": forever(
+                lambda t, r: b"HTTP/1.1 200 OK\r\nA: ", block),
+            "header lines": forever(
+                lambda t, r: b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 5000),
+            "interim answers": forever(
+                lambda t, r: b"", b"HTTP/1.1 102 Wait\r\n\r\n" * 500),
+            "a failure's body": forever(failure, block),
+            "an unproved body": forever(
+                lambda t, r: named(r["fields"]["x-attempt-id"]), block),
+            "another's body": forever(lambda t, r: named("other"), block),
+            "chunk extension": forever(
+                lambda t, r: failure(
+                    t, r, "Transfer-Encoding: chunked\r\n") + b"5;", block),
+        }
+        for name, steps in answers.items():
+            self.behave(steps)
+            began = time.monotonic()
+            status, body, _ = self.bed.ask("/once/a", "POST", b"x")
+            took = time.monotonic() - began
+            self.assertIn(status, (500, 502), name)
+            self.assertLess(len(body), 2 << 20, name)
+            self.assertLess(took, 1.5, name)  # the caller waits for 3 s
+        self.assertLess(self.bed.memory_kb(), 60 << 10)
+
     def test_bytes_behind_an_answer_belong_to_no_request(self):
         def stray(target, request):
             return target.answer(request) + target.answer(request, b"again")
--- a/test/unit/test_flow.c
+++ b/test/unit/test_flow.c
@@ -240,6 +240,66 @@
 	assert_int_equal(uv_loop_close(&bed.loop), 0);
 }
 
+static void
+a_grant_read_after_a_pause_or_the_deadline_is_void(void **state ATTR_UNUSED)
+{
+	struct flow_bed bed;
+	struct exchange *x;
+	struct flow *flow;
+	uint64_t ask;
+
+	flow_bed_open(&bed, REPEAT_NEVER);
+	flow = bed.flow;
+	x = flow_bed_exchange(&bed);
+	x->ask = ask = ++flow->next_ask;
+	g_hash_table_insert(flow->asks, &x->ask, x);
+	x->asked_boot_us = clock_boot_us();
+	/* Suspended for five seconds: the loop's own time stood still. */
+	x->asked_boot_us -= 5 * US_PER_S;
+	flow->turned_boot_us = x->asked_boot_us;
+	flow_note_turn(flow);
+	exchange_on_grant(x, "t1", true, 0);
+	/* It asked again, here as its own scheduler, and got its target. */
+	assert_int_not_equal(x->ask, ask);
+	assert_int_equal(x->attempt_count, 1);
+	assert_false(x->attempts[0].remote);
+	flow_bed_close(&bed, x);
+
+	flow_bed_open(&bed, REPEAT_ALLOWED);
+	x = flow_bed_exchange(&bed);
+	x->deadline_us = flow_now_us(bed.flow);
+	exchange_on_grant(x, "t1", true, 0);
+	assert_int_equal(x->attempt_count, 0);
+	flow_bed_close(&bed, x);
+}
+
+static void
+nothing_is_kept_for_services_that_only_a_datagram_names(
+    void **state ATTR_UNUSED)
+{
+	struct flow_bed bed;
+	guint services, sizes;
+
+	flow_bed_open(&bed, REPEAT_ALLOWED);
+	services = g_hash_table_size(bed.flow->services);
+	sizes = g_hash_table_size(bed.flow->sizes);
+	for (int i = 0; i < 50; i++) {
+		char name[32];
+		Fleet__Datagram *answer;
+
+		snprintf(name, sizeof(name), "nobody%d#%d/64", i, i);
+		answer = ask_by_datagram(&bed, name);
+		assert_int_equal(
+		    answer->body_case, FLEET__DATAGRAM__BODY_REJECT);
+		assert_int_equal(answer->reject->reason, REJECT_NO_TARGET);
+		fleet__datagram__free_unpacked(answer, NULL);
+	}
+	assert_int_equal(g_hash_table_size(bed.flow->services), services);
+	assert_int_equal(g_hash_table_size(bed.flow->sizes), sizes);
+	assert_int_equal(g_hash_table_size(bed.flow->remote_calls), 0);
+	flow_bed_close(&bed, NULL);
+}
+
 int
 main(void)
 {
@@ -251,6 +311,10 @@
 	    cmocka_unit_test(a_document_is_asked_for_until_one_answers),
 	    cmocka_unit_test(more_parts_are_adopted_where_the_targets_are_many),
 	    cmocka_unit_test(a_last_answer_is_written_however_long_it_takes),
+	    cmocka_unit_test(
+		a_grant_read_after_a_pause_or_the_deadline_is_void),
+	    cmocka_unit_test(
+		nothing_is_kept_for_services_that_only_a_datagram_names),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
