Tell entries only of those that may schedule for others

Cause: after a loss of power of all, each of 476 entries was told of each other one, by two control instances: at 120 bytes that is 18 MB a seed beside 30 KB of targets an entry, on links of 100 and 2.9 Mbit/s.

Change: in a fleet of 64 or more, entries are told of those with the most processor time and of a fixed sixteenth of the rest, in case the former are lost together; only these schedule. Control is told of all, and tells entries how many there are, by which connections and repeats are shared out.

--- /dev/null
+++ b/src/base/candidate.h
@@ -0,0 +1,29 @@
+/*
+ * Which entries may schedule for others, and so are told to all: in a large
+ * fleet those with the most processor time, and a fixed sample of the rest in
+ * case that these are lost together.  Control and entries decide alike.
+ */
+#ifndef BASE_CANDIDATE_H
+#define BASE_CANDIDATE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+	CANDIDATE_FLEET = 64, /* in a smaller fleet all may */
+	CANDIDATE_SAMPLE = 16 /* one of so many */
+};
+
+/*
+ * Returns whether an entry may schedule; address_hash is of its datagram
+ * address, entries counts the fleet, millis are thousandths of a core.
+ */
+static inline bool
+is_candidate(uint64_t address_hash, unsigned millis, unsigned entries,
+    unsigned most_millis)
+{
+	return entries < CANDIDATE_FLEET || millis >= most_millis ||
+	    address_hash % CANDIDATE_SAMPLE == 0;
+}
+
+#endif
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -70,7 +70,10 @@
 	Fleet__Cache *cache; /* of the last run; NULL once the log knows more */
 	bool cache_dirty;
 	uint64_t cache_us; /* when the cache may be written next */
-	struct str_buf news; /* of targets and entries, told at the next tick */
+	struct str_buf news; /* for all who want all, told at the next tick */
+	struct str_buf control_news; /* of other entries, for control alone */
+	unsigned entry_count; /* connected here */
+	unsigned most_millis; /* the most processor time of an entry, ever */
 	/* The document as it is sent: named only, and with its text. */
 	struct packed_frame *packed_document[2];
 	uint64_t packed_index;
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -54,6 +54,7 @@
 		    peer->replica, hello->failure_domain);
 	}
 	peer->greet_due = peer->greet_due || first || more;
+	core->entry_count += first && !peer->is_control ? 1 : 0;
 	if (!peer->is_control) {
 		core_tell_entry(core, peer->hello, false);
 		return;
@@ -311,6 +312,7 @@
 	peer->channel = NULL;
 	if (peer->greeted && !peer->is_control) {
 		peer->greeted = false;
+		core->entry_count--;
 		core_tell_entry(core, peer->hello, true);
 	}
 	g_ptr_array_remove_fast(core->peers, peer);
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/candidate.h"
 #include "base/clock.h"
 #include "core/core_internal.h"
 
@@ -176,14 +177,31 @@
 	channel_batch(batch, &frame);
 }
 
+/*
+ * Returns whether entries are told of one: bytes to each of all others.
+ */
+static bool
+may_schedule(const struct core *core, const Fleet__Hello *hello)
+{
+	return is_candidate(str_hash(str_from(hello->datagram_address)),
+	    hello->processor_millis, core->entry_count, core->most_millis);
+}
+
 /*
  * Tells those who want all of an entry that is connected here or was until
- * now.
+ * now; control is told of each, entries of those that may schedule.
  */
 void
 core_tell_entry(struct core *core, Fleet__Hello *hello, bool gone)
 {
-	batch_entry(&core->news, hello, gone);
+	struct str_buf *news = &core->control_news;
+
+	if (hello->processor_millis > core->most_millis)
+		core->most_millis = hello->processor_millis;
+	/* An end is told to all: the fleet may have been small before. */
+	if (gone || may_schedule(core, hello))
+		news = &core->news;
+	batch_entry(news, hello, gone);
 }
 
 /*
@@ -208,6 +226,8 @@
 	message.n_address = count;
 	message.address = addresses;
 	message.leader = core->info.leader;
+	message.entries = core->entry_count;
+	message.most_millis = core->most_millis;
 	message.leader_address = (char *)core_leader_address(core);
 	frame.body_case = FLEET__FRAME__BODY_MEMBERS;
 	frame.members = &message;
@@ -269,7 +289,7 @@
  * want all, and the word that this is all.
  */
 static struct packed_frame *
-pack_last_part(const struct core *core, bool wants_all)
+pack_last_part(const struct core *core, bool wants_all, bool is_control)
 {
 	struct str_buf batch = {0};
 	struct packed_frame *packed;
@@ -281,7 +301,8 @@
 	for (guint i = 0; wants_all && i < core->peers->len; i++) {
 		const struct core_peer *other = core->peers->pdata[i];
 
-		if (other->greeted && !other->is_control)
+		if (other->greeted && !other->is_control &&
+		    (is_control || may_schedule(core, other->hello)))
 			batch_entry(&batch, other->hello, false);
 	}
 	frame.body_case = FLEET__FRAME__BODY_SYNCED;
@@ -301,11 +322,12 @@
 greet_newcomers(struct core *core)
 {
 	struct packed_frame *first = NULL;
-	struct packed_frame *last[2] = {NULL, NULL};
+	struct packed_frame *last[3] = {NULL, NULL, NULL};
 
 	for (guint i = 0; i < core->peers->len; i++) {
 		struct core_peer *peer = core->peers->pdata[i];
-		struct packed_frame **rest = &last[peer->wants_all];
+		struct packed_frame **rest =
+		    &last[peer->is_control ? 2 : peer->wants_all];
 
 		if (!peer->greet_due)
 			continue;
@@ -313,12 +335,13 @@
 		if (first == NULL)
 			first = pack_first_part(core);
 		if (*rest == NULL)
-			*rest = pack_last_part(core, peer->wants_all);
+			*rest = pack_last_part(
+			    core, peer->wants_all, peer->is_control);
 		channel_send_packed(peer->channel, first);
 		send_known_document(core, peer);
 		channel_send_packed(peer->channel, *rest);
 	}
-	for (int i = 0; i < 2; i++) {
+	for (int i = 0; i < 3; i++) {
 		if (last[i] != NULL)
 			channel_packed_put(last[i]);
 	}
@@ -327,23 +350,24 @@
 }
 
 /*
- * Sends the news of this tick to those who want all, in one piece.
+ * Sends news to those who want all, or to control alone, in one piece.
  */
 static void
-push_news(struct core *core)
+push_batch(struct core *core, struct str_buf *news, bool to_entries)
 {
 	struct packed_frame *packed;
 	GHashTableIter iter;
 	gpointer value;
 
-	if (core->news.len == 0)
+	if (news->len == 0)
 		return;
-	packed = channel_pack_batch(&core->news);
-	str_buf_clear(&core->news);
+	packed = channel_pack_batch(news);
+	str_buf_clear(news);
 	for (guint i = 0; i < core->peers->len; i++) {
 		const struct core_peer *peer = core->peers->pdata[i];
 
-		if (peer->greeted && peer->wants_all)
+		if (peer->greeted && peer->wants_all &&
+		    (to_entries || peer->is_control))
 			channel_send_packed(peer->channel, packed);
 	}
 	/* Instances without a disk are no neighbours: they dial, and tell. */
@@ -361,7 +385,8 @@
 void
 core_push_tick(struct core *core)
 {
-	push_news(core);
+	push_batch(core, &core->news, true);
+	push_batch(core, &core->control_news, false);
 	greet_newcomers(core);
 }
 
@@ -373,4 +398,5 @@
 {
 	drop_packed_document(core);
 	str_buf_free(&core->news);
+	str_buf_free(&core->control_news);
 }
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/candidate.h"
 #include "base/logger.h"
 #include "base/memory.h"
 #include "flow/flow_internal.h"
@@ -175,10 +176,22 @@
 static struct control *control_of(struct flow *flow, const char *address);
 
 static void
-on_members(struct flow *flow, const Fleet__Members *m)
+on_members(
+    struct flow *flow, const struct control *from, const Fleet__Members *m)
 {
 	for (size_t i = 0; i < m->n_address; i++)
 		(void)control_of(flow, m->address[i]);
+	/* One that has just started knows few: the most that is told counts. */
+	if (m->most_millis > flow->most_millis) {
+		flow->most_millis = m->most_millis;
+		fleet_changed(flow);
+	}
+	if (from->primary && m->entries != flow->entries) {
+		if ((m->entries < CANDIDATE_FLEET) !=
+		    (flow->entries < CANDIDATE_FLEET))
+			fleet_changed(flow);
+		flow->entries = m->entries;
+	}
 }
 
 static void
@@ -244,7 +257,7 @@
 		on_entry(flow, control, frame->entry);
 		break;
 	case FLEET__FRAME__BODY_MEMBERS:
-		on_members(flow, frame->members);
+		on_members(flow, control, frame->members);
 		break;
 	case FLEET__FRAME__BODY_HEARD:
 		roster_hear(flow->roster, frame->heard->target,
@@ -511,7 +524,7 @@
 void
 fleet_update_owners(struct flow *flow)
 {
-	bool may = flow->ready && !flow->stopping;
+	bool may = flow->ready && !flow->stopping && fleet_may_schedule(flow);
 	bool waits =
 	    flow_now_us(flow) - flow->ready_us < OWNER_WAIT_MS * US_PER_MS;
 	bool settled = true;
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -254,6 +254,8 @@
 	GHashTable *sizes; /* name -> struct service_size */
 	GHashTable *fellows; /* datagram address -> struct fellow */
 	uint64_t own_hash; /* of this entry's datagram address */
+	unsigned entries; /* of the fleet, as control tells */
+	unsigned most_millis; /* the most processor time of one */
 	unsigned fleet_state; /* counts changes of who may schedule */
 	unsigned owners_of; /* state for which the owners were worked out */
 	unsigned suspects; /* silent entries */
@@ -323,6 +325,7 @@
 struct fellow *
 fleet_expected_scheduler(struct flow *flow, const struct service *service);
 unsigned fleet_size(const struct flow *flow);
+bool fleet_may_schedule(const struct flow *flow);
 /* Who may schedule has changed. */
 void fleet_changed(struct flow *flow);
 void fleet_update_owners(struct flow *flow);
--- a/src/flow/flow_service.c
+++ b/src/flow/flow_service.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/candidate.h"
 #include "base/logger.h"
 #include "base/memory.h"
 #include "flow/flow_internal.h"
@@ -28,6 +29,16 @@
 	return x ^ (x >> 31);
 }
 
+/*
+ * Returns whether this entry is one of those that schedule for others.
+ */
+bool
+fleet_may_schedule(const struct flow *flow)
+{
+	return is_candidate(flow->own_hash, flow->settings.processor_millis,
+	    flow->entries, flow->most_millis);
+}
+
 /*
  * Returns the scheduler of a service: of the connected entries with the most
  * processor time the one that the hash ranks first, so that all entries agree
@@ -37,8 +48,9 @@
 choose(struct flow *flow, const struct service *service, bool only_ready)
 {
 	uint64_t name = service->name_hash;
-	unsigned best_millis = flow->settings.processor_millis;
-	uint64_t best_rank = service_mix(name, flow->own_hash);
+	bool own = fleet_may_schedule(flow);
+	unsigned best_millis = own ? flow->settings.processor_millis : 0;
+	uint64_t best_rank = own ? service_mix(name, flow->own_hash) : 0;
 	struct fellow *best = NULL;
 	GHashTableIter iter;
 	gpointer value;
@@ -144,12 +156,15 @@
 }
 
 /*
- * Returns how many other entries are connected.
+ * Returns how many other entries are connected: those that are known, or as
+ * many as control counts.
  */
 unsigned
 fleet_size(const struct flow *flow)
 {
-	return g_hash_table_size(flow->fellows);
+	unsigned known = g_hash_table_size(flow->fellows);
+
+	return flow->entries > known + 1 ? flow->entries - 1 : known;
 }
 
 /*
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -187,10 +187,18 @@
   uint32_t voters;
   uint64_t leader;
   char *leader_address;
+  /*
+   * connected here
+   */
+  uint32_t entries;
+  /*
+   * the most processor time of an entry
+   */
+  uint32_t most_millis;
 };
 #define FLEET__MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__members__descriptor) \
-    , 0,NULL, 0, 0, (char *)protobuf_c_empty_string }
+    , 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Fleet__Edit
--- a/test/unit/support_flow.c
+++ b/test/unit/support_flow.c
@@ -229,6 +229,23 @@
 	channel_send(channel, &frame);
 }
 
+/*
+ * Tells how many entries there are, and the most processor time of one.
+ */
+void
+flow_control_send_members(
+    struct channel *channel, unsigned entries, unsigned most_millis)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Members members = FLEET__MEMBERS__INIT;
+
+	members.entries = entries;
+	members.most_millis = most_millis;
+	frame.body_case = FLEET__FRAME__BODY_MEMBERS;
+	frame.members = &members;
+	channel_send(channel, &frame);
+}
+
 /*
  * Tells that this is all.
  */
--- a/test/unit/support_flow.h
+++ b/test/unit/support_flow.h
@@ -50,5 +50,8 @@
 void flow_control_send_entry(
     struct channel *channel, Fleet__Hello *hello, bool gone);
 void flow_control_send_synced(struct channel *channel);
+/* Tells how many entries there are, and the most processor time of one. */
+void flow_control_send_members(
+    struct channel *channel, unsigned entries, unsigned most_millis);
 
 #endif
--- a/test/unit/test_flow_fleet.c
+++ b/test/unit/test_flow_fleet.c
@@ -11,6 +11,7 @@
 
 #include <cmocka.h>
 
+#include "base/candidate.h"
 #include "base/memory.h"
 #include "support_flow.h"
 
@@ -22,6 +23,7 @@
 /* A fleet as one control instance tells of it. */
 struct fleet {
 	unsigned entries;
+	unsigned counted; /* by control, though it tells of none yet */
 	struct channel *told;
 };
 
@@ -47,6 +49,8 @@
 	    fleet->told == channel)
 		return;
 	fleet->told = channel;
+	if (fleet->counted > 0)
+		flow_control_send_members(channel, fleet->counted, 250);
 	flow_control_send_document(channel, STR_LITERAL("text"));
 	for (unsigned i = 0; i < fleet->entries; i++) {
 		Fleet__Hello hello = FLEET__HELLO__INIT;
@@ -100,6 +104,40 @@
 	assert_int_equal(visits_when_idle(3100, 1000), 0);
 }
 
+static void
+an_entry_that_may_not_schedule_leaves_it_to_others(void **state ATTR_UNUSED)
+{
+	/* All with more processor time are gone, or not known yet. */
+	static const struct {
+		unsigned counted;
+		bool owner;
+	} cases[] = {{CANDIDATE_FLEET - 1, true}, {476, false}};
+
+	for (size_t i = 0; i < 2; i++) {
+		struct fleet fleet = {.counted = cases[i].counted};
+		struct flow_control control = {
+		    .message = tell_fleet, .ctx = &fleet};
+		struct flow_bed bed;
+		const char *seeds[1];
+
+		flow_bed_open(&bed, REPEAT_ALLOWED);
+		bed.flow->settings.processor_millis = 100;
+		bed.flow->own_hash = CANDIDATE_SAMPLE + 1;
+		flow_control_open(&bed.loop, &control);
+		seeds[0] = control.address;
+		bed.flow->settings.seeds = seeds;
+		bed.flow->settings.seed_count = 1;
+		flow_bed_run(&bed, SETTLE_MS);
+		assert_true(bed.flow->ready);
+		assert_int_equal(fleet_size(bed.flow), cases[i].counted - 1);
+		assert_int_equal(
+		    fleet_service(bed.flow, "svc")->owner, cases[i].owner);
+		bed.flow->settings.seed_count = 0;
+		channel_listener_close(control.listener);
+		flow_bed_close(&bed, NULL);
+	}
+}
+
 /* Entries that start at once, and the one control instance that all dial. */
 enum {
 	STARTERS = 150, /* four descriptors each, of 1,024 */
@@ -292,6 +330,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(
 		an_entry_that_schedules_nothing_does_nothing_with_the_fleet),
+	    cmocka_unit_test(
+		an_entry_that_may_not_schedule_leaves_it_to_others),
 	    cmocka_unit_test(all_that_start_at_once_agree_on_one_owner),
 	};
 
