Keep as many control instances as there are; forget those that are gone

Cause: an entry kept the 16 control instances that it heard of first, for good, and cleared bits of whom they tell of modulo 32.

Change: 64 at a time, each with a bit of its own; one that is not connected and that nobody has named for a minute makes room; a line says when one is left out. test_flow_fleet: 70 instances by turns of 18 are all kept while named.

--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -12,7 +12,9 @@
 	SYNC_WAIT_MS = 2000,
 	/* As long as the slowest of those who start at once may take. */
 	OWNER_WAIT_MS = SYNC_WAIT_MS,
-	CONTROLS_MAX = 16,
+	CONTROLS_MAX = 64, /* the bits of a fellow's sources */
+	/* One that nobody has named for so long is no longer dialled. */
+	CONTROL_FORGET_MS = 60 * 1000,
 	/* One more than may be lost at once without any loss of news. */
 	PRIMARIES = 2,
 	/* Two of the leader's heartbeats: by then the near one has applied it. */
@@ -138,7 +140,7 @@
 {
 	const Fleet__Hello *hello = m->hello;
 	struct fellow *fellow;
-	unsigned bit = 1u << from->bit;
+	uint64_t bit = UINT64_C(1) << from->bit;
 
 	if (hello == NULL ||
 	    strcmp(hello->datagram_address, flow->settings.datagram_address) ==
@@ -179,8 +181,12 @@
 on_members(
     struct flow *flow, const struct control *from, const Fleet__Members *m)
 {
-	for (size_t i = 0; i < m->n_address; i++)
-		(void)control_of(flow, m->address[i]);
+	for (size_t i = 0; i < m->n_address; i++) {
+		struct control *control = control_of(flow, m->address[i]);
+
+		if (control != NULL)
+			control->named_us = flow_now_us(flow);
+	}
 	/* One that has just started knows few: the most that is told counts. */
 	if (m->most_millis > flow->most_millis) {
 		flow->most_millis = m->most_millis;
@@ -204,7 +210,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct fellow *fellow = value;
 
-		fellow->sources &= ~(1u << bit);
+		fellow->sources &= ~(UINT64_C(1) << bit);
 		note_sources(flow, fellow);
 	}
 }
@@ -434,16 +440,53 @@
 	    .closed = on_closed,
 	};
 
-	if (control != NULL || address[0] == '\0' ||
-	    g_hash_table_size(flow->controls) >= CONTROLS_MAX)
+	unsigned bit = 0;
+
+	if (control != NULL || address[0] == '\0')
 		return control;
+	while (bit < CONTROLS_MAX && (flow->control_bits >> bit & 1) != 0)
+		bit++;
+	if (bit == CONTROLS_MAX) {
+		if (flow_may_log(flow))
+			log_warn("controls_max",
+			    "instance=%s control=%s known=%u next=left_out",
+			    flow->settings.instance, address, CONTROLS_MAX);
+		return NULL;
+	}
 	control = mem_calloc(1, sizeof(*control));
-	control->bit = flow->control_bits++ % 32;
+	control->bit = bit;
+	control->named_us = flow_now_us(flow);
+	flow->control_bits |= UINT64_C(1) << bit;
 	control->channel = channel_dial(flow->loop, address, &callbacks);
 	g_hash_table_insert(flow->controls, g_strdup(address), control);
 	return control;
 }
 
+/*
+ * Forgets control instances that are gone for good, whose place others need.
+ */
+static void
+forget_controls(struct flow *flow, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now_us < flow->controls_due_us)
+		return;
+	flow->controls_due_us = now_us + CONTROL_FORGET_MS * US_PER_MS / 4;
+	g_hash_table_iter_init(&iter, flow->controls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct control *control = value;
+
+		if (channel_is_open(control->channel) ||
+		    now_us - control->named_us < CONTROL_FORGET_MS * US_PER_MS)
+			continue;
+		forget_source(flow, control->bit);
+		flow->control_bits &= ~(UINT64_C(1) << control->bit);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
 /*
  * Tells all control instances of this entry, after its state has changed.
  */
@@ -656,8 +699,14 @@
 	uint64_t now = flow_now_us(flow);
 	bool ready = !flow->stopping && (flow->ready || has_heard_enough(flow));
 
-	for (unsigned i = 0; i < flow->settings.seed_count; i++)
-		(void)control_of(flow, flow->settings.seeds[i]);
+	for (unsigned i = 0; i < flow->settings.seed_count; i++) {
+		struct control *control =
+		    control_of(flow, flow->settings.seeds[i]);
+
+		if (control != NULL)
+			control->named_us = now;
+	}
+	forget_controls(flow, now);
 	if (ready != flow->ready) {
 		flow->ready = ready;
 		flow->ready_us = now;
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -199,7 +199,7 @@
 	uint64_t address_hash;
 	char *instance;
 	unsigned processor_millis;
-	unsigned sources; /* bit per channel that tells of it as connected */
+	uint64_t sources; /* bit per control that tells of it as connected */
 	bool ready;
 	bool stopping;
 	struct sockaddr_in datagram;
@@ -216,6 +216,7 @@
 	bool primary; /* tells of targets and entries, too */
 	bool stale; /* lost; what it told holds until another has told all */
 	uint64_t opened_us;
+	uint64_t named_us; /* when somebody named it last, or it is a seed */
 	uint64_t named_index; /* newest document that it has named */
 };
 
@@ -260,7 +261,8 @@
 	unsigned owners_of; /* state for which the owners were worked out */
 	unsigned suspects; /* silent entries */
 	GHashTable *controls; /* link address -> struct control */
-	unsigned control_bits;
+	uint64_t control_bits; /* taken */
+	uint64_t controls_due_us; /* when old ones are looked for next */
 	uint64_t first_synced_us;
 	uint64_t
 	    told_since_us; /* told of targets without a gap; 0: now in one */
--- a/test/unit/test_flow_fleet.c
+++ b/test/unit/test_flow_fleet.c
@@ -138,6 +138,48 @@
 	}
 }
 
+static void
+control_instances_that_are_gone_make_room(void **state ATTR_UNUSED)
+{
+	/* A day of replaced seeds: 16 were kept before, the first ones. */
+	enum {
+		REPLACED = 70,
+		AT_A_TIME = 18
+	};
+	struct flow_bed bed;
+	const char *seeds[AT_A_TIME];
+	char address[AT_A_TIME][ADDRESS_BYTES];
+
+	flow_bed_open(&bed, REPEAT_ALLOWED);
+	bed.flow->settings.seeds = seeds;
+	for (unsigned first = 0; first + AT_A_TIME <= REPLACED; first += 13) {
+		for (unsigned i = 0; i < AT_A_TIME; i++) {
+			snprintf(address[i], sizeof(address[i]), "127.0.4.%u:9",
+			    1 + first + i);
+			seeds[i] = address[i];
+		}
+		bed.flow->settings.seed_count = AT_A_TIME;
+		fleet_tick(bed.flow);
+		for (unsigned i = 0; i < AT_A_TIME; i++)
+			assert_non_null(
+			    g_hash_table_lookup(bed.flow->controls, seeds[i]));
+		/* A minute later, by what they note. */
+		for (unsigned i = 0; i < 13; i++) {
+			struct control *old =
+			    g_hash_table_lookup(bed.flow->controls, seeds[i]);
+
+			old->named_us = 0;
+		}
+		bed.flow->controls_due_us = 0;
+		bed.flow->settings.seed_count = 0;
+		bed.loop.time += 61 * 1000;
+		fleet_tick(bed.flow);
+		assert_in_range(
+		    g_hash_table_size(bed.flow->controls), 0, AT_A_TIME);
+	}
+	flow_bed_close(&bed, NULL);
+}
+
 /* Entries that start at once, and the one control instance that all dial. */
 enum {
 	STARTERS = 150, /* four descriptors each, of 1,024 */
@@ -332,6 +374,7 @@
 		an_entry_that_schedules_nothing_does_nothing_with_the_fleet),
 	    cmocka_unit_test(
 		an_entry_that_may_not_schedule_leaves_it_to_others),
+	    cmocka_unit_test(control_instances_that_are_gone_make_room),
 	    cmocka_unit_test(all_that_start_at_once_agree_on_one_owner),
 	};
 
