Keep no freed call in a placement; refuse a run of frames within a run

One malformed or forged datagram ended a scheduler. And a deflated run could hold another one, to any depth, by reading.

--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -282,6 +282,21 @@
 	g_free(key);
 }
 
+/*
+ * Forgets a call that its asker says was answered, wherever it is: whoever
+ * asks may be wrong, and a placement must not keep what is freed.
+ */
+static void
+forget_answered(struct flow *flow, const char *key)
+{
+	struct remote_call *call = g_hash_table_lookup(flow->remote_calls, key);
+
+	if (call == NULL)
+		return;
+	placement_cancel(call->service->placement, call);
+	g_hash_table_remove(flow->remote_calls, key);
+}
+
 /*
  * Another entry tells how a send that was granted here has ended.
  */
@@ -307,7 +322,7 @@
 		    done->took_ms * US_PER_MS, done->has_load ? &load : NULL,
 		    flow_now_us(flow));
 	if (done->outcome == OUTCOME_ANSWERED)
-		g_hash_table_remove(flow->remote_calls, key);
+		forget_answered(flow, key);
 	g_free(key);
 }
 
--- a/src/net/channel.c
+++ b/src/net/channel.c
@@ -129,8 +129,8 @@
 	    0);
 }
 
-static bool take_run(
-    struct channel *channel, const uint8_t *data, size_t len, size_t *used);
+static bool take_run(struct channel *channel, const uint8_t *data, size_t len,
+    bool inflated, size_t *used);
 
 /*
  * Hands on one frame; false when the channel ended.
@@ -176,17 +176,19 @@
 		fail(channel, "run of frames unreadable");
 		return false;
 	}
-	open = take_run(channel, raw, raw_len, &used);
+	open = take_run(channel, raw, raw_len, true, &used);
 	mem_free(raw);
 	return open;
 }
 
 /*
  * Hands on the whole frames of a run and says how many bytes they took;
- * false when the channel ended.
+ * false when the channel ended.  A run within a run is none of ours: few
+ * bytes would stand for any number of them.
  */
 static bool
-take_run(struct channel *channel, const uint8_t *data, size_t len, size_t *used)
+take_run(struct channel *channel, const uint8_t *data, size_t len,
+    bool inflated, size_t *used)
 {
 	size_t at = 0;
 
@@ -196,8 +198,10 @@
 		size_t body = (size_t)(p[0] & ~DEFLATED_BIT) << 24 |
 		    (size_t)p[1] << 16 | (size_t)p[2] << 8 | p[3];
 
-		if (body > FRAME_MAX_BYTES) {
-			fail(channel, "frame too long");
+		if (body > FRAME_MAX_BYTES || (deflated && inflated)) {
+			fail(channel,
+			    body > FRAME_MAX_BYTES ? "frame too long"
+						   : "a run within a run");
 			return false;
 		}
 		if (len - at - HEADER_BYTES < body)
@@ -219,7 +223,7 @@
 {
 	size_t used = 0;
 
-	if (!take_run(channel, channel->in, channel->in_len, &used))
+	if (!take_run(channel, channel->in, channel->in_len, false, &used))
 		return false;
 	memmove(channel->in, channel->in + used, channel->in_len - used);
 	channel->in_len -= used;
--- a/test/unit/test_channel.c
+++ b/test/unit/test_channel.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <cmocka.h>
+#include <zlib.h>
 
 #include "base/memory.h"
 #include "net/address.h"
@@ -195,6 +196,39 @@
 	assert_refused(huge, sizeof(huge));
 }
 
+/*
+ * Deflates a run of frames into one frame; returns its bytes.
+ */
+static size_t
+deflate_run(const uint8_t *run, size_t len, uint8_t *out, size_t max)
+{
+	uLongf deflated = (uLongf)(max - 8);
+	size_t body;
+
+	assert_int_equal(compress(out + 8, &deflated, run, len), Z_OK);
+	body = 4 + deflated;
+	for (int i = 0; i < 4; i++) {
+		out[i] = (uint8_t)(body >> (24 - 8 * i));
+		out[4 + i] = (uint8_t)(len >> (24 - 8 * i));
+	}
+	out[0] |= 0x80;
+	return 4 + body;
+}
+
+static void
+a_run_within_a_run_ends_the_connection(void **state ATTR_UNUSED)
+{
+	/* Taken as deep as it went before: a few hundred kilobytes of it. */
+	static uint8_t run[2][4096];
+	size_t len = 4;
+
+	memset(run[0], 0, 4);
+	for (int depth = 0; depth < 2; depth++)
+		len = deflate_run(
+		    run[depth % 2], len, run[(depth + 1) % 2], sizeof(run[0]));
+	assert_refused((const char *)run[0], len);
+}
+
 static void
 a_dial_without_an_answer_is_tried_anew_soon(void **state ATTR_UNUSED)
 {
@@ -219,6 +253,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(frames_arrive_whole_and_in_order),
 	    cmocka_unit_test(bytes_that_are_no_frame_end_the_connection),
+	    cmocka_unit_test(a_run_within_a_run_ends_the_connection),
 	    cmocka_unit_test(a_dial_without_an_answer_is_tried_anew_soon),
 	};
 
