--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -188,8 +188,9 @@
             "limits.memory_mb": "260", "limits.max_fds": "1024",
             "fault_tolerance.machines": "1",
             "heartbeat_ms": str(self.bed.heartbeat_ms),
-            "bounds": "grace_s=6,retry_budget_ratio=0.2,retry_window_s=10,"
-                      "retry_slack=62,ttl_max_s=5,probe_per_s=60",
+            "bounds": "grace_s=%d,retry_budget_ratio=0.2,retry_window_s=10,"
+                      "retry_slack=62,ttl_max_s=5,probe_per_s=60" %
+                      self.bed.grace_s,
         }
         if role == "core":
             lines["data_dir"] = self.data
@@ -234,8 +235,9 @@
 class Bed:
     """Instances, targets and an operator."""
 
-    def __init__(self, instances=1, cores=1, heartbeat_ms=1500):
+    def __init__(self, instances=1, cores=1, heartbeat_ms=1500, grace_s=6):
         self.heartbeat_ms = heartbeat_ms
+        self.grace_s = grace_s
         self.folder = tempfile.mkdtemp(prefix="gypsummill-platform-")
         self.port = free_port_run("127.0.7.1", 10)
         self.seeds = ["127.0.7.%d" % (i + 1) for i in range(min(cores, 3))]
--- a/test/functional/test_platform_group.py
+++ b/test/functional/test_platform_group.py
@@ -55,6 +55,31 @@
             self.assertTrue(self.knows(one, "t2"))
 
 
+class Grace(unittest.TestCase):
+    def test_stop_lasts_as_long_as_its_grace(self):
+        # Work of 6.5 s under a grace of 9 s: cut after 5.5 s before.
+        bed = Bed(grace_s=9)
+        try:
+            target = bed.target("i-1", "svc")
+            bed.set_config(bed.config(1, [bed.path("/a/", timeout_ms=9000)]))
+            bed.wait_ready()
+            wait_until(lambda: bed.ask("/a/x")[0] == 200, "an answer")
+            target.requests.clear()
+            target.behave = lambda r: [6.5, target.answer(r)]
+            results = []
+            caller = threading.Thread(target=lambda: results.append(
+                bed.ask("/a/x", wait_ms=9000)))
+            caller.start()
+            wait_until(lambda: target.requests, "the request's run")
+            process = bed.instances[0].processes["flow"]
+            process.terminate()
+            caller.join()
+            self.assertEqual(results[0][0], 200)
+            self.assertEqual(process.wait(timeout=20), 0)
+        finally:
+            bed.close()
+
+
 class Group(unittest.TestCase):
     def setUp(self):
         self.bed = Bed(instances=4, cores=4)
