--- a/src/core/core.c
+++ b/src/core/core.c
@@ -111,7 +111,7 @@
 }
 
 /*
- * Closes a control instance; the loop must run once more to free it.
+ * Closes all handles of a control instance.
  */
 void
 core_close(struct core *core)
@@ -127,6 +127,15 @@
 	roster_free(core->roster);
 }
 
+/*
+ * Frees a control instance whose handles are closed.
+ */
+void
+core_free(struct core *core)
+{
+	mem_free(core);
+}
+
 /*
  * Takes a target's own word, which is soft state.
  */
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -38,8 +38,9 @@
 /* Takes over seeds, losses and times; names and addresses hold. */
 void core_reload(
     struct core *core, const struct core_settings *settings) ATTR_NONNULL_ALL;
-/* Hands over the lead where it holds it, and closes all. */
+/* Closes all; the loop must run until it is idle before core_free(). */
 void core_close(struct core *core);
+void core_free(struct core *core);
 
 /* Soft state: what a target says of itself. */
 void core_announce(
--- a/test/unit/test_core_greeting.c
+++ b/test/unit/test_core_greeting.c
@@ -347,6 +347,7 @@
 	core_close(bed.core);
 	uv_close((uv_handle_t *)&bed.guard, NULL);
 	uv_run(&bed.loop, UV_RUN_DEFAULT);
+	core_free(bed.core);
 	assert_int_equal(uv_loop_close(&bed.loop), 0);
 	snprintf(command, sizeof(command), "rm -rf %s", bed.folder);
 	assert_int_equal(system(command), 0);
