--- a/test/unit/support_flow.c
+++ b/test/unit/support_flow.c
@@ -296,3 +296,25 @@
 	}
 	assert_non_null(control->listener);
 }
+
+/*
+ * Opens a control instance that is the entry's only seed.
+ */
+void
+flow_bed_join(struct flow_bed *bed, struct flow_control *control)
+{
+	flow_control_open(&bed->loop, control);
+	bed->seeds[0] = control->address;
+	bed->flow->settings.seeds = bed->seeds;
+	bed->flow->settings.seed_count = 1;
+}
+
+/*
+ * Closes it.
+ */
+void
+flow_bed_leave(struct flow_bed *bed, struct flow_control *control)
+{
+	bed->flow->settings.seed_count = 0;
+	channel_listener_close(control->listener);
+}
--- a/test/unit/support_flow.h
+++ b/test/unit/support_flow.h
@@ -15,6 +15,7 @@
 	struct flow *flow;
 	struct caller caller;
 	struct routes *routes;
+	const char *seeds[1];
 };
 
 /* Opens an entry with one target, "t1", of service "svc". */
@@ -44,6 +45,9 @@
 };
 
 void flow_control_open(uv_loop_t *loop, struct flow_control *control);
+/* Opens a control instance that is the entry's only seed, and closes it. */
+void flow_bed_join(struct flow_bed *bed, struct flow_control *control);
+void flow_bed_leave(struct flow_bed *bed, struct flow_control *control);
 /* Sends the document that is in force, or only names it. */
 void flow_control_send_document(struct channel *channel, struct str text);
 /* Tells of another entry. */
--- a/test/unit/test_flow.c
+++ b/test/unit/test_flow.c
@@ -309,7 +309,6 @@
 {
 	struct flow_control control = {
 	    .names_document = true, .hands_it_out = true};
-	const char *seeds[1];
 	struct flow_bed bed;
 	struct exchange *x;
 
@@ -342,18 +341,14 @@
 	exchange_begin(x);
 	assert_false(x->ended);
 	control.message = sync_all;
-	flow_control_open(&bed.loop, &control);
-	seeds[0] = control.address;
-	bed.flow->settings.seeds = seeds;
-	bed.flow->settings.seed_count = 1;
+	flow_bed_join(&bed, &control);
 	flow_bed_run(&bed, 700);
 	assert_true(bed.flow->ready);
 	assert_true(x->ended);
 	/* By the document of the test, which has no routes. */
 	assert_non_null(strstr(x->out.data, "HTTP/1.1 404"));
 	assert_int_equal(bed.flow->parked.length, 0);
-	bed.flow->settings.seed_count = 0;
-	channel_listener_close(control.listener);
+	flow_bed_leave(&bed, &control);
 	flow_bed_close(&bed, x);
 }
 
--- a/test/unit/test_flow_fleet.c
+++ b/test/unit/test_flow_fleet.c
@@ -72,15 +72,11 @@
 	struct fleet fleet = {.entries = entries};
 	struct flow_control control = {.message = tell_fleet, .ctx = &fleet};
 	struct flow_bed bed;
-	const char *seeds[1];
 	uint64_t before;
 
 	flow_bed_open(&bed, REPEAT_ALLOWED);
 	flow_bed_announce_many(&bed, 0, targets - 1);
-	flow_control_open(&bed.loop, &control);
-	seeds[0] = control.address;
-	bed.flow->settings.seeds = seeds;
-	bed.flow->settings.seed_count = 1;
+	flow_bed_join(&bed, &control);
 	flow_bed_run(&bed, SETTLE_MS);
 	assert_true(bed.flow->ready);
 	assert_int_equal(g_hash_table_size(bed.flow->pools), targets);
@@ -89,8 +85,7 @@
 	flow_bed_run(&bed, WATCH_MS);
 	before = (uint64_t)counter_get(bed.flow->visits) - before;
 	assert_int_equal((uint64_t)counter_get(bed.flow->probes), 0);
-	bed.flow->settings.seed_count = 0;
-	channel_listener_close(control.listener);
+	flow_bed_leave(&bed, &control);
 	flow_bed_close(&bed, NULL);
 	return before;
 }
@@ -118,22 +113,17 @@
 		struct flow_control control = {
 		    .message = tell_fleet, .ctx = &fleet};
 		struct flow_bed bed;
-		const char *seeds[1];
 
 		flow_bed_open(&bed, REPEAT_ALLOWED);
 		bed.flow->settings.processor_millis = 100;
 		bed.flow->own_hash = CANDIDATE_SAMPLE + 1;
-		flow_control_open(&bed.loop, &control);
-		seeds[0] = control.address;
-		bed.flow->settings.seeds = seeds;
-		bed.flow->settings.seed_count = 1;
+		flow_bed_join(&bed, &control);
 		flow_bed_run(&bed, SETTLE_MS);
 		assert_true(bed.flow->ready);
 		assert_int_equal(fleet_size(bed.flow), cases[i].counted - 1);
 		assert_int_equal(
 		    fleet_service(bed.flow, "svc")->owner, cases[i].owner);
-		bed.flow->settings.seed_count = 0;
-		channel_listener_close(control.listener);
+		flow_bed_leave(&bed, &control);
 		flow_bed_close(&bed, NULL);
 	}
 }
