--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -10,6 +10,8 @@
 	NO_DOCUMENT_RETRY_US = 300 * 1000, /* a fifth of a heartbeat */
 	/* From the start of all to the first grant, as measured at 476 entries. */
 	START_US = 1000 * 1000,
+	PARK_UNTIL_US =
+	    2 * START_US, /* an entry that is still not ready then */
 	/* Part of its time for which a request may wait for the entry's start. */
 	PARK_PART = 5,
 	/* Before the deadline, so that the answer is there when it ends. */
@@ -328,7 +330,7 @@
 	uint64_t wait_ms = caller_wait_ms(x) / PARK_PART;
 
 	if (flow->ready || flow->stopping || x->parked_before ||
-	    flow_now_us(flow) - flow->opened_us > START_US * 2)
+	    flow_now_us(flow) - flow->opened_us > PARK_UNTIL_US)
 		return false;
 	if (wait_ms > START_US / US_PER_MS)
 		wait_ms = START_US / US_PER_MS;
