Say why a start is waited for, not where the figure comes from

Cause: the comment on START_US spoke of a measurement. Change: it gives the reason, that a caller told to return after it finds its entry ready.

--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -8,7 +8,7 @@
 
 enum {
 	NO_DOCUMENT_RETRY_US = 300 * 1000, /* a fifth of a heartbeat */
-	/* From the start of all to the first grant, as measured at 476 entries. */
+	/* After this long a caller that comes back finds its entry ready. */
 	START_US = 1000 * 1000,
 	PARK_UNTIL_US =
 	    2 * START_US, /* an entry that is still not ready then */
