Hold no ticket once a call is refused after a wait

Cause: a call that waits gets its ticket at once. When it is refused then, the ticket is freed, but the caller of service_enter() kept it. run_claimed() goes on to ask the claim of a keyed call that was turned away, and gives back what it thinks it holds: the freed ticket. Without a sanitizer that takes one off the counts of running calls, or ends the process. It takes a keyed call that waits out its time, so it came under load.

Ruled out: two leaves of an admitted call (leave() clears its ticket), and a tenant that is forgotten with calls (it is idle only without any).

Change: service_enter() gives no ticket where it refuses.

Measured: a unit test fills the slots of a service and looks at the ticket of the first call refused after its wait: it fails each time without the change, and passes with it, under ASan too.

--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -244,7 +244,8 @@
 }
 
 /*
- * Asks for admission and waits for it on the calling thread.
+ * Asks for admission and waits for it on the calling thread.  A call that is
+ * refused holds no ticket: the one that it waited with is freed by then.
  */
 bool
 service_enter(struct service *s, const struct service_call *call,
@@ -274,6 +275,8 @@
 	}
 	pthread_mutex_unlock(&s->lock);
 	pthread_cond_destroy(&waiter.cond);
+	if (verdict != ADMISSION_RUN)
+		*ticket = NULL;
 	return verdict == ADMISSION_RUN;
 }
 
--- a/test/unit/test_entry_service.c
+++ b/test/unit/test_entry_service.c
@@ -77,12 +77,51 @@
 	}
 }
 
+/* Whoever gives back what it holds must not give back what was freed. */
+static void
+a_call_refused_after_a_wait_holds_no_ticket(void **state ATTR_UNUSED)
+{
+	struct service *service = service_with_targets(TARGETS);
+	const struct policy_service policy = {.queue_calls = 10};
+	const struct policy_route route = {.class = POLICY_INTERACTIVE};
+	const struct policy_tenant tenant = {
+	    .name = str_from("shop"), .weight = 1};
+	struct admission_ticket *held[TARGETS * SLOTS * 2] = {NULL};
+	unsigned count = 0;
+	bool admitted = true;
+
+	while (admitted) {
+		struct admission_ticket *ticket;
+		const struct service_call call = {
+		    .policy = &policy,
+		    .route = &route,
+		    .tenant = &tenant,
+		    .deadline_us = clock_monotonic_us() + US_PER_S,
+		};
+		uint64_t retry_after_us;
+		enum refusal_reason reason;
+
+		assert_true(count < TARGETS * SLOTS * 2);
+		admitted = service_enter(
+		    service, &call, &ticket, &reason, &retry_after_us);
+		if (admitted)
+			held[count++] = ticket;
+		else
+			assert_null(ticket);
+	}
+	assert_true(count > 0);
+	while (count > 0)
+		service_leave(service, held[--count]);
+	service_put(service);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(bulk_is_a_part_of_the_even_share),
 	    cmocka_unit_test(busy_tenants_may_fill_the_even_share),
+	    cmocka_unit_test(a_call_refused_after_a_wait_holds_no_ticket),
 	};
 	int failed;
 
