Reject a document whose route has a timeout of zero

The operator sent an invalid document whose only fault was timeout_ms 0; it was accepted and served, and so the routes of the accepted version before it were not. Cause: zero was read as 'no timeout', while a route on which no request may wait at all serves nobody. Ruled out: a lost or late update (every entry logged the document within 50 ms). Tests: test_roster and test_platform_group send it; both failed before.

--- a/src/routing/routes.c
+++ b/src/routing/routes.c
@@ -131,6 +131,9 @@
 		return status_set(STATUS_INVALID,
 		    "prefix \"%.*s\" does not begin with a slash",
 		    STR_ARG(route->prefix));
+	if (route->timeout_ms == 0)
+		return status_set(STATUS_INVALID,
+		    "route \"%s\": timeout of zero", route->name);
 	if (route->timeout_ms > ROUTE_TIMEOUT_MAX_MS)
 		return status_set(STATUS_INVALID,
 		    "route \"%s\": timeout over ten minutes", route->name);
--- a/test/functional/test_platform_group.py
+++ b/test/functional/test_platform_group.py
@@ -163,6 +163,7 @@
             changed(lambda c: path(c).update(path_prefix="/a/")),
             changed(lambda c: path(c).update(path_prefix="v2/")),
             changed(lambda c: path(c).update(timeout_ms=600001)),
+            changed(lambda c: path(c).update(timeout_ms=0)),
             changed(lambda c: path(c).pop("timeout_ms")),
             changed(lambda c: path(c).update(traffic_split=[
                 {"service": "svc", "weight": -1}])),
--- a/test/unit/test_roster.c
+++ b/test/unit/test_roster.c
@@ -270,6 +270,8 @@
 	assert_null(add_route(routes, "", "/b/"));
 	assert_null(add_route(routes, "h", "b/"));
 	assert_int_equal(routes_add(routes, &late, &out), STATUS_INVALID);
+	late.timeout_ms = 0;
+	assert_int_equal(routes_add(routes, &late, &out), STATUS_INVALID);
 	assert_int_equal(
 	    routes_add_destination(routes, route, "three", 1), STATUS_INVALID);
 	assert_int_equal(
