--- a/src/core/core.c
+++ b/src/core/core.c
@@ -131,6 +131,7 @@
 	core_propose_close(core);
 	core_replica_close(core);
 	core_link_close(core);
+	core_estimates_close(core);
 	core_state_destroy(&core->state);
 	roster_free(core->roster);
 }
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -71,6 +71,7 @@
 	Fleet__Cache *cache; /* of the previous run; NULL: none */
 	bool cache_dirty;
 	uint64_t next_cache_us; /* earliest time of the next write */
+	GHashTable *estimates; /* service -> Fleet__Estimate; NULL: none */
 	struct str_buf updates; /* for all subscribers, sent at the next tick */
 	struct str_buf control_updates; /* for control instances only */
 	unsigned entry_count; /* connected here */
@@ -139,6 +140,12 @@
     struct core *core, const struct core_neighbour *neighbour);
 void core_entry_free(void *value);
 
+/* core_estimate.c */
+void core_on_estimate(struct core *core, const Fleet__Estimate *estimate);
+void core_for_each_estimate(const struct core *core,
+    void (*callback)(void *ctx, Fleet__Estimate *estimate), void *ctx);
+void core_estimates_close(struct core *core);
+
 /* core_warm_start.c */
 Fleet__Document core_latest_document(const struct core *core);
 /* Saves the document and the targets if they have changed. */
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -290,6 +290,9 @@
 	case FLEET__FRAME__BODY_SYNCED:
 		core_on_synced(core, channel);
 		break;
+	case FLEET__FRAME__BODY_ESTIMATE:
+		core_on_estimate(core, frame->estimate);
+		break;
 	case FLEET__FRAME__BODY_HEARD:
 		core_on_heard(core, frame->heard);
 		break;
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -302,6 +302,16 @@
 	return packed;
 }
 
+static void
+add_estimate_to_batch(void *ctx, Fleet__Estimate *estimate)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+
+	frame.body_case = FLEET__FRAME__BODY_ESTIMATE;
+	frame.estimate = estimate;
+	channel_batch_append(ctx, &frame);
+}
+
 /*
  * Returns the last part of the initial state: targets and entries for
  * subscribers, and the Synced message that ends it.
@@ -317,6 +327,8 @@
 
 	if (wants_all)
 		roster_for_each(core->roster, add_target_to_batch, &batch);
+	if (wants_all && !is_control)
+		core_for_each_estimate(core, add_estimate_to_batch, &batch);
 	for (guint i = 0; wants_all && i < core->peers->len; i++) {
 		const struct core_peer *other = core->peers->pdata[i];
 
--- a/src/core/core_warm_start.c
+++ b/src/core/core_warm_start.c
@@ -63,7 +63,17 @@
 }
 
 /*
- * Saves the document and the targets for the next start.
+ * Adds an estimate to the cache message; for core_for_each_estimate().
+ */
+static void
+cache_estimate(void *ctx, Fleet__Estimate *estimate)
+{
+
+	g_ptr_array_add(ctx, estimate);
+}
+
+/*
+ * Saves the document, the targets and the estimates for the next start.
  */
 void
 core_cache_tick(struct core *core, uint64_t now_us)
@@ -71,6 +81,7 @@
 	Fleet__Cache cache = FLEET__CACHE__INIT;
 	Fleet__Document document = core_latest_document(core);
 	struct snapshot s = {0};
+	GPtrArray *estimates;
 	size_t count = 0;
 
 	if (core->settings.data == NULL || !core->cache_dirty ||
@@ -85,15 +96,20 @@
 	cache.document = &document;
 	cache.n_announcement = s.count;
 	cache.announcement = s.list;
+	estimates = g_ptr_array_new();
+	core_for_each_estimate(core, cache_estimate, estimates);
+	cache.n_estimate = estimates->len;
+	cache.estimate = (Fleet__Estimate **)(void *)estimates->pdata;
 	if (core_cache_write(core->settings.data, &cache) != STATUS_OK)
 		log_warn("cache_not_written", "instance=%s reason=\"%s\"",
 		    core->settings.instance, status_message());
+	g_ptr_array_free(estimates, TRUE);
 	mem_free(s.list);
 	mem_free(s.space);
 }
 
 /*
- * Loads the document and the targets of the previous run.
+ * Loads the document, the targets and the estimates of the previous run.
  */
 void
 core_cache_load(struct core *core)
@@ -105,6 +121,8 @@
 		return;
 	for (size_t i = 0; i < core->cache->n_announcement; i++)
 		core_on_announcement(core, core->cache->announcement[i]);
+	for (size_t i = 0; i < core->cache->n_estimate; i++)
+		core_on_estimate(core, core->cache->estimate[i]);
 	core->cache_dirty = false;
 	log_info("cache", "instance=%s index=%" PRIu64 " targets=%zu",
 	    core->settings.instance,
--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -156,7 +156,8 @@
 schedule_cancel(struct exchange *x)
 {
 	if (x->placed_locally && x->service != NULL)
-		placement_cancel(x->service->placement, &x->requester);
+		placement_cancel(
+		    x->service->placement, &x->requester, flow_now_us(x->flow));
 	x->placed_locally = false;
 	if (x->ask_id == 0)
 		return;
@@ -261,6 +262,7 @@
 	if (x == NULL)
 		return;
 	fleet_adopt_scheduler_parts(flow, x->service, grant->parts);
+	schedule_adopt_grant(x->service, grant, x->route->id);
 	exchange_on_grant(
 	    x, grant->target, true, grant->expected_ms * US_PER_MS);
 }
--- a/src/flow/flow_control.c
+++ b/src/flow/flow_control.c
@@ -277,6 +277,20 @@
 	}
 }
 
+/*
+ * Sends a frame to all connected control instances.
+ */
+void
+controls_send(struct flow *flow, const Fleet__Frame *frame)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flow->controls);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		channel_send(((struct control *)value)->channel, frame);
+}
+
 /*
  * Sends the state of this entry to all control instances.
  */
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -202,6 +202,8 @@
 	unsigned scheduler_generation;
 	bool owner; /* this entry schedules it and probes its targets */
 	bool busy; /* in flow->busy_services: it has calls */
+	uint64_t log_due_us; /* time of the next line on its placement */
+	uint64_t estimate_due_us; /* time of the next estimate to control */
 };
 
 /* Number of targets of a service and of the parts they are split into. */
@@ -249,6 +251,7 @@
 	uint64_t request;
 	uint64_t deadline_us;
 	char *granted; /* target of the last grant, or NULL */
+	uint32_t route;
 };
 
 struct flow {
@@ -388,6 +391,7 @@
 struct control *control_find_or_connect(struct flow *flow, const char *address);
 void control_free(void *value);
 void controls_choose_primaries(struct flow *flow);
+void controls_send(struct flow *flow, const Fleet__Frame *frame);
 void controls_expire(struct flow *flow, uint64_t now_us);
 
 /* flow_updates.c: frames from control instances */
@@ -516,6 +520,10 @@
 void schedule_sweep(struct flow *flow, uint64_t now_us);
 void schedule_on_ask(
     struct flow *flow, const struct sockaddr_in *from, const Fleet__Ask *ask);
+/* What others have learnt of a service, kept for when it falls to this entry. */
+void schedule_adopt_grant(
+    struct service *service, const Fleet__Grant *grant, uint32_t route);
+void schedule_on_estimate(struct flow *flow, const Fleet__Estimate *estimate);
 void schedule_on_cancel(
     struct flow *flow, const struct sockaddr_in *from, uint64_t request);
 void schedule_on_done(
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -12,7 +12,10 @@
 
 enum {
 	PLACE_TICK_MS = 10, /* a seventh of the shortest request */
-	UNKNOWN_RETRY_MS = 300 /* a fifth of a heartbeat interval */
+	UNKNOWN_RETRY_MS = 300, /* a fifth of a heartbeat interval */
+	ESTIMATE_INTERVAL_US = 2000 * 1000, /* between two to control */
+	LOG_INTERVAL_US =
+	    1000 * 1000 /* of the state of a service's placement */
 };
 
 /*
@@ -56,11 +59,17 @@
 {
 	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
 	Fleet__Grant grant = FLEET__GRANT__INIT;
+	struct placement_model model;
 
 	grant.request = call->request;
 	grant.target = call->granted;
 	grant.expected_ms = (uint32_t)(expected_us / US_PER_MS);
 	grant.parts = fleet_parts(flow, call->service);
+	placement_get_model(call->service->placement, &call->route, &model);
+	if (model.route_count > 0)
+		grant.work_us = model.work_us[0];
+	grant.speed.data = model.speed;
+	grant.speed.len = sizeof(model.speed);
 	datagram.body_case = FLEET__DATAGRAM__BODY_GRANT;
 	datagram.grant = &grant;
 	datagram_send(flow, &call->from, &datagram);
@@ -251,6 +260,7 @@
 		g_free(key);
 	}
 	call->deadline_us = request.deadline_us;
+	call->route = request.route;
 	for (size_t i = 0; i < ask->n_excluded && i < PLACEMENT_EXCLUDED_MAX;
 	     i++)
 		request.excluded[request.excluded_count++] = ask->excluded[i];
@@ -282,7 +292,8 @@
 	struct remote_call *call = g_hash_table_lookup(flow->remote_calls, key);
 
 	if (call != NULL) {
-		placement_cancel(call->service->placement, call);
+		placement_cancel(
+		    call->service->placement, call, flow_now_us(flow));
 		g_hash_table_remove(flow->remote_calls, key);
 	}
 	g_free(key);
@@ -300,7 +311,7 @@
 
 	if (call == NULL)
 		return;
-	placement_cancel(call->service->placement, call);
+	placement_cancel(call->service->placement, call, flow_now_us(flow));
 	g_hash_table_remove(flow->remote_calls, key);
 }
 
@@ -341,7 +352,7 @@
 
 	if (*now_us < call->deadline_us + US_PER_S)
 		return FALSE;
-	placement_cancel(call->service->placement, (void *)call);
+	placement_cancel(call->service->placement, (void *)call, *now_us);
 	return TRUE;
 }
 
@@ -354,6 +365,110 @@
 	g_hash_table_foreach_remove(flow->remote_calls, is_expired, &now_us);
 }
 
+/*
+ * Logs the state of a placement that this entry schedules, with the speed of a
+ * request at each level of its target's occupancy.
+ */
+static void
+log_placement(struct service *service, uint64_t now_us)
+{
+	struct flow *flow = service->flow;
+	struct placement_stats f;
+	char speeds[OCCUPANCY_LEVELS * 8] = "";
+	size_t len = 0;
+
+	if (!service->owner || now_us < service->log_due_us ||
+	    !flow_may_log_routine(flow))
+		return;
+	service->log_due_us = now_us + LOG_INTERVAL_US;
+	placement_get_stats(service->placement, now_us, &f);
+	for (unsigned i = 0; i < OCCUPANCY_LEVELS; i++)
+		len += (size_t)snprintf(speeds + len, sizeof(speeds) - len,
+		    "%s%.2f", i > 0 ? "," : "", f.occupancy.speed[i]);
+	log_info("placement",
+	    "instance=%s service=%s targets=%u usable=%u slots=%u "
+	    "useful_slots=%u in_flight=%u waiting=%u repeats=%" PRIu64
+	    " requests=%" PRIu64 " mean_slowness=%.2f occupancy_speeds=%s",
+	    flow->settings.instance, service->name, f.targets, f.usable,
+	    f.slots, f.useful_slots, f.in_flight, f.waiting, f.repeats,
+	    f.requests, f.mean_slowness, speeds);
+}
+
+/*
+ * Another entry that schedules a part of the service has learnt of it: an entry
+ * without a share in scheduling keeps that, since it may be the next scheduler.
+ */
+void
+schedule_adopt_grant(
+    struct service *service, const Fleet__Grant *grant, uint32_t route)
+{
+	struct placement_model model = {.route_count = 0};
+
+	if (service->owner || grant->speed.len != sizeof(model.speed))
+		return;
+	if (grant->work_us > 0) {
+		model.route[0] = route;
+		model.work_us[0] = grant->work_us;
+		model.route_count = 1;
+	}
+	memcpy(model.speed, grant->speed.data, sizeof(model.speed));
+	placement_adopt_model(service->placement, &model);
+}
+
+/*
+ * A control instance knows what an earlier scheduler has learnt of a service.
+ */
+void
+schedule_on_estimate(struct flow *flow, const Fleet__Estimate *estimate)
+{
+	struct service *service =
+	    g_hash_table_lookup(flow->services, estimate->service);
+	struct placement_model model = {.route_count = 0};
+
+	if (service == NULL || !placement_knows_nothing(service->placement) ||
+	    estimate->speed.len != sizeof(model.speed) ||
+	    estimate->n_work_us != estimate->n_route)
+		return;
+	for (size_t i = 0;
+	     i < estimate->n_route && i < PLACEMENT_MODEL_ROUTES_MAX; i++) {
+		model.route[model.route_count] = estimate->route[i];
+		model.work_us[model.route_count++] = estimate->work_us[i];
+	}
+	memcpy(model.speed, estimate->speed.data, sizeof(model.speed));
+	placement_adopt_model(service->placement, &model);
+	if (flow_may_log(flow))
+		log_info("estimate",
+		    "instance=%s service=%s routes=%u next=adopted",
+		    flow->settings.instance, service->name, model.route_count);
+}
+
+/*
+ * Sends what was learnt of a service that this entry schedules to the control
+ * instances, which keep it for entries that start.
+ */
+static void
+send_estimate(struct service *service, uint64_t now_us)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Estimate estimate = FLEET__ESTIMATE__INIT;
+	struct placement_model model;
+
+	if (!service->owner || now_us < service->estimate_due_us)
+		return;
+	service->estimate_due_us = now_us + ESTIMATE_INTERVAL_US;
+	placement_get_model(service->placement, NULL, &model);
+	estimate.service = service->name;
+	estimate.n_route = model.route_count;
+	estimate.route = model.route;
+	estimate.n_work_us = model.route_count;
+	estimate.work_us = model.work_us;
+	estimate.speed.data = model.speed;
+	estimate.speed.len = sizeof(model.speed);
+	frame.body_case = FLEET__FRAME__BODY_ESTIMATE;
+	frame.estimate = &estimate;
+	controls_send(service->flow, &frame);
+}
+
 /*
  * Runs the tick of the placements that have calls; stops the timer if none has.
  */
@@ -368,6 +483,8 @@
 		struct service *service = flow->busy_services->pdata[i];
 
 		placement_tick(service->placement, now);
+		log_placement(service, now);
+		send_estimate(service, now);
 		if (!placement_is_idle(service->placement))
 			continue;
 		service->busy = false;
--- a/src/flow/flow_updates.c
+++ b/src/flow/flow_updates.c
@@ -309,6 +309,9 @@
 	case FLEET__FRAME__BODY_MEMBERS:
 		on_members(flow, control, frame->members);
 		break;
+	case FLEET__FRAME__BODY_ESTIMATE:
+		schedule_on_estimate(flow, frame->estimate);
+		break;
 	case FLEET__FRAME__BODY_HEARD:
 		roster_refresh(flow->roster, frame->heard->target,
 		    frame->heard->n_target, flow_now_us(flow));
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -59,6 +59,7 @@
 	g_queue_init(&p->call_order);
 	p->waiting = g_ptr_array_new();
 	p->mean_slowness = 1;
+	occupancy_curve_init(&p->occupancy);
 	return p;
 }
 
@@ -129,6 +130,7 @@
 		t->id = str_dup(str_from(id));
 		t->hash = (uint32_t)str_hash(str_from(id));
 		t->entry_last_used = g_hash_table_new(NULL, NULL);
+		t->exposed_us = now_us;
 		g_hash_table_insert(p->targets, t->id, t);
 		insert_at_random(p, t);
 	}
@@ -183,6 +185,20 @@
 	    (1 + retry_after_jitter * (random_unit(&p->random) - 0.5)));
 }
 
+/*
+ * Returns how many requests with this much work a target completes per
+ * microsecond with as many as it is given at most.
+ */
+static double
+full_target_rate(const struct placement *p, const struct target *t,
+    double work_us, uint64_t now_us)
+{
+	unsigned slots = target_useful_slots(p, t);
+	double speed = occupancy_curve_speed(&p->occupancy, slots, t->slots);
+
+	return slots / target_likely_time(p, t, work_us / speed, now_us);
+}
+
 /*
  * Returns how many requests with this much work the usable targets complete per
  * microsecond.
@@ -196,8 +212,7 @@
 		const struct target *t = p->order->pdata[i];
 
 		if (target_is_usable(p, t, now_us))
-			sum += t->slots /
-			    target_likely_time(p, t, work_us, now_us);
+			sum += full_target_rate(p, t, work_us, now_us);
 	}
 	return sum;
 }
@@ -237,18 +252,28 @@
 	g_ptr_array_remove(p->waiting, call);
 }
 
+/*
+ * Decrements the in-flight count of a target.
+ */
+static void
+release_slot(const struct placement *p, struct target *t, uint64_t now_us)
+{
+
+	target_advance(p, t, target_slowness(p, t, now_us), now_us);
+	if (t->in_flight > 0)
+		t->in_flight--;
+}
+
 /*
  * Removes a call and decrements the in-flight counts of its targets.
  */
 static void
-remove_call(struct placement *p, struct call *call)
+remove_call(struct placement *p, struct call *call, uint64_t now_us)
 {
 	dequeue(p, call);
 	for (unsigned i = 0; i < call->send_count; i++) {
-		struct target *t = call->sends[i].target;
-
-		if (t != NULL && t->in_flight > 0)
-			t->in_flight--;
+		if (call->sends[i].target != NULL)
+			release_slot(p, call->sends[i].target, now_us);
 	}
 	g_queue_unlink(&p->call_order, &call->link);
 	g_hash_table_remove(p->calls, call->request.user);
@@ -266,7 +291,7 @@
 
 	if (!isfinite(wait))
 		wait = DOWN_INITIAL_US;
-	remove_call(p, call);
+	remove_call(p, call, now_us);
 	p->callbacks.reject(
 	    p->callbacks.ctx, user, jitter_retry_after(p, wait), reason);
 }
@@ -282,10 +307,11 @@
 	if (call->request.repeat || call->send_count > 0)
 		repeat_budget_repeat(&p->budget, now_us);
 	dequeue(p, call);
+	target_advance(p, t, target_slowness(p, t, now_us), now_us);
 	call->sends[call->send_count++] = (struct send){
 	    .target = t,
 	    .granted_us = now_us,
-	    .updated_us = now_us,
+	    .exposure = t->exposure,
 	};
 	t->in_flight++;
 	target_record_use(t, call->request.requester, now_us);
@@ -412,7 +438,7 @@
 	struct call *call = g_hash_table_lookup(p->calls, request->user);
 
 	if (call != NULL)
-		remove_call(p, call);
+		remove_call(p, call, now_us);
 	call = mem_calloc(1, sizeof(*call));
 	call->request = *request;
 	g_hash_table_insert(p->calls, request->user, call);
@@ -449,12 +475,12 @@
  * Removes a request in any state.
  */
 void
-placement_cancel(struct placement *p, void *user)
+placement_cancel(struct placement *p, void *user, uint64_t now_us)
 {
 	struct call *call = g_hash_table_lookup(p->calls, user);
 
 	if (call != NULL)
-		remove_call(p, call);
+		remove_call(p, call, now_us);
 }
 
 /*
@@ -467,6 +493,7 @@
     const struct target_load *load, uint64_t now_us)
 {
 	double slowness = load->slowness > 0 ? load->slowness / 100.0 : 1;
+	double before = target_slowness(p, t, now_us);
 
 	if (load->slots > 0)
 		t->slots = load->slots;
@@ -477,6 +504,7 @@
 		    &p->speed_period, &t->speed_phase, t->reported_us, now_us);
 	t->slowness = slowness;
 	t->reported_us = now_us;
+	target_advance(p, t, before, now_us);
 	p->mean_slowness +=
 	    mean_slowness_weight * (t->slowness - p->mean_slowness);
 }
@@ -485,7 +513,7 @@
  * Drops the oldest send at a target, whose completion message was lost.
  */
 static void
-drop_oldest_send(struct placement *p, struct target *t)
+drop_oldest_send(struct placement *p, struct target *t, uint64_t now_us)
 {
 	struct send *oldest = NULL;
 
@@ -503,8 +531,7 @@
 	}
 	if (oldest != NULL)
 		oldest->target = NULL;
-	if (t->in_flight > 0)
-		t->in_flight--;
+	release_slot(p, t, now_us);
 }
 
 /*
@@ -516,6 +543,7 @@
 reconcile_in_flight(
     struct placement *p, struct target *t, unsigned occupied, uint64_t now_us)
 {
+	target_advance(p, t, target_slowness(p, t, now_us), now_us);
 	t->others_in_flight =
 	    occupied > t->in_flight ? occupied - t->in_flight : 0;
 	if (occupied >= t->in_flight) {
@@ -528,19 +556,20 @@
 	    now_us - t->low_count_since_us < LOW_COUNT_MIN_US)
 		return;
 	t->low_count_probes = 0;
-	drop_oldest_send(p, t);
+	drop_oldest_send(p, t, now_us);
 }
 
 /*
- * Adds the work done since the last update to the progress of a send.
+ * Returns the work that a send has done up to the last update of its target, in
+ * microseconds.
  */
-static void
-advance_send(const struct placement *p, struct send *send, uint64_t now_us)
+static double
+send_progress(const struct placement *p, const struct send *send)
 {
-	double slowness = target_slowness(p, send->target, now_us);
+	const struct occupancy_exposure exposure =
+	    target_exposure_since(send->target, send);
 
-	send->progress_us += (double)(now_us - send->updated_us) / slowness;
-	send->updated_us = now_us;
+	return occupancy_curve_work(&p->occupancy, &exposure);
 }
 
 /*
@@ -552,13 +581,17 @@
     const struct send *send, uint64_t now_us)
 {
 	double work = service_time_estimate(&p->work, call->request.route);
-	double left = work - send->progress_us;
+	const struct target *t = send->target;
+	double left;
 
-	if (send->target == NULL || !target_is_usable(p, send->target, now_us))
+	if (t == NULL || !target_is_usable(p, t, now_us))
 		return INFINITY;
+	left = work - send_progress(p, send);
 	if (left < overrun_remaining_share * work)
 		left = overrun_remaining_share * work;
-	return target_likely_time(p, send->target, left, now_us);
+	left /= occupancy_curve_speed(
+	    &p->occupancy, target_occupied(t, now_us), t->slots);
+	return target_likely_time(p, t, left, now_us);
 }
 
 /*
@@ -598,7 +631,7 @@
     struct send *send, uint64_t now_us)
 {
 	if (send->overdue ||
-	    send->progress_us < OVERDUE_FACTOR *
+	    send_progress(p, send) < OVERDUE_FACTOR *
 		    service_time_estimate(&p->work, call->request.route))
 		return;
 	send->overdue = true;
@@ -619,13 +652,13 @@
 		g_ptr_array_free(list, TRUE);
 		return;
 	}
+	target_advance(p, t, target_slowness(p, t, now_us), now_us);
 	for (GList *l = p->call_order.head; l != NULL; l = l->next) {
 		struct call *call = l->data;
 
 		for (unsigned i = 0; i < call->send_count; i++) {
 			if (call->sends[i].target != t)
 				continue;
-			advance_send(p, &call->sends[i], now_us);
 			record_overdue(p, call, &call->sends[i], now_us);
 			g_ptr_array_add(list, call->request.user);
 		}
@@ -642,19 +675,44 @@
 }
 
 /*
- * Updates the service time estimate of the route from an answered send.
+ * Returns the time from a moment to a later one in microseconds, or 0.
+ */
+static double
+time_until(uint64_t until_us, uint64_t from_us)
+{
+	return until_us > from_us ? (double)(until_us - from_us) : 0;
+}
+
+/*
+ * Learns the usual work of the route and the occupancy curve from an answered
+ * send.
  */
 static void
 record_service_time(struct placement *p, const struct call *call,
     const struct send *send, uint64_t took_us, uint64_t now_us)
 {
-	double slowness = target_slowness(p, send->target, now_us);
-	double at_end = (double)took_us / slowness;
-	double by_progress =
-	    send->progress_us + (double)(now_us - send->updated_us) / slowness;
-
-	service_time_record(&p->work, call->request.route,
-	    by_progress > 0 && by_progress < at_end ? by_progress : at_end);
+	struct target *t = send->target;
+	struct occupancy_exposure exposure;
+	uint64_t since_grant = now_us - send->granted_us;
+	double sum = 0;
+	double work;
+
+	target_advance(p, t, target_slowness(p, t, now_us), now_us);
+	exposure = target_exposure_since(t, send);
+	for (unsigned i = 0; i < OCCUPANCY_LEVELS; i++) {
+		/* The grant and the completion message take time, too. */
+		if (took_us < since_grant)
+			exposure.us[i] *= (double)took_us / (double)since_grant;
+		sum += exposure.us[i];
+	}
+	work = sum > 0 ? occupancy_curve_work(&p->occupancy, &exposure)
+		       : (double)took_us / target_slowness(p, t, now_us);
+	if (sum > 0 && took_us > 0 && now_us >= t->warmup_end_us)
+		occupancy_curve_record(&p->occupancy, &exposure,
+		    service_time_long_run(&p->work, call->request.route),
+		    time_until(call->request.objective_us, send->granted_us) /
+			((double)took_us * work / sum));
+	service_time_record(&p->work, call->request.route, work);
 }
 
 /*
@@ -712,8 +770,7 @@
 		if (outcome == OUTCOME_ANSWERED)
 			record_service_time(p, call, send, took_us, now_us);
 		send->target = NULL;
-		if (t->in_flight > 0)
-			t->in_flight--;
+		release_slot(p, t, now_us);
 	}
 	if (t != NULL) {
 		record_outcome(t, outcome, now_us);
@@ -722,7 +779,7 @@
 	}
 	if (call != NULL && !call->waiting &&
 	    (outcome == OUTCOME_ANSWERED || !open))
-		remove_call(p, call);
+		remove_call(p, call, now_us);
 	dispatch(p, now_us);
 }
 
@@ -796,7 +853,7 @@
 			g_ptr_array_add(expired, l->data);
 	}
 	for (guint i = 0; i < expired->len; i++)
-		remove_call(p, expired->pdata[i]);
+		remove_call(p, expired->pdata[i], now_us);
 	g_ptr_array_free(expired, TRUE);
 }
 
@@ -825,6 +882,8 @@
 	    .waiting = p->waiting->len,
 	    .repeats = p->budget.repeat_sum,
 	    .requests = p->budget.request_sum,
+	    .mean_slowness = p->mean_slowness,
+	    .occupancy = p->occupancy,
 	};
 	for (guint i = 0; i < p->order->len; i++) {
 		const struct target *t = p->order->pdata[i];
@@ -834,5 +893,49 @@
 			continue;
 		figures->usable++;
 		figures->slots += t->slots;
+		figures->useful_slots += target_useful_slots(p, t);
+	}
+}
+
+/*
+ * Writes what was learnt of the service.
+ */
+void
+placement_get_model(const struct placement *p, const uint32_t *only,
+    struct placement_model *model)
+{
+	model->route_count = 0;
+	for (unsigned i = 0; i < p->work.count &&
+	     model->route_count < PLACEMENT_MODEL_ROUTES_MAX;
+	     i++) {
+		unsigned at = model->route_count;
+
+		if (only != NULL && p->work.routes[i].route != *only)
+			continue;
+		model->route[at] = p->work.routes[i].route;
+		model->work_us[at] = (uint32_t)p->work.routes[i].work_us;
+		model->route_count++;
 	}
+	occupancy_curve_export(&p->occupancy, model->speed);
+}
+
+/*
+ * Replaces what was learnt by the model of another instance.
+ */
+void
+placement_adopt_model(struct placement *p, const struct placement_model *model)
+{
+	for (unsigned i = 0; i < model->route_count; i++)
+		service_time_adopt(
+		    &p->work, model->route[i], model->work_us[i]);
+	occupancy_curve_adopt(&p->occupancy, model->speed);
+}
+
+/*
+ * Returns whether nothing was learnt or adopted yet.
+ */
+bool
+placement_knows_nothing(const struct placement *p)
+{
+	return p->work.count == 0 && occupancy_curve_is_empty(&p->occupancy);
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -28,6 +28,7 @@
 #include <stdint.h>
 
 #include "base/attr.h"
+#include "placement/occupancy_curve.h"
 #include "placement/repeat_budget.h"
 
 enum {
@@ -115,7 +116,8 @@
 bool placement_is_waiting(
     const struct placement *placement, void *user) ATTR_NONNULL_ALL;
 /* Removes a request that was cancelled or has ended. */
-void placement_cancel(struct placement *placement, void *user) ATTR_NONNULL_ALL;
+void placement_cancel(
+    struct placement *placement, void *user, uint64_t now_us) ATTR_NONNULL_ALL;
 /*
  * Ends one send of a request.  user is NULL if the request is no longer known;
  * load may be NULL.
@@ -141,14 +143,40 @@
 void
 placement_tick(struct placement *placement, uint64_t now_us) ATTR_NONNULL_ALL;
 
+enum {
+	PLACEMENT_MODEL_ROUTES_MAX = 64
+};
+
+/* What a placement has learnt of its service, for another instance. */
+struct placement_model {
+	unsigned route_count;
+	uint32_t route[PLACEMENT_MODEL_ROUTES_MAX];
+	uint32_t work_us[PLACEMENT_MODEL_ROUTES_MAX]; /* usual, at full speed */
+	uint8_t speed[OCCUPANCY_LEVELS]; /* percent; 0: unknown */
+};
+
+/* Writes the model of all routes, or of one if only is not NULL. */
+void placement_get_model(const struct placement *placement,
+    const uint32_t *only, struct placement_model *model) ATTR_NONNULL(1, 3);
+void placement_adopt_model(struct placement *placement,
+    const struct placement_model *model) ATTR_NONNULL_ALL;
+/* Whether nothing was learnt or adopted yet. */
+bool
+placement_knows_nothing(const struct placement *placement) ATTR_NONNULL_ALL;
+
 struct placement_stats {
 	unsigned targets;
 	unsigned usable;
 	unsigned slots;
+	/* slots that add to what the targets complete */
+	unsigned useful_slots;
 	unsigned in_flight;
 	unsigned waiting;
 	uint64_t repeats; /* in the current window */
 	uint64_t requests;
+	double mean_slowness;
+	/* speed of a request by its target's occupancy, and its samples */
+	struct occupancy_curve occupancy;
 };
 
 void placement_get_stats(const struct placement *placement, uint64_t now_us,
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "base/random.h"
+#include "placement/occupancy_curve.h"
 #include "placement/placement.h"
 #include "placement/service_time.h"
 #include "placement/speed_period.h"
@@ -34,6 +35,8 @@
 	 * answered.
 	 */
 	OVERDUE_FACTOR = 3,
+	/* How long a target shows a lower occupancy; several requests. */
+	EXPLORER_TURN_US = 1000 * 1000,
 	/* Shorter than any target keeps an idle connection open. */
 	CONNECTION_REUSE_S = 6
 };
@@ -54,6 +57,9 @@
 	unsigned low_count_probes;
 	uint64_t low_count_since_us;
 	double slowness; /* reported; 1 is usual */
+	/* Time that a request here since its start has spent at each level. */
+	struct occupancy_exposure exposure;
+	uint64_t exposed_us; /* time of the last update */
 	uint64_t reported_us; /* 0: never */
 	struct speed_phase speed_phase;
 	double failure_rate; /* 0 to 1; decays with time */
@@ -69,8 +75,8 @@
 struct send {
 	struct target *target; /* NULL: ended, or the target was removed */
 	uint64_t granted_us;
-	uint64_t updated_us;
-	double progress_us; /* work done, as time at slowness 1 */
+	/* the target's exposure when it was granted */
+	struct occupancy_exposure exposure;
 	bool overdue; /* already counted as a failure of the target */
 };
 
@@ -87,6 +93,7 @@
 	struct placement_callbacks callbacks;
 	struct repeat_budget budget;
 	struct service_time_table work;
+	struct occupancy_curve occupancy;
 	struct speed_period speed_period;
 	struct random random;
 	GHashTable *targets; /* id -> struct target */
@@ -111,9 +118,15 @@
 void target_record_outcome(struct target *t, double failed, uint64_t now_us);
 void target_mark_down(struct target *t, uint64_t now_us);
 unsigned target_occupied(const struct target *t, uint64_t now_us);
+unsigned target_useful_slots(const struct placement *p, const struct target *t);
+void target_advance(const struct placement *p, struct target *t,
+    double slowness_before, uint64_t now_us);
+struct occupancy_exposure
+target_exposure_since(const struct target *t, const struct send *send);
 bool target_is_usable(
     const struct placement *p, const struct target *t, uint64_t now_us);
-bool target_has_room(const struct target *t, uint64_t now_us);
+bool target_has_room(
+    const struct placement *p, const struct target *t, uint64_t now_us);
 double target_finish_time(const struct placement *p, const struct target *t,
     const struct call *call, uint64_t now_us);
 void target_record_use(struct target *t, uint32_t requester, uint64_t now_us);
--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -8,8 +8,6 @@
 static const double failure_half_life_us = 2e6;
 /* According to their data sheets, targets run at half speed during warm-up. */
 static const double warmup_slowness = 2.0;
-/* Slowdown at full occupancy; some targets slow down when full. */
-static const double occupancy_penalty = 0.1;
 /*
  * Cost added for a new connection, and the ratio within which costs are equal.
  */
@@ -141,24 +139,71 @@
 }
 
 /*
- * Returns whether a target has a free slot.
+ * Returns the number of requests up to which a target is filled: those with which it
+ * completes the most requests.
+ */
+unsigned
+target_useful_slots(const struct placement *p, const struct target *t)
+{
+	return occupancy_curve_useful_slots(&p->occupancy, t->slots);
+}
+
+/*
+ * Returns whether a further request adds to what a target completes.
  */
 bool
-target_has_room(const struct target *t, uint64_t now_us)
+target_has_room(
+    const struct placement *p, const struct target *t, uint64_t now_us)
 {
+	unsigned turn = t->hash + (unsigned)(now_us / EXPLORER_TURN_US);
+
 	return now_us >= t->shed_until_us &&
-	    target_occupied(t, now_us) < t->slots;
+	    target_occupied(t, now_us) <
+	    occupancy_curve_limit(&p->occupancy, t->slots, turn);
+}
+
+/*
+ * Updates the exposure of the requests at a target, before their number
+ * changes or after a load report.  slowness_before is the slowness expected
+ * before the report: the speed changed somewhere between.
+ */
+void
+target_advance(const struct placement *p, struct target *t,
+    double slowness_before, uint64_t now_us)
+{
+	unsigned occupied = target_occupied(t, now_us);
+	double speed =
+	    (1 / slowness_before + 1 / target_slowness(p, t, now_us)) / 2;
+
+	if (occupied > 0)
+		t->exposure.us[occupancy_level(occupied, t->slots)] +=
+		    (double)(now_us - t->exposed_us) * speed;
+	t->exposed_us = now_us;
 }
 
 /*
- * Returns the slowdown factor caused by the target's other requests.
+ * Returns the exposure of a send up to the last target_advance().
+ */
+struct occupancy_exposure
+target_exposure_since(const struct target *t, const struct send *send)
+{
+	struct occupancy_exposure since;
+
+	for (unsigned i = 0; i < OCCUPANCY_LEVELS; i++)
+		since.us[i] = t->exposure.us[i] - send->exposure.us[i];
+	return since;
+}
+
+/*
+ * Returns the work of a call with the slow-down on a target that it would join.
  */
 static double
-occupancy_factor(const struct target *t, uint64_t now_us)
+slowed_work(const struct placement *p, const struct target *t,
+    const struct call *call, uint64_t now_us)
 {
-	return 1 +
-	    occupancy_penalty * (double)target_occupied(t, now_us) /
-	    (double)(t->slots + 1);
+	return service_time_estimate(&p->work, call->request.route) /
+	    occupancy_curve_speed(
+		&p->occupancy, target_occupied(t, now_us) + 1, t->slots);
 }
 
 /*
@@ -168,10 +213,26 @@
 target_finish_time(const struct placement *p, const struct target *t,
     const struct call *call, uint64_t now_us)
 {
-	return target_likely_time(p, t,
-		   service_time_estimate(&p->work, call->request.route),
-		   now_us) *
-	    occupancy_factor(t, now_us);
+	return target_likely_time(
+	    p, t, slowed_work(p, t, call, now_us), now_us);
+}
+
+/*
+ * Returns the time in microseconds that the requests at a target lose in sum
+ * if another one runs there for stay_us.
+ */
+static double
+harm_to_others(const struct placement *p, const struct target *t,
+    double stay_us, uint64_t now_us)
+{
+	unsigned occupied = target_occupied(t, now_us);
+
+	if (occupied == 0)
+		return 0;
+	return occupied * stay_us *
+	    (1 -
+		occupancy_curve_speed(&p->occupancy, occupied + 1, t->slots) /
+		    occupancy_curve_speed(&p->occupancy, occupied, t->slots));
 }
 
 /*
@@ -258,7 +319,6 @@
 	struct target *best[2] = {NULL, NULL}; /* any, same failure domain */
 	double cost[2] = {INFINITY, INFINITY};
 	double finish[2] = {INFINITY, INFINITY};
-	double work = service_time_estimate(&p->work, call->request.route);
 	bool local;
 
 	for (guint i = 0; i < p->order->len; i++) {
@@ -266,15 +326,16 @@
 		double f, c;
 
 		if (!target_is_usable(p, t, now_us) ||
-		    !target_has_room(t, now_us) || is_excluded(call, t))
+		    !target_has_room(p, t, now_us) || is_excluded(call, t))
 			continue;
 		f = target_finish_time(p, t, call, now_us);
-		c = target_mean_time(p, t, work, now_us) *
-		    occupancy_factor(t, now_us);
+		c = target_mean_time(
+		    p, t, slowed_work(p, t, call, now_us), now_us);
 		c = c *
 			(has_recent_connection(t, call, now_us)
 				? 1
 				: 1 + new_connection_penalty) +
+		    harm_to_others(p, t, c, now_us) +
 		    failure_cost(t, call, now_us);
 		for (int k = 0; k < 2; k++) {
 			if ((k == 1 &&
@@ -315,7 +376,7 @@
 		double finish;
 
 		if (!target_is_usable(p, t, now_us) ||
-		    !target_has_room(t, now_us) || is_excluded(call, t))
+		    !target_has_room(p, t, now_us) || is_excluded(call, t))
 			continue;
 		finish = target_finish_time(p, t, call, now_us) +
 		    failure_cost(t, call, now_us);
--- a/src/placement/service_time.c
+++ b/src/placement/service_time.c
@@ -5,6 +5,11 @@
 
 /* Lower bound of the weight of one sample in the moving average. */
 static const double sample_weight_min = 0.05;
+/*
+ * The same of the long-run average, against which a slow-down is measured: it
+ * must change more slowly than the slow-down that it would absorb.
+ */
+static const double long_run_weight_min = 0.005;
 
 /*
  * Returns the index of a route, or -1.
@@ -36,6 +41,39 @@
 	return table->count > 0 ? sum / table->count : ESTIMATE_DEFAULT_WORK_US;
 }
 
+/*
+ * Returns the long-run service time of a route in microseconds, or 0 while it
+ * has few samples: the first answers are those of short requests.
+ */
+double
+service_time_long_run(const struct service_time_table *table, uint32_t route)
+{
+	int at = route_index(table, route);
+
+	return at >= 0 &&
+		(double)table->routes[at].samples * sample_weight_min >= 1
+	    ? table->routes[at].long_run_us
+	    : 0;
+}
+
+/*
+ * Returns the index of a route, which is added if there is room; or -1.
+ */
+static int
+add_route(struct service_time_table *table, uint32_t route, double work_us)
+{
+	int at = route_index(table, route);
+
+	if (at >= 0 || table->count == ESTIMATE_ROUTES_MAX)
+		return at;
+	at = (int)table->count++;
+	table->routes[at].route = route;
+	table->routes[at].samples = 0;
+	table->routes[at].work_us = work_us;
+	table->routes[at].long_run_us = work_us;
+	return at;
+}
+
 /*
  * Adds one sample to a route's average service time; work_us is the measured
  * time divided by the target's slowness.  Routes beyond ESTIMATE_ROUTES_MAX are
@@ -45,22 +83,33 @@
 service_time_record(
     struct service_time_table *table, uint32_t route, double work_us)
 {
-	int at = route_index(table, route);
+	int at = add_route(table, route, work_us);
 	double share;
 
-	if (at < 0) {
-		if (table->count == ESTIMATE_ROUTES_MAX)
-			return;
-		at = (int)table->count++;
-		table->routes[at].route = route;
-		table->routes[at].samples = 0;
-		table->routes[at].work_us = work_us;
-	}
+	if (at < 0)
+		return;
 	share = 1.0 / (double)++table->routes[at].samples;
-	if (share < sample_weight_min)
-		share = sample_weight_min;
-	table->routes[at].work_us +=
-	    share * (work_us - table->routes[at].work_us);
+	table->routes[at].work_us += fmax(share, sample_weight_min) *
+	    (work_us - table->routes[at].work_us);
+	table->routes[at].long_run_us += fmax(share, long_run_weight_min) *
+	    (work_us - table->routes[at].long_run_us);
+}
+
+/*
+ * Replaces the average of a route by that of another instance, with the weight
+ * of the samples that a full average has.
+ */
+void
+service_time_adopt(
+    struct service_time_table *table, uint32_t route, double work_us)
+{
+	int at = add_route(table, route, work_us);
+
+	if (at < 0)
+		return;
+	table->routes[at].work_us = work_us;
+	table->routes[at].long_run_us = work_us;
+	table->routes[at].samples = (uint64_t)(1 / sample_weight_min);
 }
 
 /*
--- a/src/placement/service_time.h
+++ b/src/placement/service_time.h
@@ -22,14 +22,21 @@
 		uint32_t route;
 		uint64_t samples;
 		double work_us;
+		double long_run_us;
 	} routes[ESTIMATE_ROUTES_MAX];
 	unsigned count;
 };
 
 double service_time_estimate(
     const struct service_time_table *table, uint32_t route) ATTR_NONNULL_ALL;
+/* Long-run average in microseconds; 0: too few samples. */
+double service_time_long_run(
+    const struct service_time_table *table, uint32_t route) ATTR_NONNULL_ALL;
 void service_time_record(struct service_time_table *table, uint32_t route,
     double work_us) ATTR_NONNULL_ALL;
+/* Starts from the usual work of a route that another instance has learnt. */
+void service_time_adopt(struct service_time_table *table, uint32_t route,
+    double work_us) ATTR_NONNULL_ALL;
 /*
  * Expected slowness (1 is usual) of a target that reported the value age_us
  * ago; mean is the slowness that matches the service's mean speed.  Speeds are
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -748,6 +748,50 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+fleet__estimate__init(Fleet__Estimate *message)
+{
+	static const Fleet__Estimate init_value = FLEET__ESTIMATE__INIT;
+	*message = init_value;
+}
+size_t
+fleet__estimate__get_packed_size(const Fleet__Estimate *message)
+{
+	assert(message->base.descriptor == &fleet__estimate__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+fleet__estimate__pack(const Fleet__Estimate *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &fleet__estimate__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+fleet__estimate__pack_to_buffer(
+    const Fleet__Estimate *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &fleet__estimate__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Fleet__Estimate *
+fleet__estimate__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Fleet__Estimate *)protobuf_c_message_unpack(
+	    &fleet__estimate__descriptor, allocator, len, data);
+}
+void
+fleet__estimate__free_unpacked(
+    Fleet__Estimate *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__estimate__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 fleet__cache__init(Fleet__Cache *message)
 {
 	static const Fleet__Cache init_value = FLEET__CACHE__INIT;
@@ -1839,7 +1883,51 @@
     fleet__heard__number_ranges, (ProtobufCMessageInit)fleet__heard__init, NULL,
     NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__cache__field_descriptors[2] = {
+static const ProtobufCFieldDescriptor fleet__estimate__field_descriptors[4] = {
+    {
+	"service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Estimate, service), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"route", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
+	offsetof(Fleet__Estimate, n_route), offsetof(Fleet__Estimate, route),
+	NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"work_us", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
+	offsetof(Fleet__Estimate, n_work_us),
+	offsetof(Fleet__Estimate, work_us), NULL, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"speed", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Estimate, speed), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+};
+static const unsigned fleet__estimate__field_indices_by_name[] = {
+    1, /* field[1] = route */
+    0, /* field[0] = service */
+    3, /* field[3] = speed */
+    2, /* field[2] = work_us */
+};
+static const ProtobufCIntRange fleet__estimate__number_ranges[1 + 1] = {
+    {1, 0}, {0, 4}};
+const ProtobufCMessageDescriptor fleet__estimate__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Estimate", "Estimate",
+    "Fleet__Estimate", "fleet", sizeof(Fleet__Estimate), 4,
+    fleet__estimate__field_descriptors, fleet__estimate__field_indices_by_name,
+    1, fleet__estimate__number_ranges,
+    (ProtobufCMessageInit)fleet__estimate__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__cache__field_descriptors[3] = {
     {
 	"document", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
 	0, /* quantifier_offset */
@@ -1854,21 +1942,28 @@
 	NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"estimate", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Cache, n_estimate), offsetof(Fleet__Cache, estimate),
+	&fleet__estimate__descriptor, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__cache__field_indices_by_name[] = {
     1, /* field[1] = announcement */
     0, /* field[0] = document */
+    2, /* field[2] = estimate */
 };
 static const ProtobufCIntRange fleet__cache__number_ranges[1 + 1] = {
-    {1, 0}, {0, 2}};
+    {1, 0}, {0, 3}};
 const ProtobufCMessageDescriptor fleet__cache__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Cache", "Cache",
-    "Fleet__Cache", "fleet", sizeof(Fleet__Cache), 2,
+    "Fleet__Cache", "fleet", sizeof(Fleet__Cache), 3,
     fleet__cache__field_descriptors, fleet__cache__field_indices_by_name, 1,
     fleet__cache__number_ranges, (ProtobufCMessageInit)fleet__cache__init, NULL,
     NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[17] = {
+static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[18] = {
     {
 	"ping", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
 	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, ping),
@@ -1986,12 +2081,20 @@
 	offsetof(Fleet__Frame, replica_to), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"estimate", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, estimate),
+	&fleet__estimate__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__frame__field_indices_by_name[] = {
     7, /* field[7] = announcement */
     8, /* field[8] = departure */
     6, /* field[6] = document */
     9, /* field[9] = entry */
+    17, /* field[17] = estimate */
     14, /* field[14] = fetch */
     15, /* field[15] = heard */
     1, /* field[1] = hello */
@@ -2007,10 +2110,10 @@
     13, /* field[13] = synced */
 };
 static const ProtobufCIntRange fleet__frame__number_ranges[1 + 1] = {
-    {1, 0}, {0, 17}};
+    {1, 0}, {0, 18}};
 const ProtobufCMessageDescriptor fleet__frame__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Frame", "Frame",
-    "Fleet__Frame", "fleet", sizeof(Fleet__Frame), 17,
+    "Fleet__Frame", "fleet", sizeof(Fleet__Frame), 18,
     fleet__frame__field_descriptors, fleet__frame__field_indices_by_name, 1,
     fleet__frame__number_ranges, (ProtobufCMessageInit)fleet__frame__init, NULL,
     NULL, NULL /* reserved[123] */
@@ -2147,7 +2250,7 @@
     fleet__ask__field_indices_by_name, 2, fleet__ask__number_ranges,
     (ProtobufCMessageInit)fleet__ask__init, NULL, NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__grant__field_descriptors[4] = {
+static const ProtobufCFieldDescriptor fleet__grant__field_descriptors[6] = {
     {
 	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
 	0, /* quantifier_offset */
@@ -2173,18 +2276,32 @@
 	offsetof(Fleet__Grant, parts), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"work_us", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Grant, work_us), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"speed", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Grant, speed), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__grant__field_indices_by_name[] = {
     2, /* field[2] = expected_ms */
     3, /* field[3] = parts */
     0, /* field[0] = request */
+    5, /* field[5] = speed */
     1, /* field[1] = target */
+    4, /* field[4] = work_us */
 };
 static const ProtobufCIntRange fleet__grant__number_ranges[1 + 1] = {
-    {1, 0}, {0, 4}};
+    {1, 0}, {0, 6}};
 const ProtobufCMessageDescriptor fleet__grant__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Grant", "Grant",
-    "Fleet__Grant", "fleet", sizeof(Fleet__Grant), 4,
+    "Fleet__Grant", "fleet", sizeof(Fleet__Grant), 6,
     fleet__grant__field_descriptors, fleet__grant__field_indices_by_name, 1,
     fleet__grant__number_ranges, (ProtobufCMessageInit)fleet__grant__init, NULL,
     NULL, NULL /* reserved[123] */
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -32,6 +32,7 @@
 typedef struct Fleet__Synced Fleet__Synced;
 typedef struct Fleet__Fetch Fleet__Fetch;
 typedef struct Fleet__Heard Fleet__Heard;
+typedef struct Fleet__Estimate Fleet__Estimate;
 typedef struct Fleet__Cache Fleet__Cache;
 typedef struct Fleet__Frame Fleet__Frame;
 typedef struct Fleet__State Fleet__State;
@@ -340,6 +341,30 @@
     , 0,NULL }
 
 
+/*
+ * What the scheduler of a service, or of a part of it, has learnt of it.
+ */
+struct  Fleet__Estimate
+{
+  ProtobufCMessage base;
+  char *service;
+  size_t n_route;
+  uint32_t *route;
+  /*
+   * usual time at full speed, by route
+   */
+  size_t n_work_us;
+  uint32_t *work_us;
+  /*
+   * percent, by occupancy; 0: unknown
+   */
+  ProtobufCBinaryData speed;
+};
+#define FLEET__ESTIMATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__estimate__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, {0,NULL} }
+
+
 /*
  * What an instance last knew, for its next start.
  */
@@ -349,10 +374,12 @@
   Fleet__Document *document;
   size_t n_announcement;
   Fleet__Announcement **announcement;
+  size_t n_estimate;
+  Fleet__Estimate **estimate;
 };
 #define FLEET__CACHE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__cache__descriptor) \
-    , NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL }
 
 
 typedef enum {
@@ -372,7 +399,8 @@
   FLEET__FRAME__BODY_REMOVED = 13,
   FLEET__FRAME__BODY_SYNCED = 14,
   FLEET__FRAME__BODY_FETCH = 15,
-  FLEET__FRAME__BODY_HEARD = 16
+  FLEET__FRAME__BODY_HEARD = 16,
+  FLEET__FRAME__BODY_ESTIMATE = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLEET__FRAME__BODY__CASE)
 } Fleet__Frame__BodyCase;
 
@@ -401,6 +429,7 @@
     Fleet__Synced *synced;
     Fleet__Fetch *fetch;
     Fleet__Heard *heard;
+    Fleet__Estimate *estimate;
   };
 };
 #define FLEET__FRAME__INIT \
@@ -481,10 +510,15 @@
    * into which the service is split
    */
   uint32_t parts;
+  /*
+   * as in Estimate, of this route
+   */
+  uint32_t work_us;
+  ProtobufCBinaryData speed;
 };
 #define FLEET__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__grant__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, {0,NULL} }
 
 
 struct  Fleet__Reject
@@ -913,6 +947,25 @@
 void   fleet__heard__free_unpacked
                      (Fleet__Heard *message,
                       ProtobufCAllocator *allocator);
+/* Fleet__Estimate methods */
+void   fleet__estimate__init
+                     (Fleet__Estimate         *message);
+size_t fleet__estimate__get_packed_size
+                     (const Fleet__Estimate   *message);
+size_t fleet__estimate__pack
+                     (const Fleet__Estimate   *message,
+                      uint8_t             *out);
+size_t fleet__estimate__pack_to_buffer
+                     (const Fleet__Estimate   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Estimate *
+       fleet__estimate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__estimate__free_unpacked
+                     (Fleet__Estimate *message,
+                      ProtobufCAllocator *allocator);
 /* Fleet__Cache methods */
 void   fleet__cache__init
                      (Fleet__Cache         *message);
@@ -1175,6 +1228,9 @@
 typedef void (*Fleet__Heard_Closure)
                  (const Fleet__Heard *message,
                   void *closure_data);
+typedef void (*Fleet__Estimate_Closure)
+                 (const Fleet__Estimate *message,
+                  void *closure_data);
 typedef void (*Fleet__Cache_Closure)
                  (const Fleet__Cache *message,
                   void *closure_data);
@@ -1232,6 +1288,7 @@
 extern const ProtobufCMessageDescriptor fleet__synced__descriptor;
 extern const ProtobufCMessageDescriptor fleet__fetch__descriptor;
 extern const ProtobufCMessageDescriptor fleet__heard__descriptor;
+extern const ProtobufCMessageDescriptor fleet__estimate__descriptor;
 extern const ProtobufCMessageDescriptor fleet__cache__descriptor;
 extern const ProtobufCMessageDescriptor fleet__frame__descriptor;
 extern const ProtobufCMessageDescriptor fleet__state__descriptor;
--- a/test/unit/test_placement.c
+++ b/test/unit/test_placement.c
@@ -261,7 +261,7 @@
 		r->ended = true;
 		end_runs(w, r, -1);
 		if (!w->workload->naive)
-			placement_cancel(w->placement, r);
+			placement_cancel(w->placement, r, w->now_us);
 	}
 }
 
@@ -693,7 +693,7 @@
 	placement_on_probe(p, "home", &slow, 2);
 	(void)placement_submit(p, &r, 3);
 	assert_string_equal(granted_target, "home");
-	placement_cancel(p, r.user);
+	placement_cancel(p, r.user, 4);
 	slow.slowness = 20000;
 	placement_on_probe(p, "home", &slow, 4);
 	(void)placement_submit(p, &r, 5);
