--- a/src/net/channel.c
+++ b/src/net/channel.c
@@ -28,6 +28,7 @@
 	 * attempt succeeds.
 	 */
 	CONNECT_TIMEOUT_MIN_MS = 50,
+	CONNECT_SHORT_ATTEMPTS = 14, /* about a second */
 	/* Callers wait no longer than this for a new connection. */
 	CONNECT_TIMEOUT_MAX_MS = 1000,
 	/* A local process restarts within tens of milliseconds. */
@@ -326,13 +327,17 @@
  * Returns the time-out of a connection attempt (ms) after a number of
  * successive attempts that timed out.  A host without power does not answer
  * SYNs.  Once it is back, only a new or retransmitted SYN reaches it, so the
- * first time-outs are short.
+ * time-outs stay short for about as long as a host takes to start; every second
+ * one is long enough for another region.
  */
 unsigned
 channel_connect_timeout_ms(unsigned connect_timeouts)
 {
 	unsigned ms = CONNECT_TIMEOUT_MIN_MS;
 
+	if (connect_timeouts < CONNECT_SHORT_ATTEMPTS)
+		return connect_timeouts % 2 == 0 ? ms : 2 * ms;
+	connect_timeouts -= CONNECT_SHORT_ATTEMPTS;
 	while (connect_timeouts-- > 0 && ms < CONNECT_TIMEOUT_MAX_MS)
 		ms *= 2;
 	return ms < CONNECT_TIMEOUT_MAX_MS ? ms : CONNECT_TIMEOUT_MAX_MS;
