Reject requests that a stop might cut, before they run

An entry had SIGTERM at 5.0 s, took a request with 10 s to go at 8.1 s, sent it to a target and closed the connection at 10.5 s, half a second before the end of the grace time, without an answer. Change: from 3 s after the stop began, by when lookups no longer direct callers here, a request whose deadline is after the end of the stop gets 503 with Retry-After before it is sent to a target. Test: unit/test_flow, late_request_of_a_stop_is_rejected_before_it_runs, fails without the change.

--- a/src/flow/flow_caller.c
+++ b/src/flow/flow_caller.c
@@ -316,6 +316,16 @@
 	}
 }
 
+/*
+ * Returns when a stop cuts the requests that are not answered yet, by the
+ * loop's time in milliseconds.
+ */
+uint64_t
+callers_stop_end_ms(const struct flow *flow)
+{
+	return flow->stopping_ms + flow->settings.grace_ms - GRACE_MARGIN_MS;
+}
+
 /*
  * Checks all connections, and ends the process when a stop is complete.
  */
@@ -337,9 +347,7 @@
 		uv_close((uv_handle_t *)&flow->listener, NULL);
 	}
 	if (!flow->listening &&
-	    (flow->callers.length == 0 ||
-		now - flow->stopping_ms + GRACE_MARGIN_MS >
-		    flow->settings.grace_ms)) {
+	    (flow->callers.length == 0 || now > callers_stop_end_ms(flow))) {
 		flow->stopped(flow->on_stopped_ctx);
 		flow->stopped = NULL;
 	}
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -8,6 +8,9 @@
 
 enum {
 	NO_DOCUMENT_RETRY_US = 300 * 1000, /* a fifth of a heartbeat interval */
+	OTHER_ENTRY_RETRY_US = 50 * 1000, /* a new connection takes as long */
+	/* Until then lookups may still direct callers here. */
+	STOP_ACCEPT_ALL_MS = 3000,
 	/* Answers are sent this long before the deadline, to arrive in time. */
 	DEADLINE_MARGIN_MS = 5,
 	DEADLINE_MAX_MS = 10 * 60 * 1000 /* longest timeout of a route */
@@ -297,6 +300,20 @@
 	    wait_ms > DEADLINE_MARGIN_MS ? wait_ms - DEADLINE_MARGIN_MS : 0, 0);
 }
 
+/*
+ * Returns whether a request arrives so late in a stop that the stop might cut
+ * it: it is rejected before it runs.
+ */
+static bool
+may_be_cut(const struct exchange *x)
+{
+	const struct flow *flow = x->flow;
+
+	return flow->stopping &&
+	    uv_now(flow->loop) - flow->stopping_ms > STOP_ACCEPT_ALL_MS &&
+	    x->deadline_us > callers_stop_end_ms(flow) * US_PER_MS;
+}
+
 /*
  * Routes a complete request and asks for a target.
  */
@@ -336,6 +353,11 @@
 	}
 	x->service = fleet_next_part(flow, part->name);
 	set_deadlines(x);
+	if (may_be_cut(x)) {
+		exchange_refuse(
+		    x, 503, OTHER_ENTRY_RETRY_US, "this instance is stopping");
+		return;
+	}
 	schedule_ask(x, false);
 }
 
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -413,6 +413,8 @@
 enum status callers_open(struct flow *flow);
 void callers_stop(struct flow *flow);
 void callers_sweep(struct flow *flow);
+/* When a stop cuts the requests that are not answered yet. */
+uint64_t callers_stop_end_ms(const struct flow *flow);
 void caller_flush(struct caller *caller);
 void caller_write(struct caller *caller, struct str bytes);
 void caller_close(struct caller *caller);
--- a/test/unit/test_flow.c
+++ b/test/unit/test_flow.c
@@ -364,6 +364,53 @@
 	flow_fixture_close(&fixture, x);
 }
 
+static void
+add_field(struct exchange *x, const char *name, const char *value)
+{
+	assert_true(head_append_name(&x->head, str_from(name)));
+	assert_true(head_append_value(&x->head, str_from(value)));
+}
+
+static void
+late_request_of_a_stop_is_rejected_before_it_runs(void **state ATTR_UNUSED)
+{
+	/* The stop ends 5.5 s after its start, half a second early. */
+	static const struct {
+		unsigned stopping_for_ms;
+		const char *timeout_ms;
+		bool accepted;
+	} cases[] = {
+	    {1000, "5000", true}, /* callers are still directed here */
+	    {3100, "2000", true}, /* over before the end in any case */
+	    {3100, "3000", false},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct flow_fixture fixture;
+		struct exchange *x;
+
+		flow_fixture_open(&fixture, REPEAT_NEVER);
+		fixture.flow->settings.grace_ms = 6000;
+		fixture.flow->routes = routes_get(fixture.routes);
+		fixture.flow->ready = true;
+		fixture.flow->stopping = true;
+		fixture.flow->stopping_ms =
+		    uv_now(&fixture.loop) - cases[i].stopping_for_ms;
+		x = exchange_new(&fixture.caller);
+		x->caller = NULL;
+		x->method = HTTP_POST;
+		str_buf_append_c(&x->target, "/x");
+		add_field(x, "Host", "h");
+		add_field(x, "Deadline", cases[i].timeout_ms);
+		exchange_begin(x);
+		assert_int_equal(x->ended, !cases[i].accepted);
+		assert_int_equal(x->attempt_count, cases[i].accepted);
+		if (!cases[i].accepted)
+			assert_non_null(strstr(x->out.data, "HTTP/1.1 503"));
+		flow_fixture_close(&fixture, x);
+	}
+}
+
 int
 main(void)
 {
@@ -376,6 +423,7 @@
 	    cmocka_unit_test(grant_after_pause_or_deadline_is_ignored),
 	    cmocka_unit_test(unknown_services_in_datagrams_use_no_memory),
 	    cmocka_unit_test(request_is_parked_during_startup),
+	    cmocka_unit_test(late_request_of_a_stop_is_rejected_before_it_runs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
