--- a/src/placement/occupancy_curve.c
+++ b/src/placement/occupancy_curve.c
@@ -5,7 +5,7 @@
 
 enum {
 	SOLVE_ANSWERS = 8, /* between two computations of the speeds */
-	EXPLORER_DIVISOR = 4 /* of the targets, this part tries a lower level */
+	EXPLORER_DIVISOR = 8 /* of the targets, this part tries a lower level */
 };
 
 /*
@@ -29,7 +29,7 @@
 /* Ratio of two steps of the headroom. */
 static const double headroom_ratio = 1.15;
 /* What a late answer counts, in answers in time. */
-static const double late_value = 0.1;
+static const double late_value = 0.5;
 
 /*
  * Initializes a curve: full speed at each level.
@@ -105,8 +105,6 @@
 		return useful;
 	if (turn % EXPLORER_DIVISOR == 0)
 		lower = useful - 1;
-	else if (turn % EXPLORER_DIVISOR == 1)
-		lower = useful / 2;
 	if (lower == 0 ||
 	    curve->samples[occupancy_level(lower, slots)] >= samples_known)
 		return useful;
