Split placement by decision: queue, hedges, feedback

Each part names the load pattern that it answers. Tests: test_placement (13) and test_occupancy_curve (5) pass as before.

--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -136,4 +136,47 @@
 struct target *placement_best_target(const struct placement *p,
     const struct call *call, uint64_t now_us, double *finish_us);
 
+/* placement.c */
+/* Removes a call and releases the slots of its sends. */
+void
+placement_remove_call(struct placement *p, struct call *call, uint64_t now_us);
+void placement_release_slot(
+    const struct placement *p, struct target *t, uint64_t now_us);
+
+/*
+ * placement_queue.c: bursts wait in order of rank and objective; in overload,
+ * requests that can't be in time are rejected on arrival.
+ */
+void placement_enqueue(struct placement *p, struct call *call);
+void placement_dequeue(struct placement *p, struct call *call);
+void placement_reject(struct placement *p, struct call *call,
+    enum placement_reason reason, uint64_t now_us);
+/* Records a send and calls the grant callback; finish_us is its likely time. */
+void placement_grant(struct placement *p, struct call *call, struct target *t,
+    double finish_us, uint64_t now_us);
+void placement_grant_or_queue(
+    struct placement *p, struct call *call, uint64_t now_us);
+/* Tries to place all queued calls, the most urgent first. */
+void placement_dispatch(struct placement *p, uint64_t now_us);
+
+/*
+ * placement_hedge.c: second sends, for targets whose speed changes within the
+ * duration of one request.
+ */
+void placement_reassess_sends(
+    struct placement *p, struct target *t, uint64_t now_us);
+
+/*
+ * placement_feedback.c: what answers and load reports teach, for targets that
+ * slow down, fail, or whose completion messages are lost.
+ */
+void placement_update_load(struct placement *p, struct target *t,
+    const struct target_load *load, uint64_t now_us);
+void placement_reconcile(
+    struct placement *p, struct target *t, unsigned occupied, uint64_t now_us);
+void placement_record_service_time(struct placement *p, const struct call *call,
+    const struct send *send, uint64_t took_us, uint64_t now_us);
+void placement_record_outcome(
+    struct target *t, enum placement_outcome outcome, uint64_t now_us);
+
 #endif
--- /dev/null
+++ b/src/placement/placement_hedge.c
@@ -0,0 +1,129 @@
+/*
+ * Second sends of requests whose target has become slow or silent.  Answers
+ * targets whose speed changes within the duration of one request.
+ */
+#include <math.h>
+
+#include "placement/placement_defs.h"
+
+/* Share of the repeat budget for hedged sends. */
+static const double hedge_budget_share = 0.6;
+/*
+ * Remaining work assumed for an overdue request, as a part of its usual work.
+ */
+static const double overrun_remaining_share = 0.3;
+
+/*
+ * Returns the work that a send has done up to the last update of its target, in
+ * microseconds.
+ */
+static double
+send_progress(const struct placement *p, const struct send *send)
+{
+	const struct occupancy_exposure exposure =
+	    target_exposure_since(send->target, send);
+
+	return occupancy_curve_work(&p->occupancy, &exposure);
+}
+
+/*
+ * Returns the expected time in microseconds until a send is answered; INFINITY
+ * if its target is gone, down or does not answer probes.
+ */
+static double
+expected_remaining(const struct placement *p, const struct call *call,
+    const struct send *send, uint64_t now_us)
+{
+	double work = service_time_estimate(&p->work, call->request.route);
+	const struct target *t = send->target;
+	double left;
+
+	if (t == NULL || !target_is_usable(p, t, now_us))
+		return INFINITY;
+	left = work - send_progress(p, send);
+	if (left < overrun_remaining_share * work)
+		left = overrun_remaining_share * work;
+	left /= occupancy_curve_speed(
+	    &p->occupancy, target_occupied(t, now_us), t->slots);
+	return target_likely_time(p, t, left, now_us);
+}
+
+/*
+ * Hedges a call: sends it to a second target if all its sends are expected to
+ * miss the objective and the second target is expected to meet it.
+ */
+static void
+hedge_if_late(struct placement *p, struct call *call, uint64_t now_us)
+{
+	const struct placement_request *r = &call->request;
+	double finish;
+	struct target *best;
+
+	if (!r->idempotent || call->waiting || call->send_count == 0 ||
+	    call->send_count > r->sends_left || call->send_count == SENDS_MAX)
+		return;
+	for (unsigned i = 0; i < call->send_count; i++) {
+		double left =
+		    expected_remaining(p, call, &call->sends[i], now_us);
+
+		if (left < 1e12 && now_us + (uint64_t)left <= r->objective_us)
+			return;
+	}
+	best = placement_best_target(p, call, now_us, &finish);
+	if (best == NULL || now_us + (uint64_t)finish > r->objective_us ||
+	    !repeat_budget_allows(&p->budget, hedge_budget_share, now_us))
+		return;
+	placement_grant(p, call, best, finish, now_us);
+}
+
+/*
+ * Counts a send that is far overdue as one failure of its target.  Otherwise a
+ * target that hangs would be noticed only when the deadline passes.
+ */
+static void
+record_overdue(const struct placement *p, const struct call *call,
+    struct send *send, uint64_t now_us)
+{
+	if (send->overdue ||
+	    send_progress(p, send) < OVERDUE_FACTOR *
+		    service_time_estimate(&p->work, call->request.route))
+		return;
+	send->overdue = true;
+	target_record_outcome(send->target, 1, now_us);
+}
+
+/*
+ * Updates the sends at a target after a probe of it, and hedges the calls that
+ * need it.
+ */
+void
+placement_reassess_sends(struct placement *p, struct target *t, uint64_t now_us)
+{
+	GPtrArray *list = g_ptr_array_new();
+
+	/* Skips the scan of all calls for a target without sends. */
+	if (t->in_flight == 0) {
+		g_ptr_array_free(list, TRUE);
+		return;
+	}
+	target_advance(p, t, target_slowness(p, t, now_us), now_us);
+	for (GList *l = p->call_order.head; l != NULL; l = l->next) {
+		struct call *call = l->data;
+
+		for (unsigned i = 0; i < call->send_count; i++) {
+			if (call->sends[i].target != t)
+				continue;
+			record_overdue(p, call, &call->sends[i], now_us);
+			g_ptr_array_add(list, call->request.user);
+		}
+	}
+	/* A grant callback may end calls, so each one is looked up again. */
+	for (guint i = 0; i < list->len; i++) {
+		struct call *call =
+		    g_hash_table_lookup(p->calls, list->pdata[i]);
+
+		if (call != NULL)
+			hedge_if_late(p, call, now_us);
+	}
+	g_ptr_array_free(list, TRUE);
+}
--- /dev/null
+++ b/src/placement/placement_queue.c
@@ -0,0 +1,245 @@
+/*
+ * Who waits, who is rejected and when a rejected caller should return.  Answers
+ * bursts of some seconds, which wait here in order of rank and objective, and
+ * overload that lasts, in which requests that can't be in time are rejected on
+ * arrival.
+ */
+#include <math.h>
+
+#include "placement/placement_defs.h"
+
+/* Part of its slack that a newly arrived request may spend waiting. */
+static const double admission_wait_share = 0.4;
+/*
+ * Jitter of Retry-After as a part of its value, so that rejected callers do not
+ * all return at once.
+ */
+static const double retry_after_jitter = 0.6;
+
+/*
+ * Applies the minimum and the jitter to a Retry-After time in microseconds.
+ */
+static uint64_t
+jitter_retry_after(struct placement *p, double retry_us)
+{
+	if (retry_us < RETRY_AFTER_MIN_US)
+		retry_us = RETRY_AFTER_MIN_US;
+	return (uint64_t)(retry_us *
+	    (1 + retry_after_jitter * (random_unit(&p->random) - 0.5)));
+}
+
+/*
+ * Returns how many requests with this much work a target completes per
+ * microsecond with as many as it is given at most.
+ */
+static double
+full_target_rate(const struct placement *p, const struct target *t,
+    double work_us, uint64_t now_us)
+{
+	unsigned slots = target_useful_slots(p, t);
+	double speed = occupancy_curve_speed(&p->occupancy, slots, t->slots);
+
+	return slots / target_likely_time(p, t, work_us / speed, now_us);
+}
+
+/*
+ * Returns how many requests with this much work the usable targets complete per
+ * microsecond.
+ */
+static double
+completion_rate(const struct placement *p, double work_us, uint64_t now_us)
+{
+	double sum = 0;
+
+	for (guint i = 0; i < p->order->len; i++) {
+		const struct target *t = p->order->pdata[i];
+
+		if (target_is_usable(p, t, now_us))
+			sum += full_target_rate(p, t, work_us, now_us);
+	}
+	return sum;
+}
+
+/*
+ * Returns the expected wait for a slot in microseconds, behind the waiting
+ * calls of the same or a higher rank; INFINITY if no target is usable.
+ */
+static double
+expected_wait(
+    const struct placement *p, const struct call *call, uint64_t now_us)
+{
+	double work = 0;
+	double rate;
+	unsigned ahead = 1;
+
+	for (guint i = 0; i < p->waiting->len; i++) {
+		const struct call *other = p->waiting->pdata[i];
+
+		if (other == call || other->request.rank > call->request.rank)
+			continue;
+		work += service_time_estimate(&p->work, other->request.route);
+		ahead++;
+	}
+	work = (work + service_time_estimate(&p->work, call->request.route)) /
+	    ahead;
+	rate = completion_rate(p, work, now_us);
+	return rate > 0 ? ahead / rate : INFINITY;
+}
+
+void
+placement_dequeue(struct placement *p, struct call *call)
+{
+	if (!call->waiting)
+		return;
+	call->waiting = false;
+	g_ptr_array_remove(p->waiting, call);
+}
+
+/*
+ * Removes a call and rejects it with the expected wait as Retry-After.
+ */
+void
+placement_reject(struct placement *p, struct call *call,
+    enum placement_reason reason, uint64_t now_us)
+{
+	void *user = call->request.user;
+	double wait = expected_wait(p, call, now_us);
+
+	if (!isfinite(wait))
+		wait = DOWN_INITIAL_US;
+	placement_remove_call(p, call, now_us);
+	p->callbacks.reject(
+	    p->callbacks.ctx, user, jitter_retry_after(p, wait), reason);
+}
+
+/*
+ * Records a send at a target and calls the grant callback.  Every send after
+ * the first one of a request counts as a repeat.
+ */
+void
+placement_grant(struct placement *p, struct call *call, struct target *t,
+    double finish_us, uint64_t now_us)
+{
+	if (call->request.repeat || call->send_count > 0)
+		repeat_budget_repeat(&p->budget, now_us);
+	placement_dequeue(p, call);
+	target_advance(p, t, target_slowness(p, t, now_us), now_us);
+	call->sends[call->send_count++] = (struct send){
+	    .target = t,
+	    .granted_us = now_us,
+	    .exposure = t->exposure,
+	};
+	t->in_flight++;
+	target_record_use(t, call->request.requester, now_us);
+	p->callbacks.grant(
+	    p->callbacks.ctx, call->request.user, t->id, (uint64_t)finish_us);
+}
+
+static bool
+has_usable_target(const struct placement *p, uint64_t now_us)
+{
+	for (guint i = 0; i < p->order->len; i++) {
+		if (target_is_usable(p, p->order->pdata[i], now_us))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns whether a call may wait for a slot and still be answered within its
+ * objective.  A call that was not admitted yet may use only a part of its
+ * slack: with a queue of the maximum length every call would be answered just
+ * at its limit, and many would be rejected after waiting.
+ */
+static bool
+may_wait(const struct placement *p, const struct call *call, uint64_t now_us)
+{
+	double work = service_time_estimate(&p->work, call->request.route);
+	double slack =
+	    (double)call->request.objective_us - (double)now_us - work;
+	double wait;
+
+	if (slack <= 0)
+		return false;
+	wait = expected_wait(p, call, now_us);
+	return wait <= (call->admitted ? slack : admission_wait_share * slack);
+}
+
+/*
+ * Grants a call, leaves it queued, or rejects it.  A call waits for a faster
+ * slot only while that slot could still meet its objective.  A call that can't
+ * meet it takes a free slot now or is rejected.
+ */
+void
+placement_grant_or_queue(
+    struct placement *p, struct call *call, uint64_t now_us)
+{
+	const struct placement_request *r = &call->request;
+	double finish;
+	struct target *best = placement_best_target(p, call, now_us, &finish);
+	if (best != NULL && now_us + (uint64_t)finish <= r->objective_us) {
+		placement_grant(p, call, best, finish, now_us);
+		return;
+	}
+	if (!has_usable_target(p, now_us)) {
+		placement_reject(p, call, REJECT_NO_TARGET, now_us);
+		return;
+	}
+	if (may_wait(p, call, now_us)) {
+		call->admitted = true;
+		return;
+	}
+	best = placement_slowest_target(p, call, now_us, &finish);
+	if (best != NULL) {
+		placement_grant(p, call, best, finish, now_us);
+		return;
+	}
+	placement_reject(p, call, REJECT_NO_ROOM, now_us);
+}
+
+/*
+ * Tries to place all queued calls, the most urgent first.
+ */
+void
+placement_dispatch(struct placement *p, uint64_t now_us)
+{
+	GPtrArray *round;
+
+	if (p->dispatching || p->waiting->len == 0)
+		return;
+	p->dispatching = true;
+	round = g_ptr_array_copy(p->waiting, NULL, NULL);
+	for (guint i = 0; i < round->len; i++) {
+		struct call *call = round->pdata[i];
+
+		/* A callback may have cancelled the call. */
+		if (g_ptr_array_find(p->waiting, call, NULL))
+			placement_grant_or_queue(p, call, now_us);
+	}
+	g_ptr_array_free(round, TRUE);
+	p->dispatching = false;
+}
+
+/*
+ * Returns whether a call precedes another in the queue: by rank, then by
+ * objective.
+ */
+static bool
+is_more_urgent(const struct call *a, const struct call *b)
+{
+	if (a->request.rank != b->request.rank)
+		return a->request.rank < b->request.rank;
+	return a->request.objective_us < b->request.objective_us;
+}
+
+void
+placement_enqueue(struct placement *p, struct call *call)
+{
+	guint at = 0;
+
+	while (
+	    at < p->waiting->len && is_more_urgent(p->waiting->pdata[at], call))
+		at++;
+	g_ptr_array_insert(p->waiting, (gint)at, call);
+	call->waiting = true;
+}
