Estimate with the usual slow-down, not the target's; the curve sets limit and harm

Change: finish times, cost, completion rate and hedges use the recent average of a route with the slow-down that it usually meets; the curve (against the long-run time at full speed) decides how far targets are filled and what a request costs the others.

--- a/src/placement/occupancy_curve.c
+++ b/src/placement/occupancy_curve.c
@@ -5,7 +5,7 @@
 
 enum {
 	SOLVE_ANSWERS = 8, /* between two computations of the speeds */
-	EXPLORER_DIVISOR = 8 /* one target in so many tries a lower level */
+	EXPLORER_DIVISOR = 16 /* one target in so many tries a lower level */
 };
 
 /*
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -123,6 +123,7 @@
     double slowness_before, uint64_t now_us);
 struct occupancy_exposure
 target_exposure_since(const struct target *t, const struct send *send);
+double exposure_sum(const struct occupancy_exposure *exposure);
 bool target_is_usable(
     const struct placement *p, const struct target *t, uint64_t now_us);
 bool target_has_room(
--- a/src/placement/placement_feedback.c
+++ b/src/placement/placement_feedback.c
@@ -105,25 +105,28 @@
 	struct target *t = send->target;
 	struct occupancy_exposure exposure;
 	uint64_t since_grant = now_us - send->granted_us;
-	double sum = 0;
+	double spent;
 	double work;
 
 	target_advance(p, t, target_slowness(p, t, now_us), now_us);
 	exposure = target_exposure_since(t, send);
-	for (unsigned i = 0; i < OCCUPANCY_LEVELS; i++) {
-		/* The grant and the completion message take time, too. */
-		if (took_us < since_grant)
-			exposure.us[i] *= (double)took_us / (double)since_grant;
-		sum += exposure.us[i];
+	/* The grant and the completion message take time, too. */
+	for (unsigned i = 0; i < OCCUPANCY_LEVELS && took_us < since_grant; i++)
+		exposure.us[i] *= (double)took_us / (double)since_grant;
+	spent = exposure_sum(&exposure);
+	if (spent <= 0) {
+		spent = (double)took_us / target_slowness(p, t, now_us);
+		service_time_record(
+		    &p->work, call->request.route, spent, spent);
+		return;
 	}
-	work = sum > 0 ? occupancy_curve_work(&p->occupancy, &exposure)
-		       : (double)took_us / target_slowness(p, t, now_us);
-	if (sum > 0 && took_us > 0 && now_us >= t->warmup_end_us)
+	work = occupancy_curve_work(&p->occupancy, &exposure);
+	if (took_us > 0 && now_us >= t->warmup_end_us)
 		occupancy_curve_record(&p->occupancy, &exposure,
-		    service_time_long_run(&p->work, call->request.route),
+		    service_time_full_speed(&p->work, call->request.route),
 		    time_until(call->request.objective_us, send->granted_us) /
-			((double)took_us * work / sum));
-	service_time_record(&p->work, call->request.route, work);
+			((double)took_us * work / spent));
+	service_time_record(&p->work, call->request.route, spent, work);
 }
 
 /*
--- a/src/placement/placement_hedge.c
+++ b/src/placement/placement_hedge.c
@@ -14,16 +14,16 @@
 static const double overrun_remaining_share = 0.3;
 
 /*
- * Returns the work that a send has done up to the last update of its target, in
- * microseconds.
+ * Returns the time that a send has run up to the last update of its target, in
+ * microseconds at slowness 1.
  */
 static double
-send_progress(const struct placement *p, const struct send *send)
+send_progress(const struct send *send)
 {
 	const struct occupancy_exposure exposure =
 	    target_exposure_since(send->target, send);
 
-	return occupancy_curve_work(&p->occupancy, &exposure);
+	return exposure_sum(&exposure);
 }
 
 /*
@@ -40,11 +40,9 @@
 
 	if (t == NULL || !target_is_usable(p, t, now_us))
 		return INFINITY;
-	left = work - send_progress(p, send);
+	left = work - send_progress(send);
 	if (left < overrun_remaining_share * work)
 		left = overrun_remaining_share * work;
-	left /= occupancy_curve_speed(
-	    &p->occupancy, target_occupied(t, now_us), t->slots);
 	return target_likely_time(p, t, left, now_us);
 }
 
@@ -85,7 +83,7 @@
     struct send *send, uint64_t now_us)
 {
 	if (send->overdue ||
-	    send_progress(p, send) < OVERDUE_FACTOR *
+	    send_progress(send) < OVERDUE_FACTOR *
 		    service_time_estimate(&p->work, call->request.route))
 		return;
 	send->overdue = true;
--- a/src/placement/placement_queue.c
+++ b/src/placement/placement_queue.c
@@ -28,20 +28,6 @@
 	    (1 + retry_after_jitter * (random_unit(&p->random) - 0.5)));
 }
 
-/*
- * Returns how many requests with this much work a target completes per
- * microsecond with as many as it is given at most.
- */
-static double
-full_target_rate(const struct placement *p, const struct target *t,
-    double work_us, uint64_t now_us)
-{
-	unsigned slots = target_useful_slots(p, t);
-	double speed = occupancy_curve_speed(&p->occupancy, slots, t->slots);
-
-	return slots / target_likely_time(p, t, work_us / speed, now_us);
-}
-
 /*
  * Returns how many requests with this much work the usable targets complete per
  * microsecond.
@@ -55,7 +41,8 @@
 		const struct target *t = p->order->pdata[i];
 
 		if (target_is_usable(p, t, now_us))
-			sum += full_target_rate(p, t, work_us, now_us);
+			sum += target_useful_slots(p, t) /
+			    target_likely_time(p, t, work_us, now_us);
 	}
 	return sum;
 }
--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -197,15 +197,16 @@
 }
 
 /*
- * Returns the work of a call with the slow-down on a target that it would join.
+ * Returns the time in microseconds at slowness 1 that an exposure amounts to.
  */
-static double
-slowed_work(const struct placement *p, const struct target *t,
-    const struct call *call, uint64_t now_us)
+double
+exposure_sum(const struct occupancy_exposure *exposure)
 {
-	return service_time_estimate(&p->work, call->request.route) /
-	    occupancy_curve_speed(
-		&p->occupancy, target_occupied(t, now_us) + 1, t->slots);
+	double sum = 0;
+
+	for (unsigned i = 0; i < OCCUPANCY_LEVELS; i++)
+		sum += exposure->us[i];
+	return sum;
 }
 
 /*
@@ -216,7 +217,7 @@
     const struct call *call, uint64_t now_us)
 {
 	return target_likely_time(
-	    p, t, slowed_work(p, t, call, now_us), now_us);
+	    p, t, service_time_estimate(&p->work, call->request.route), now_us);
 }
 
 /*
@@ -322,6 +323,7 @@
 	struct target *best[2] = {NULL, NULL}; /* any, same failure domain */
 	double cost[2] = {INFINITY, INFINITY};
 	double finish[2] = {INFINITY, INFINITY};
+	double work = service_time_estimate(&p->work, call->request.route);
 	bool local;
 
 	for (guint i = 0; i < p->order->len; i++) {
@@ -332,8 +334,7 @@
 		    !target_has_room(p, t, now_us) || is_excluded(call, t))
 			continue;
 		f = target_finish_time(p, t, call, now_us);
-		c = target_mean_time(
-		    p, t, slowed_work(p, t, call, now_us), now_us);
+		c = target_mean_time(p, t, work, now_us);
 		c = c *
 			(has_recent_connection(t, call, now_us)
 				? 1
--- a/src/placement/service_time.c
+++ b/src/placement/service_time.c
@@ -9,7 +9,7 @@
  * The same of the long-run average, against which a slow-down is measured: it
  * must change more slowly than the slow-down that it would absorb.
  */
-static const double long_run_weight_min = 0.005;
+static const double full_speed_weight_min = 0.005;
 
 /*
  * Returns the index of a route, or -1.
@@ -42,17 +42,17 @@
 }
 
 /*
- * Returns the long-run service time of a route in microseconds, or 0 while it
- * has few samples: the first answers are those of short requests.
+ * Returns the long-run time of a route at full speed in microseconds, or 0 while
+ * it has few samples: the first answers are those of short requests.
  */
 double
-service_time_long_run(const struct service_time_table *table, uint32_t route)
+service_time_full_speed(const struct service_time_table *table, uint32_t route)
 {
 	int at = route_index(table, route);
 
 	return at >= 0 &&
 		(double)table->routes[at].samples * sample_weight_min >= 1
-	    ? table->routes[at].long_run_us
+	    ? table->routes[at].full_speed_us
 	    : 0;
 }
 
@@ -70,29 +70,30 @@
 	table->routes[at].route = route;
 	table->routes[at].samples = 0;
 	table->routes[at].work_us = work_us;
-	table->routes[at].long_run_us = work_us;
+	table->routes[at].full_speed_us = work_us;
 	return at;
 }
 
 /*
- * Adds one sample to a route's average service time; work_us is the measured
- * time divided by the target's slowness.  Routes beyond ESTIMATE_ROUTES_MAX are
- * ignored.
+ * Adds one sample to a route's averages, in microseconds; spent_us is the
+ * measured time divided by the target's slowness, full_speed_us the part of it
+ * that the request would have taken on a target almost idle.  Routes beyond
+ * ESTIMATE_ROUTES_MAX are ignored.
  */
 void
-service_time_record(
-    struct service_time_table *table, uint32_t route, double work_us)
+service_time_record(struct service_time_table *table, uint32_t route,
+    double spent_us, double full_speed_us)
 {
-	int at = add_route(table, route, work_us);
+	int at = add_route(table, route, spent_us);
 	double share;
 
 	if (at < 0)
 		return;
 	share = 1.0 / (double)++table->routes[at].samples;
 	table->routes[at].work_us += fmax(share, sample_weight_min) *
-	    (work_us - table->routes[at].work_us);
-	table->routes[at].long_run_us += fmax(share, long_run_weight_min) *
-	    (work_us - table->routes[at].long_run_us);
+	    (spent_us - table->routes[at].work_us);
+	table->routes[at].full_speed_us += fmax(share, full_speed_weight_min) *
+	    (full_speed_us - table->routes[at].full_speed_us);
 }
 
 /*
@@ -108,7 +109,7 @@
 	if (at < 0)
 		return;
 	table->routes[at].work_us = work_us;
-	table->routes[at].long_run_us = work_us;
+	table->routes[at].full_speed_us = work_us;
 	table->routes[at].samples = (uint64_t)(1 / sample_weight_min);
 }
 
--- a/src/placement/service_time.h
+++ b/src/placement/service_time.h
@@ -21,19 +21,20 @@
 	struct {
 		uint32_t route;
 		uint64_t samples;
+		/* recent average, with the usual slow-down by occupancy */
 		double work_us;
-		double long_run_us;
+		double full_speed_us; /* long-run average without it */
 	} routes[ESTIMATE_ROUTES_MAX];
 	unsigned count;
 };
 
 double service_time_estimate(
     const struct service_time_table *table, uint32_t route) ATTR_NONNULL_ALL;
-/* Long-run average in microseconds; 0: too few samples. */
-double service_time_long_run(
+/* Long-run time at full speed in microseconds; 0: too few samples. */
+double service_time_full_speed(
     const struct service_time_table *table, uint32_t route) ATTR_NONNULL_ALL;
 void service_time_record(struct service_time_table *table, uint32_t route,
-    double work_us) ATTR_NONNULL_ALL;
+    double spent_us, double full_speed_us) ATTR_NONNULL_ALL;
 /* Starts from the usual work of a route that another instance has learnt. */
 void service_time_adopt(struct service_time_table *table, uint32_t route,
     double work_us) ATTR_NONNULL_ALL;
