--- a/test/unit/test_placement.c
+++ b/test/unit/test_placement.c
@@ -747,6 +747,38 @@
 	placement_free(p);
 }
 
+static void
+successor_starts_with_what_was_learnt(void **state ATTR_UNUSED)
+{
+	struct placement *p = two_targets();
+	struct placement *next = two_targets();
+	struct placement_request r = request_for(&granted);
+	struct placement_model model;
+	uint32_t other_route = r.route + 1;
+
+	assert_true(placement_knows_nothing(p));
+	for (int i = 0; i < 20; i++) {
+		(void)placement_submit(p, &r, 100 + (uint64_t)i);
+		placement_complete(p, r.user, granted_target, OUTCOME_ANSWERED,
+		    90 * MS, NULL, 100 + (uint64_t)i);
+	}
+	placement_get_model(p, &other_route, &model);
+	assert_int_equal(model.route_count, 0);
+	placement_get_model(p, &r.route, &model);
+	assert_int_equal(model.route_count, 1);
+	assert_in_range(model.work_us[0], 80 * MS, 100 * MS);
+	memset(model.speed, 100, sizeof(model.speed));
+	model.speed[OCCUPANCY_LEVELS - 1] = 40;
+	placement_adopt_model(next, &model);
+	assert_false(placement_knows_nothing(next));
+	placement_get_model(next, NULL, &model);
+	assert_int_equal(model.route_count, 1);
+	assert_in_range(model.work_us[0], 80 * MS, 100 * MS);
+	assert_in_range(model.speed[OCCUPANCY_LEVELS - 1], 35, 50);
+	placement_free(p);
+	placement_free(next);
+}
+
 static void
 unreachable_target_is_excluded(void **state ATTR_UNUSED)
 {
@@ -833,6 +865,7 @@
 	    cmocka_unit_test(large_responses_stay_in_failure_domain),
 	    cmocka_unit_test(idempotent_request_is_hedged_when_target_slows),
 	    cmocka_unit_test(new_target_gets_requests),
+	    cmocka_unit_test(successor_starts_with_what_was_learnt),
 	    cmocka_unit_test(unreachable_target_is_excluded),
 	    cmocka_unit_test(cold_started_placements_spread_requests),
 	};
