--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -13,8 +13,6 @@
  */
 static const double new_connection_penalty = 0.04;
 static const double cost_tie_ratio = 0.01;
-/* Part of a request's stay that another one at its target shares with it. */
-static const double shared_stay = 0.5;
 /* A target in another failure domain must be 10 % faster to be chosen. */
 static const double local_preference = 1.1;
 
@@ -222,8 +220,7 @@
 
 /*
  * Returns the time in microseconds that the requests at a target lose in sum
- * if another one runs there for stay_us.  Each of them shares a part of that
- * time with it.
+ * if another one runs there for stay_us.
  */
 static double
 harm_to_others(const struct placement *p, const struct target *t,
@@ -233,7 +230,7 @@
 
 	if (occupied == 0)
 		return 0;
-	return shared_stay * occupied * stay_us *
+	return occupied * stay_us *
 	    (1 -
 		occupancy_curve_speed(&p->occupancy, occupied + 1, t->slots) /
 		    occupancy_curve_speed(&p->occupancy, occupied, t->slots));
