--- a/src/placement/occupancy_curve.c
+++ b/src/placement/occupancy_curve.c
@@ -5,7 +5,7 @@
 
 enum {
 	SOLVE_ANSWERS = 8, /* between two computations of the speeds */
-	EXPLORER_DIVISOR = 8 /* of the targets, this part tries a lower level */
+	EXPLORER_DIVISOR = 8 /* one target in so many tries a lower level */
 };
 
 /*
@@ -105,6 +105,8 @@
 		return useful;
 	if (turn % EXPLORER_DIVISOR == 0)
 		lower = useful - 1;
+	else if (turn % EXPLORER_DIVISOR == 1)
+		lower = useful > 2 ? (useful + 1) / 2 : useful;
 	if (lower == 0 ||
 	    curve->samples[occupancy_level(lower, slots)] >= samples_known)
 		return useful;
