--- a/review/bed.py
+++ b/review/bed.py
@@ -499,14 +499,16 @@
     """Runs case(record) and exits with 1 (broken), 0 (held) or 2."""
     record = Record(os.path.dirname(os.path.abspath(folder)))
     record.say("disruption: %s" % ("on" if TROUBLE else "off"))
+    # What ends this script also ends the processes that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         result = asyncio.run(asyncio.wait_for(case(record), 110))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (CannotRun, OSError, asyncio.TimeoutError,
+            KeyboardInterrupt) as error:
         record.say("could not run: %r" % error)
         result = NOT_RUN
     record.say("result: %s" % {
         HELD: "the rule held", BROKEN: "the rule was broken",
         NOT_RUN: "not run"}[result])
     record.close()
-    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     sys.exit(result)
