Log where an entry's document came from, and that one is late

An entry's document line had index and version alone, one of a control instance without a disk didn't exist, and an entry that was never told of a document looked like one that has it.

Added: from, late_ms, fetches, newest and started_ms in the entry's line, document_late after a second, the line of control without a disk, and metrics for documents, fetches, the version in force, its lateness, connected control instances and texts that control has sent. No decision changes; builds, functional/test_platform_group not run yet.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -49,6 +49,9 @@
 {
 	core->edits = counter_register(COUNTER_TOTAL,
 	    "gypsummill_core_edits_total", "Documents accepted (count)", NULL);
+	core->texts_sent = counter_register(COUNTER_TOTAL,
+	    "gypsummill_core_document_texts_total",
+	    "Documents sent to other processes with their text (count)", NULL);
 	core->departures =
 	    counter_register(COUNTER_TOTAL, "gypsummill_core_departures_total",
 		"Targets that left (count)", NULL);
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -103,6 +103,7 @@
 	GHashTable *asked_departures;
 	struct log_limiter log_limiter; /* of lines about peers and targets */
 	struct counter *edits;
+	struct counter *texts_sent;
 	struct counter *departures;
 	struct counter *announcements;
 	struct counter *refused; /* announcements */
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -153,7 +153,8 @@
  * from the log.
  */
 static void
-on_document(struct core *core, const Fleet__Document *document)
+on_document(struct core *core, const struct channel *from,
+    const Fleet__Document *document)
 {
 	if (core->settings.data != NULL ||
 	    document->index <= core->state.document_index)
@@ -163,6 +164,11 @@
 	str_buf_clear(&core->state.text);
 	str_buf_append(&core->state.text,
 	    str_of((const char *)document->text.data, document->text.len));
+	log_info("document",
+	    "instance=%s index=%" PRIu64 " version=%" PRIu64
+	    " bytes=%zu from=%s",
+	    core->settings.instance, document->index, document->version,
+	    document->text.len, channel_address(from));
 	core_on_applied(core, document->index, 0, CORE_UNAVAILABLE);
 }
 
@@ -302,7 +308,7 @@
 			on_departure(core, frame->departure);
 		break;
 	case FLEET__FRAME__BODY_DOCUMENT:
-		on_document(core, frame->document);
+		on_document(core, channel, frame->document);
 		break;
 	case FLEET__FRAME__BODY_MEMBERS:
 		on_members(core, frame->members);
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -67,6 +67,20 @@
 	return *packed;
 }
 
+/*
+ * Sends a peer the document with its text.
+ */
+void
+core_send_document(struct core *core, const struct core_peer *peer)
+{
+	struct packed_frame *packed = packed_document(core, true);
+
+	if (packed == NULL)
+		return;
+	counter_add(core->texts_sent, 1);
+	channel_send_packed(peer->channel, packed);
+}
+
 /*
  * Sends a peer the current document.  Traffic between failure domains is
  * expensive, so the text is sent only to entries of this domain and to
@@ -79,8 +93,11 @@
 
 	if (peer->is_control && peer->replica != 0)
 		return;
-	packed = packed_document(
-	    core, peer->is_control || is_same_domain(core, peer));
+	if (peer->is_control || is_same_domain(core, peer)) {
+		core_send_document(core, peer);
+		return;
+	}
+	packed = packed_document(core, false);
 	if (packed != NULL)
 		channel_send_packed(peer->channel, packed);
 }
@@ -99,18 +116,6 @@
 	}
 }
 
-/*
- * Sends the document with its text to a peer that has fetched it.
- */
-void
-core_send_document(struct core *core, const struct core_peer *peer)
-{
-	struct packed_frame *packed = packed_document(core, true);
-
-	if (packed != NULL)
-		channel_send_packed(peer->channel, packed);
-}
-
 /*
  * Appends a departure to a batch.
  */
--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -152,6 +152,10 @@
 	    {&flow->messages_refused, "gypsummill_flow_messages_refused_total",
 		"Messages of instances with a field out of its bounds "
 		"(count)"},
+	    {&flow->documents, "gypsummill_flow_documents_total",
+		"Documents put in force (count)"},
+	    {&flow->document_fetches, "gypsummill_flow_document_fetches_total",
+		"Requests to control for the text of a document (count)"},
 	    {&flow->log_dropped, "gypsummill_flow_log_lines_left_out_total",
 		"Log lines dropped by the rate limit (count)"},
 	};
@@ -159,6 +163,16 @@
 	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++)
 		*list[i].counter = counter_register(
 		    COUNTER_TOTAL, list[i].name, list[i].help, NULL);
+	flow->document_version =
+	    counter_register(COUNTER_GAUGE, "gypsummill_flow_document_version",
+		"Version of the document in force (number)", NULL);
+	flow->document_late_ms = counter_register(COUNTER_GAUGE,
+	    "gypsummill_flow_document_late_milliseconds",
+	    "Time since a newer document was announced (ms), 0 if none was",
+	    NULL);
+	flow->controls_open =
+	    counter_register(COUNTER_GAUGE, "gypsummill_flow_controls_open",
+		"Connected control instances (count)", NULL);
 }
 
 /*
--- a/src/flow/flow_control.c
+++ b/src/flow/flow_control.c
@@ -283,6 +283,25 @@
 	}
 }
 
+/*
+ * Returns the number of connected control instances.
+ */
+unsigned
+controls_count_open(const struct flow *flow)
+{
+	unsigned count = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flow->controls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct control *control = value;
+
+		count += channel_is_open(control->channel) ? 1 : 0;
+	}
+	return count;
+}
+
 /*
  * Sends a frame to all connected control instances.
  */
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -226,6 +226,7 @@
 	if (flow->ready)
 		startup_resume_parked(flow);
 	updates_fetch_document(flow, now);
+	updates_check_lateness(flow, now);
 	leaving_tick(flow);
 	away_tick(flow);
 	fleet_ping_suspects(flow, now);
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -59,7 +59,7 @@
 void fleet_adopt_scheduler_parts(
     struct flow *flow, const struct service *service, unsigned parts);
 
-/* fake_control.c: channels to control instances */
+/* flow_control.c: channels to control instances */
 /*
  * Returns a control instance by its link address and connects to a new one;
  * NULL if there are too many.
@@ -75,12 +75,15 @@
 bool
 controls_send_one(struct flow *flow, unsigned turn, const Fleet__Frame *frame);
 void controls_expire(struct flow *flow, uint64_t now_us);
+unsigned controls_count_open(const struct flow *flow);
 
 /* flow_updates.c: frames from control instances */
 void updates_on_frame(
     struct flow *flow, struct control *control, const Fleet__Frame *frame);
 /* Fetches an announced document when it is due. */
 void updates_fetch_document(struct flow *flow, uint64_t now_us);
+/* Reports a document that was announced long ago and not received. */
+void updates_check_lateness(struct flow *flow, uint64_t now_us);
 void updates_drop_source(struct flow *flow, unsigned bit);
 void peer_entry_free(void *value);
 
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -303,6 +303,9 @@
 	struct routes *routes;
 	uint64_t document_index;
 	uint64_t named_index; /* index of the newest announced document */
+	/* when a document newer than the one in force was first announced */
+	uint64_t named_us;
+	bool late_logged; /* the line on that document's lateness */
 	uint64_t fetch_due_us; /* time of the next fetch */
 	unsigned fetch_count; /* fetches of this document so far */
 	struct roster *roster;
@@ -391,6 +394,11 @@
 	struct counter *messages_refused;
 	struct minute_log messages_log; /* by sender */
 	struct counter *log_dropped;
+	struct counter *documents;
+	struct counter *document_fetches;
+	struct counter *document_version;
+	struct counter *document_late_ms;
+	struct counter *controls_open;
 	struct counter *memory_bytes[MEMORY_USES];
 	struct counter *memory_refused;
 	struct counter *memory_waits;
--- a/src/flow/flow_updates.c
+++ b/src/flow/flow_updates.c
@@ -17,7 +17,9 @@
 	 * applied the document.
 	 */
 	FETCH_DELAY_MS = 200,
-	FETCH_RETRY_MS = 300 /* much longer than any round trip */
+	FETCH_RETRY_MS = 300, /* much longer than any round trip */
+	/* Half of the shortest time in which documents must be in force. */
+	DOCUMENT_LATE_MS = 1000
 };
 
 /*
@@ -79,9 +81,56 @@
 		return;
 	frame.body_case = FLEET__FRAME__BODY_FETCH;
 	frame.fetch = &fetch;
+	counter_add(flow->document_fetches, 1);
 	channel_send(from->channel, &frame);
 }
 
+/*
+ * Returns for how long a document newer than the one in force has been
+ * announced, in milliseconds; 0 if there is none.
+ */
+static uint64_t
+document_late_ms(const struct flow *flow, uint64_t now_us)
+{
+	if (flow->named_index <= flow->document_index)
+		return 0;
+	return (now_us - flow->named_us) / US_PER_MS;
+}
+
+/*
+ * Updates the metrics of the document, and logs once that an announced one was
+ * not received for DOCUMENT_LATE_MS.
+ */
+void
+updates_check_lateness(struct flow *flow, uint64_t now_us)
+{
+	uint64_t late_ms = document_late_ms(flow, now_us);
+
+	counter_set(flow->document_late_ms, (int64_t)late_ms);
+	counter_set(flow->controls_open, controls_count_open(flow));
+	if (late_ms < DOCUMENT_LATE_MS || flow->late_logged)
+		return;
+	flow->late_logged = true;
+	log_warn("document_late",
+	    "instance=%s index=%" PRIu64 " in_force=%" PRIu64
+	    " late_ms=%" PRIu64 " fetches=%u controls=%u",
+	    flow->settings.instance, flow->named_index, flow->document_index,
+	    late_ms, flow->fetch_count, controls_count_open(flow));
+}
+
+/*
+ * Records that a control instance has announced a document.
+ */
+static void
+record_announced(struct flow *flow, struct control *from, uint64_t index)
+{
+	if (index > from->named_index)
+		from->named_index = index;
+	if (index > flow->document_index &&
+	    flow->named_index <= flow->document_index)
+		flow->named_us = flow_now_us(flow);
+}
+
 /*
  * Returns whether an announcement moves a known incarnation out of the services
  * of the document.  No target does that, and it would lose its place until its
@@ -134,9 +183,9 @@
 on_document(struct flow *flow, struct control *from, const Fleet__Document *m)
 {
 	struct routes *routes = NULL;
+	uint64_t late_ms;
 
-	if (m->index > from->named_index)
-		from->named_index = m->index;
+	record_announced(flow, from, m->index);
 	if (m->index <= flow->document_index)
 		return;
 	if (m->text.len == 0) {
@@ -169,10 +218,19 @@
 	routes_randomize_rotation(routes, random_next(&flow->random));
 	routes_put(flow->routes);
 	flow->routes = routes;
+	late_ms = document_late_ms(flow, flow_now_us(flow));
 	flow->document_index = m->index;
+	flow->late_logged = false;
+	counter_add(flow->documents, 1);
+	counter_set(flow->document_version, (int64_t)m->version);
 	log_info("document",
-	    "instance=%s index=%" PRIu64 " version=%" PRIu64 " bytes=%zu",
-	    flow->settings.instance, m->index, m->version, m->text.len);
+	    "instance=%s index=%" PRIu64 " version=%" PRIu64
+	    " bytes=%zu from=%s late_ms=%" PRIu64 " fetches=%u newest=%" PRIu64
+	    " started_ms=%" PRIu64,
+	    flow->settings.instance, m->index, m->version, m->text.len,
+	    channel_address(from->channel), late_ms, flow->fetch_count,
+	    flow->named_index,
+	    (flow_now_us(flow) - flow->opened_us) / US_PER_MS);
 }
 
 /*
