Failing reproduction: seeds without a disk keep an entry on its first document

Three control instances with a disk, two without, and an entry started with the two as its seeds. 2.5 s after it is ready: a route of the next acknowledged document gets 404 for 30 s (the test's limit), an acknowledged departure is never heard of, no channel to the instances with a log is opened, and a new control instance with the same seeds doesn't join the group.

--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -186,13 +186,17 @@
 
 
 class Instance:
-    """One instance: a flow process, and a core process if it has a disk."""
+    """One instance: a flow process, and a core process if it serves control,
+    with or without a disk.  seeds are IP addresses, None: those of the bed."""
 
-    def __init__(self, bed, number, core):
+    def __init__(self, bed, number, core, disk=True):
         self.bed = bed
         self.ip = "127.0.7.%d" % (number + 1)
         self.name = "edge-%d" % number
         self.core = core
+        self.disk = disk
+        self.zone = "z-a"
+        self.seeds = None
         self.folder = os.path.join(bed.folder, self.name)
         self.data = os.path.join(self.folder, "data")
         os.makedirs(self.data)
@@ -202,13 +206,14 @@
     def write_settings(self, role):
         p = self.bed.port
         lines = {
-            "node": self.name, "role": role, "ip": self.ip, "zone": "z-a",
+            "node": self.name, "role": role, "ip": self.ip, "zone": self.zone,
             "region": "r", "internal_port_range": "%d,%d" % (p + 4, p + 9),
             "listen.front": "%s:%d" % (self.ip, p),
             "listen.ready": "%s:%d" % (self.ip, p + 1),
             "listen.control": "%s:%d" % (self.ip, p + 2),
             "listen.directory": "%s:%d" % (self.ip, p + 3),
-            "seeds": ",".join("%s:%d" % (ip, p + 2) for ip in self.bed.seeds),
+            "seeds": ",".join("%s:%d" % (ip, p + 2)
+                              for ip in self.seeds or self.bed.seeds),
             "bootstrap": "true" if self.bootstrap else "false",
             "limits.cpu_share": "0.35", "limits.cores": "1",
             "limits.memory_mb": str(self.bed.memory_mb), "limits.max_fds": str(self.bed.max_fds),
@@ -218,7 +223,7 @@
                       "retry_slack=62,ttl_max_s=5,probe_per_s=60" %
                       self.bed.grace_s,
         }
-        if role == "core":
+        if role == "core" and self.disk:
             lines["data_dir"] = self.data
         path = os.path.join(self.folder, role + ".conf")
         with open(path, "w", encoding="utf-8") as out:
@@ -260,10 +265,11 @@
 
 
 class Testbed:
-    """Instances, targets and an operator client."""
+    """Instances, targets and an operator client.  The first instances serve
+    control: cores of them with a disk, then relays without one."""
 
     def __init__(self, instances=1, cores=1, heartbeat_ms=1500, grace_s=6,
-                 memory_mb=260, max_fds=1024):
+                 memory_mb=260, max_fds=1024, relays=0):
         self.memory_mb = memory_mb
         self.max_fds = max_fds
         self.heartbeat_ms = heartbeat_ms
@@ -272,7 +278,8 @@
         self.port = find_free_port_range("127.0.7.1", 10)
         self.seeds = ["127.0.7.%d" % (i + 1) for i in range(min(cores, 3))]
         self.instances = [
-            Instance(self, i, i < cores) for i in range(instances)]
+            Instance(self, i, i < cores + relays, i < cores)
+            for i in range(instances)]
         self.targets = []
         self.heartbeats_enabled = True
         for one in self.instances:
