Send entries what a start has applied once, not document by document

Class: a value is handed on as the stream of its changes.

Evidence: functional/test_platform_history on the commit before: after 440 changes an entry put versions 401 to 440 in force one after another; with a cache of version 10, versions 11 to 40.

Fix: what is applied before the loop waits is sent once: the newest document and all departures as one batch. The document that the instance had before (its cache, or its state before the replica is opened again after a failure of its disk) goes before an older one until the replica has caught up with its leader, and no longer, so that a cache can't hide the documents of a new group (unit/test_core_document).

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -29,8 +29,9 @@
 }
 
 /*
- * Syncs once, before the loop waits, all entries appended during this
- * iteration.
+ * Before the loop waits: syncs once all entries appended during this iteration,
+ * and sends once what was applied, which after a start is the log from the last
+ * snapshot on.
  */
 static void
 on_prepare(uv_prepare_t *prepare)
@@ -39,6 +40,7 @@
 
 	if (core->replica != NULL)
 		replica_flush(core->replica, clock_boot_us());
+	core_push_applied(core);
 }
 
 /*
@@ -147,6 +149,7 @@
 	core_link_close(core);
 	core_estimates_close(core);
 	core_state_destroy(&core->state);
+	core_drop_kept_document(core);
 	roster_free(core->roster);
 	minute_log_free(&core->refused_log);
 	minute_log_free(&core->messages_log);
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -55,6 +55,13 @@
 	struct channel *peer; /* NULL: a local caller */
 };
 
+/* A document with its text. */
+struct core_document {
+	uint64_t index; /* of the log; 0: none */
+	uint64_t version;
+	struct str_buf text;
+};
+
 struct core {
 	uv_loop_t *loop;
 	struct core_settings settings;
@@ -69,7 +76,15 @@
 	GHashTable *replica_last_message; /* replica id -> uint64_t time */
 	struct roster *roster;
 	struct core_state state;
-	Fleet__Cache *cache; /* of the previous run; NULL: none */
+	/*
+	 * What this instance had applied before its replica was opened; in force
+	 * while the log may be behind it.
+	 */
+	struct core_document known;
+	bool document_due; /* a document was applied and not yet sent */
+	uint64_t sent_index; /* of the last document sent to all */
+	unsigned applied_count; /* documents applied since then */
+	struct str_buf departures_due; /* applied and not yet sent */
 	bool cache_dirty;
 	uint64_t next_cache_us; /* earliest time of the next write */
 	GHashTable *estimates; /* service -> Fleet__Estimate; NULL: none */
@@ -164,6 +179,10 @@
 
 /* core_warm_start.c */
 Fleet__Document core_latest_document(const struct core *core);
+/* Keeps the document that is in force, before the replica is opened again. */
+void core_keep_document(struct core *core);
+/* Drops the kept document, once the log holds all that was committed. */
+void core_drop_kept_document(struct core *core);
 /* Saves the document and the targets if they have changed. */
 void core_cache_tick(struct core *core, uint64_t now_us);
 void core_cache_load(struct core *core);
@@ -184,12 +203,12 @@
 void core_link_tick(struct core *core, uint64_t now_us);
 
 /* core_push.c: messages to many peers, packed once for all */
-/* Sent at once to all peers that have sent their hello. */
-void core_push_departure(
-    struct core *core, const struct roster_departure *departure);
 void core_push_members(struct core *core);
-/* Sends the text to entries of this failure domain; others fetch it. */
-void core_push_document(struct core *core);
+/* Sent by core_push_applied(). */
+void core_queue_departure(
+    struct core *core, const struct roster_departure *departure);
+/* Sends the newest document and the queued departures, if there are any. */
+void core_push_applied(struct core *core);
 /* Without a log: passes on what an instance with a log has sent. */
 void core_relay_document(struct core *core);
 void core_relay_departure(
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -1,6 +1,8 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/logger.h"
 #include "core/core_internal.h"
 #include "roster/candidate.h"
 #include "wire/fleet_bounds.h"
@@ -104,11 +106,22 @@
 }
 
 /*
- * Sends the current document to all peers.
+ * Sends the newest document to all peers, unless they have it.
  */
-void
-core_push_document(struct core *core)
+static void
+push_document(struct core *core)
 {
+	Fleet__Document document = core_latest_document(core);
+
+	if (document.index == core->sent_index)
+		return;
+	core->sent_index = document.index;
+	log_info("document",
+	    "instance=%s index=%" PRIu64 " version=%" PRIu64
+	    " bytes=%zu applied=%u",
+	    core->settings.instance, document.index, document.version,
+	    document.text.len, core->applied_count);
+	core->applied_count = 0;
 	for (guint i = 0; i < core->peers->len; i++) {
 		const struct core_peer *peer = core->peers->pdata[i];
 
@@ -162,12 +175,33 @@
 }
 
 /*
- * Sends a departure to all peers.
+ * Queues a departure for all peers.
+ */
+void
+core_queue_departure(
+    struct core *core, const struct roster_departure *departure)
+{
+	batch_departure(&core->departures_due, departure);
+}
+
+/*
+ * Sends what was applied since the last call: the newest document and all
+ * departures.
  */
 void
-core_push_departure(struct core *core, const struct roster_departure *departure)
+core_push_applied(struct core *core)
 {
-	broadcast(core, pack_departure(departure), true);
+	if (core->known.index != 0 && core->replica != NULL &&
+	    replica_has_caught_up(core->replica))
+		core_drop_kept_document(core);
+	if (core->document_due) {
+		core->document_due = false;
+		push_document(core);
+	}
+	if (core->departures_due.len == 0)
+		return;
+	broadcast(core, channel_pack_batch(&core->departures_due), true);
+	str_buf_clear(&core->departures_due);
 }
 
 /*
@@ -481,6 +515,7 @@
 core_push_close(struct core *core)
 {
 	drop_packed_document(core);
+	str_buf_free(&core->departures_due);
 	str_buf_free(&core->updates);
 	str_buf_free(&core->control_updates);
 }
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -99,13 +99,9 @@
 	core_state_apply(&core->state, index, command, &effect);
 	if (effect.document_changed) {
 		counter_add(core->edits, 1);
-		log_info("document",
-		    "instance=%s index=%" PRIu64 " version=%" PRIu64
-		    " bytes=%zu term=%" PRIu64,
-		    core->settings.instance, index, core->state.version,
-		    core->state.text.len, term);
 		core->cache_dirty = true;
-		core_push_document(core);
+		core->document_due = true;
+		core->applied_count++;
 	}
 	if (effect.has_departed) {
 		core->cache_dirty = true;
@@ -114,7 +110,7 @@
 		    "instance=%s index=%" PRIu64 " target=%s started=%" PRIu64,
 		    core->settings.instance, index, effect.departed.id,
 		    effect.departed.started_ms);
-		core_push_departure(core, &effect.departed);
+		core_queue_departure(core, &effect.departed);
 	}
 	fleet__command__free_unpacked(command, NULL);
 	core_on_applied(core, index, term, effect.outcome);
@@ -129,13 +125,14 @@
 }
 
 static void
-push_one_departure(void *ctx, const struct roster_departure *departure)
+queue_one_departure(void *ctx, const struct roster_departure *departure)
 {
-	core_push_departure(ctx, departure);
+	core_queue_departure(ctx, departure);
 }
 
 /*
- * Loads a snapshot and publishes its document and departures.
+ * Loads a snapshot; its document and departures are sent with the rest of what
+ * is applied.
  */
 static enum status
 on_snapshot_load(void *ctx, uint64_t index, struct str data)
@@ -145,10 +142,10 @@
 
 	log_info("snapshot", "instance=%s index=%" PRIu64 " version=%" PRIu64,
 	    core->settings.instance, index, core->state.version);
-	if (status == STATUS_OK && core->listener != NULL) {
-		core_push_document(core);
+	if (status == STATUS_OK) {
+		core->document_due = true;
 		roster_for_each_departure(
-		    core->roster, push_one_departure, core);
+		    core->roster, queue_one_departure, core);
 	}
 	return status;
 }
@@ -451,6 +448,7 @@
 	if (now_us < core->reopen_us)
 		return;
 	core->reopen_us = now_us + REOPEN_MS * US_PER_MS;
+	core_keep_document(core);
 	core_replica_close(core);
 	if (core->rejoin_due) {
 		core_discard_replica(core);
--- a/src/core/core_warm_start.c
+++ b/src/core/core_warm_start.c
@@ -13,17 +13,21 @@
 };
 
 /*
- * Returns the newest document that may be sent to others: the log's, or that
- * of the cache while the log has none.
+ * Returns the newest document that may be sent to others: the log's, or a kept
+ * one that the log is behind.
  */
 Fleet__Document
 core_latest_document(const struct core *core)
 {
 	Fleet__Document document = FLEET__DOCUMENT__INIT;
 
-	if (core->state.document_index == 0 && core->cache != NULL &&
-	    core->cache->document != NULL)
-		return *core->cache->document;
+	if (core->known.index > core->state.document_index) {
+		document.index = core->known.index;
+		document.version = core->known.version;
+		document.text.data = (uint8_t *)core->known.text.data;
+		document.text.len = core->known.text.len;
+		return document;
+	}
 	document.index = core->state.document_index;
 	document.version = core->state.version;
 	document.text.data = (uint8_t *)core->state.text.data;
@@ -31,6 +35,38 @@
 	return document;
 }
 
+static void
+set_known(struct core *core, uint64_t index, uint64_t version, struct str text)
+{
+	core->known.index = index;
+	core->known.version = version;
+	str_buf_clear(&core->known.text);
+	str_buf_append(&core->known.text, text);
+}
+
+/*
+ * Keeps the document of the state, which a replica that is opened again
+ * replaces by that of its snapshot.
+ */
+void
+core_keep_document(struct core *core)
+{
+	if (core->state.document_index > core->known.index)
+		set_known(core, core->state.document_index, core->state.version,
+		    str_buf_view(&core->state.text));
+}
+
+/*
+ * Drops the kept document.  A newer one than the log's is then of another
+ * group, whose indexes mean nothing here.
+ */
+void
+core_drop_kept_document(struct core *core)
+{
+	core->known.index = 0;
+	str_buf_free(&core->known.text);
+}
+
 struct snapshot {
 	Fleet__Announcement *space;
 	Fleet__Announcement **list;
@@ -115,22 +151,29 @@
 void
 core_cache_load(struct core *core)
 {
+	Fleet__Cache *cache;
+
 	if (core->settings.data == NULL)
 		return;
-	core->cache = core_cache_read(core->settings.data);
-	if (core->cache == NULL)
+	cache = core_cache_read(core->settings.data);
+	if (cache == NULL)
 		return;
-	for (size_t i = 0; i < core->cache->n_announcement; i++)
-		core_on_announcement(core, core->cache->announcement[i]);
-	for (size_t i = 0; i < core->cache->n_estimate; i++) {
-		if (fleet_estimate_fault(core->cache->estimate[i]) == NULL)
-			core_on_estimate(core, core->cache->estimate[i]);
+	if (cache->document != NULL)
+		set_known(core, cache->document->index,
+		    cache->document->version,
+		    str_of((const char *)cache->document->text.data,
+			cache->document->text.len));
+	core->sent_index = core->known.index;
+	for (size_t i = 0; i < cache->n_announcement; i++)
+		core_on_announcement(core, cache->announcement[i]);
+	for (size_t i = 0; i < cache->n_estimate; i++) {
+		if (fleet_estimate_fault(cache->estimate[i]) == NULL)
+			core_on_estimate(core, cache->estimate[i]);
 		else
 			counter_add(core->messages_refused, 1);
 	}
 	core->cache_dirty = false;
 	log_info("cache", "instance=%s index=%" PRIu64 " targets=%zu",
-	    core->settings.instance,
-	    core->cache->document != NULL ? core->cache->document->index : 0,
-	    core->cache->n_announcement);
+	    core->settings.instance, core->known.index, cache->n_announcement);
+	fleet__cache__free_unpacked(cache, NULL);
 }
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -436,6 +436,18 @@
 	    now_us;
 }
 
+/*
+ * Returns whether, since it was opened, the replica has applied all that was
+ * committed when its leader, which may be itself, sent its last message.
+ */
+bool
+replica_has_caught_up(const struct replica *replica)
+{
+	return replica->caught_up ||
+	    (replica->role == REPLICA_LEADER &&
+		replica->applied_term == replica->term);
+}
+
 /*
  * Fills in the replica's status for operators.
  */
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -104,6 +104,8 @@
 /* True while no other leader can have been elected. */
 bool replica_has_lease(const struct replica *replica, uint64_t now_us)
     ATTR_NONNULL(1);
+/* Whether all that its leader had committed is applied, since it was opened. */
+bool replica_has_caught_up(const struct replica *replica) ATTR_NONNULL(1);
 /* Adds a learner, promotes a caught-up learner, or removes a member. */
 enum status replica_add_learner(struct replica *replica,
     const struct replica_member *member, uint64_t *index) ATTR_NONNULL_ALL;
--- a/src/replica/replica_append.c
+++ b/src/replica/replica_append.c
@@ -275,6 +275,12 @@
 	if (r->role == REPLICA_STOPPED)
 		return;
 	replica_set_commit(r, m->commit < match ? m->commit : match);
+	/*
+	 * A new leader does not know what was committed before it until an
+	 * entry of its own term is.
+	 */
+	if (m->commit <= match && r->applied_term == r->term)
+		r->caught_up = true;
 	append_confirm(r, from, m, match);
 }
 
--- a/src/replica/replica_defs.h
+++ b/src/replica/replica_defs.h
@@ -114,6 +114,7 @@
 	uint64_t commit_index;
 	uint64_t applied_index;
 	uint64_t applied_term;
+	bool caught_up; /* with the leader, since the replica was opened */
 	bool dirty; /* data is to be synced */
 	bool state_dirty; /* term or vote is to be synced */
 
--- a/test/unit/support_core.c
+++ b/test/unit/support_core.c
@@ -141,6 +141,9 @@
     const char *text)
 {
 	do {
+		/* Until there is a leader, an edit fails at once. */
+		core_fixture_run(
+		    fixture, fixture->outcome == CORE_ACCEPTED ? 0 : 20);
 		fixture->edit_done = false;
 		core_edit(fixture->core, base, version, str_from(text),
 		    on_edited, fixture);
