Don't let each announced document put off the fetch of the last one

While documents were accepted less than 200 ms apart, an entry whose nearby control instance was away got none of them.

Cause: text goes to the own failure domain alone; other entries fetch it 200 ms after it is announced, and each further announcement set this time anew. Class: a deadline that new input moves.

Fix: the time is set when an announcement finds nothing pending and by each document that is received, so that a nearby instance that delivers still saves the fetch.

--- a/src/flow/flow_updates.c
+++ b/src/flow/flow_updates.c
@@ -175,6 +175,21 @@
 	(void)roster_depart(flow->roster, &departure);
 }
 
+/*
+ * Sets the time of the next fetch, when a document is announced and after each
+ * one that was received.  Further announcements don't put it off, since they
+ * may come faster than documents.  The first document is fetched at once:
+ * callers wait for it.
+ */
+static void
+schedule_fetch(struct flow *flow)
+{
+	flow->fetch_count = 0;
+	flow->fetch_due_us = flow_now_us(flow);
+	if (flow->routes != NULL)
+		flow->fetch_due_us += FETCH_DELAY_MS * US_PER_MS;
+}
+
 /*
  * Processes a document.  One that is not newer than the one in force comes from
  * a control instance that lags behind.
@@ -193,18 +208,11 @@
 		 * Only announced: the text will be sent by a nearby control
 		 * instance, or is fetched.
 		 */
-		if (m->index > flow->named_index) {
+		if (flow->named_index <= flow->document_index)
+			schedule_fetch(flow);
+		if (m->index > flow->named_index)
 			flow->named_index = m->index;
-			/*
-			 * Fetch the first document at once, since callers wait
-			 * for it.
-			 */
-			flow->fetch_due_us = flow_now_us(flow) +
-			    (flow->routes != NULL ? FETCH_DELAY_MS * US_PER_MS
-						  : 0);
-			flow->fetch_count = 0;
-			updates_fetch_document(flow, flow_now_us(flow));
-		}
+		updates_fetch_document(flow, flow_now_us(flow));
 		return;
 	}
 	if (flow->dialect.read_document(
@@ -231,6 +239,7 @@
 	    channel_address(from->channel), late_ms, flow->fetch_count,
 	    flow->named_index,
 	    (flow_now_us(flow) - flow->opened_us) / US_PER_MS);
+	schedule_fetch(flow);
 }
 
 /*
--- a/test/unit/support_flow.c
+++ b/test/unit/support_flow.c
@@ -203,16 +203,16 @@
 }
 
 /*
- * Sends the document in force, or announces it if text is empty.
+ * Sends a document, or announces it if text is empty.
  */
 void
-fake_control_send_document(struct channel *channel, struct str text)
+fake_control_send_document(
+    struct channel *channel, uint64_t index, struct str text)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Document document = FLEET__DOCUMENT__INIT;
 
-	document.index = 5;
-	document.version = 5;
+	document.index = document.version = index;
 	document.text.data = (uint8_t *)text.data;
 	document.text.len = text.len;
 	frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
@@ -277,12 +277,14 @@
 		control->message(control->ctx, channel, frame);
 	if (frame->body_case == FLEET__FRAME__BODY_HELLO &&
 	    control->announces_document)
-		fake_control_send_document(channel, str_of("", 0));
+		fake_control_send_document(
+		    channel, control->newest, str_of("", 0));
 	if (frame->body_case != FLEET__FRAME__BODY_FETCH)
 		return;
 	control->fetch_count++;
 	if (control->serves_document)
-		fake_control_send_document(channel, STR_LITERAL("text"));
+		fake_control_send_document(
+		    channel, control->newest, STR_LITERAL("text"));
 }
 
 static void
@@ -303,6 +305,8 @@
 	const struct channel_callbacks callbacks = {
 	    .ctx = control, .message = on_message, .closed = on_closed};
 
+	if (control->newest == 0)
+		control->newest = FAKE_DOCUMENT;
 	for (unsigned port = 32100; control->listener == NULL && port < 33000;
 	     port++) {
 		snprintf(control->address, sizeof(control->address),
--- a/test/unit/support_flow.h
+++ b/test/unit/support_flow.h
@@ -32,6 +32,10 @@
 /* Runs the loop for a time. */
 void flow_fixture_run(struct flow_fixture *fixture, uint64_t ms);
 
+enum {
+	FAKE_DOCUMENT = 5 /* index of the first document */
+};
+
 /* A fake control instance. */
 struct fake_control {
 	struct channel_listener *listener;
@@ -45,6 +49,7 @@
 	bool announces_document; /* in response to each hello */
 	bool serves_document; /* in response to each fetch */
 	unsigned fetch_count;
+	uint64_t newest; /* index of the document */
 };
 
 void fake_control_open(uv_loop_t *loop, struct fake_control *control);
@@ -53,8 +58,9 @@
 flow_fixture_join(struct flow_fixture *fixture, struct fake_control *control);
 void
 flow_fixture_leave(struct flow_fixture *fixture, struct fake_control *control);
-/* Sends the document in force, or announces it if text is empty. */
-void fake_control_send_document(struct channel *channel, struct str text);
+/* Sends a document, or announces it if text is empty. */
+void fake_control_send_document(
+    struct channel *channel, uint64_t index, struct str text);
 /* Reports another entry. */
 void fake_control_send_entry(
     struct channel *channel, Fleet__Hello *hello, bool gone);
--- a/test/unit/test_flow.c
+++ b/test/unit/test_flow.c
@@ -185,10 +185,10 @@
 	}
 	fixture.flow->settings.seeds = seeds;
 	fixture.flow->settings.seed_count = 3;
-	while (fixture.flow->document_index != 5 &&
+	while (fixture.flow->document_index != FAKE_DOCUMENT &&
 	    controls[0].fetch_count + controls[1].fetch_count < 20)
 		(void)uv_run(&fixture.loop, UV_RUN_ONCE);
-	assert_int_equal(fixture.flow->document_index, 5);
+	assert_int_equal(fixture.flow->document_index, FAKE_DOCUMENT);
 	assert_true(controls[2].fetch_count > 0);
 	for (int i = 0; i < 3; i++)
 		channel_listener_close(controls[i].listener);
@@ -196,6 +196,48 @@
 	flow_fixture_close(&fixture, flow_fixture_exchange(&fixture));
 }
 
+static void
+remember_channel(void *ctx, struct channel *channel, const Fleet__Frame *frame)
+{
+	struct channel **to = ctx;
+
+	if (frame->body_case == FLEET__FRAME__BODY_HELLO)
+		*to = channel;
+}
+
+/*
+ * Guards against a fetch that each further announcement puts off.
+ */
+static void
+document_is_fetched_while_others_are_announced(void **state ATTR_UNUSED)
+{
+	enum {
+		GAP_MS = 50,
+		APPLY_MS = 2000 /* config_apply_ms, the shortest one */
+	};
+	struct channel *channel = NULL;
+	struct fake_control control = {.announces_document = true,
+	    .serves_document = true,
+	    .message = remember_channel,
+	    .ctx = &channel};
+	struct flow_fixture fixture;
+
+	flow_fixture_open(&fixture, REPEAT_ALLOWED);
+	flow_fixture_join(&fixture, &control);
+	while (fixture.flow->document_index == 0)
+		(void)uv_run(&fixture.loop, UV_RUN_ONCE);
+	for (unsigned ms = 0;
+	     ms < APPLY_MS && fixture.flow->document_index == FAKE_DOCUMENT;
+	     ms += GAP_MS) {
+		fake_control_send_document(
+		    channel, ++control.newest, str_of("", 0));
+		flow_fixture_run(&fixture, GAP_MS);
+	}
+	assert_true(fixture.flow->document_index > FAKE_DOCUMENT);
+	flow_fixture_leave(&fixture, &control);
+	flow_fixture_close(&fixture, flow_fixture_exchange(&fixture));
+}
+
 /*
  * Connects a caller with a small receive buffer.
  */
@@ -474,6 +516,7 @@
 	    cmocka_unit_test(second_grant_is_used_only_if_idempotent),
 	    cmocka_unit_test(ask_with_other_part_count_is_granted),
 	    cmocka_unit_test(document_fetch_tries_all_control_instances),
+	    cmocka_unit_test(document_is_fetched_while_others_are_announced),
 	    cmocka_unit_test(larger_part_count_is_adopted_with_enough_targets),
 	    cmocka_unit_test(last_response_is_written_to_slow_caller),
 	    cmocka_unit_test(grant_after_pause_or_deadline_is_ignored),
--- a/test/unit/test_flow_fleet.c
+++ b/test/unit/test_flow_fleet.c
@@ -53,7 +53,7 @@
 	if (fleet->reported_entries > 0)
 		fake_control_send_members(
 		    channel, fleet->reported_entries, 250);
-	fake_control_send_document(channel, STR_LITERAL("text"));
+	fake_control_send_document(channel, FAKE_DOCUMENT, STR_LITERAL("text"));
 	for (unsigned i = 0; i < fleet->entries; i++) {
 		Fleet__Hello hello = FLEET__HELLO__INIT;
 		char name[32], at[ADDRESS_BYTES];
@@ -272,8 +272,8 @@
 		    uv_now(startup->loop) < startup->peers[i].synced_ms)
 			continue;
 		startup->peers[i].synced = true;
-		fake_control_send_document(
-		    startup->peers[i].channel, STR_LITERAL("text"));
+		fake_control_send_document(startup->peers[i].channel,
+		    FAKE_DOCUMENT, STR_LITERAL("text"));
 		fake_control_send_synced(startup->peers[i].channel);
 	}
 }
