Treat the limit of file sizes as a full disk

A control instance whose write went beyond the limit of file sizes (RLIMIT_FSIZE) ended by SIGXFSZ instead of stopping its replica and opening it again, as it does on a full disk.

Fix: the signal is ignored in all programs, so that the write fails with EFBIG.

--- a/src/base/signals.c
+++ b/src/base/signals.c
@@ -8,7 +8,8 @@
 
 /*
  * Sets *set to SIGTERM, SIGINT and SIGHUP and blocks them in this thread and
- * the threads it creates; ignores SIGPIPE.
+ * the threads it creates; ignores SIGPIPE, and SIGXFSZ, so that a write beyond
+ * the limit of file sizes fails as on a full disk.
  */
 void
 signals_block(sigset_t *set)
@@ -19,6 +20,7 @@
 	sigaddset(set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, set, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGXFSZ, SIG_IGN);
 }
 
 /*
--- a/src/base/signals.h
+++ b/src/base/signals.h
@@ -11,7 +11,7 @@
 
 #include "base/attr.h"
 
-/* Must be called before any thread is created; ignores SIGPIPE. */
+/* Must be called before any thread is created; ignores SIGPIPE and SIGXFSZ. */
 void signals_block(sigset_t *set) ATTR_NONNULL_ALL;
 /* Returns true when SIGTERM or SIGINT arrives within wait_us microseconds. */
 bool signals_wait(const sigset_t *set, uint64_t wait_us) ATTR_NONNULL_ALL;
--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -197,6 +198,7 @@
         self.disk = disk
         self.zone = "z-a"
         self.seeds = None
+        self.file_bytes = None  # longest file that the core may write
         self.folder = os.path.join(bed.folder, self.name)
         self.data = os.path.join(self.folder, "data")
         os.makedirs(self.data)
@@ -234,10 +236,24 @@
     def start(self, role):
         environment = dict(os.environ,
                            GYPSUMMILL_NODE_FILE=self.write_settings(role))
+        bound = None
+        if role == "core" and self.file_bytes is not None:
+            bound = lambda: self.limit_files(os.getpid(), self.file_bytes)
         with open(self.log(role), "ab") as log:
             self.processes[role] = subprocess.Popen(
                 [os.path.join(BIN, "gypsummill-" + role)], stdout=log,
-                stderr=log, env=environment)
+                stderr=log, env=environment, preexec_fn=bound)
+
+    def limit_files(self, pid, limit):
+        resource.prlimit(pid, resource.RLIMIT_FSIZE,
+                         (limit, resource.RLIM_INFINITY))
+
+    def fill_disk(self, full=True):
+        """Makes all writes of the core beyond the start of a file fail, or
+        lets them pass again."""
+        self.file_bytes = 0 if full else None
+        self.limit_files(self.processes["core"].pid,
+                         0 if full else resource.RLIM_INFINITY)
 
     def log(self, role):
         return os.path.join(self.folder, role + ".log")
