Tell neighbours when the replica is opened after the channel

Changes stay refused while all processes run, long after disks have room again.

Cause: an instance names its replica in the hello with which a channel opens, 0 if none is open, and named it again only when its id changed. A replica that could not be opened at first, since its disk had no room, and was opened later under the same id stayed 0 for the others, who ignored its messages for good: it never replied, voted or caught up. As many of them as the group may lose, one after another, and one more, and no majority is left. Class: a state is told at the start of a connection, not when it changes.

Fix: the hello is repeated when the replica is opened or closed.

--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -405,6 +405,15 @@
 	g_ptr_array_remove_fast(core->peers, peer);
 }
 
+/*
+ * Returns the id of the replica, 0 while it is not open.
+ */
+static uint64_t
+open_replica_id(const struct core *core)
+{
+	return core->replica != NULL ? core->replica_id : 0;
+}
+
 /*
  * Sends this instance's hello to a neighbour when its channel opens.
  */
@@ -423,7 +432,7 @@
 	hello.instance = (char *)core->settings.instance;
 	hello.failure_domain = (char *)core->settings.failure_domain;
 	hello.link_address = (char *)core->settings.link_address;
-	hello.replica = core->replica != NULL ? core->replica_id : 0;
+	hello.replica = open_replica_id(core);
 	frame.body_case = FLEET__FRAME__BODY_HELLO;
 	frame.hello = &hello;
 	channel_send(channel, &frame);
@@ -494,7 +503,7 @@
 }
 
 /*
- * Sends a new hello to all neighbours after the replica id has changed.
+ * Sends a new hello to all neighbours after the replica was opened or closed.
  */
 static void
 resend_hello(struct core *core)
@@ -533,8 +542,8 @@
 		(void)core_neighbour(core, core->settings.seeds[i]);
 	for (unsigned i = 0; i < core->info.member_count; i++)
 		(void)core_neighbour(core, core->info.members[i].address);
-	if (core->announced_replica_id != core->replica_id) {
-		core->announced_replica_id = core->replica_id;
+	if (core->announced_replica_id != open_replica_id(core)) {
+		core->announced_replica_id = open_replica_id(core);
 		resend_hello(core);
 	}
 	if (now_us < core->next_members_us)
--- a/test/functional/test_platform_full_disk.py
+++ b/test/functional/test_platform_full_disk.py
@@ -1,6 +1,8 @@
 """Disks of control instances that take no more bytes, one after another.  When
 the last has room again, changes must be accepted at every instance."""
 
+import os
+import shutil
 import time
 import unittest
 
@@ -34,6 +36,13 @@
             for core in cores), "version %d is acknowledged" % config["version"])
         self.version += 1
 
+    def count_lines(self, text):
+        count = 0
+        for core in self.bed.instances:
+            with open(core.log("core"), encoding="utf-8") as log:
+                count += sum(text in line for line in log)
+        return count
+
     def test_changes_are_accepted_after_the_last_full_disk(self):
         for core in self.bed.instances:
             core.fill_disk()
@@ -49,6 +58,29 @@
             wait_until(lambda c=core: c.call("GET", "/config")[0] == 200,
                        core.name + " returns the config")
 
+    def test_replica_gets_its_vote_after_a_start_with_a_full_disk(self):
+        # There is room for the id, but not for the first file of the log: the
+        # process connects to the others before it has a replica.
+        lost = self.bed.instances[0]
+        lost.kill("core")
+        shutil.rmtree(lost.data)
+        os.makedirs(lost.data)
+        lost.bootstrap = False
+        lost.file_bytes = 20
+        before = self.count_lines("change=promote")
+        lost.start("core")
+        self.change(self.bed.cores()[1:])
+        # The former learner takes the lost vote.
+        wait_until(lambda: self.count_lines("change=promote") > before,
+                   "the vote is replaced")
+        wait_until(lambda: self.count_lines("change=remove") > 0,
+                   "the lost replica is removed")
+        lost.fill_disk(False)
+        self.bed.instances[1].kill("core")
+        wait_until(lambda: self.count_lines("change=promote") > before + 1,
+                   "the new replica takes the next lost vote")
+        self.change(self.bed.cores())
+
 
 if __name__ == "__main__":
     unittest.main()
