Return a grant that comes too late in a stop instead of using it

One that arrived before and waited for a target was still sent whenever its grant came, up to the moment at which the stop ends all requests: it ran, was broken off and had 504, so that its caller could not try elsewhere.

Cause: the bound was checked at the arrival alone. Class: a decision that depends on the time left is made once, before a wait.

Evidence: unit/test_flow_deadline, a grant one second before the end of a stop whose target is expected to take 0.6 s: sent, without the change. Not seen in a run of real processes.

Fix: the grant goes back to its scheduler, and the caller gets 503, not run, unless twice the expected time is left or its own time ends before.

--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -9,7 +9,6 @@
 enum {
 	NO_DOCUMENT_RETRY_US = 300 * 1000, /* a fifth of a heartbeat interval */
 	NO_MEMORY_RETRY_US = 300 * 1000,
-	OTHER_ENTRY_RETRY_US = 50 * 1000, /* a new connection takes as long */
 	/*
 	 * Until then lookups may still direct callers here; a signal may be
 	 * handled late on a busy processor.
@@ -21,7 +20,7 @@
 	DEADLINE_MAX_MS = 10 * 60 * 1000 /* longest timeout of a route */
 };
 
-static const char stopping_reason[] = "this instance is stopping";
+const char exchange_stopping_reason[] = "this instance is stopping";
 static const char late_reason[] = "no answer in time";
 
 static uint64_t
@@ -276,10 +275,10 @@
 		return;
 	exchange_end_attempts(x, OUTCOME_ABANDONED);
 	if (may_have_run && x->fallback_status == 0)
-		exchange_refuse(x, 504, 0, stopping_reason);
+		exchange_refuse(x, 504, 0, exchange_stopping_reason);
 	else
 		exchange_end_with_failure(
-		    x, OTHER_ENTRY_RETRY_US, stopping_reason);
+		    x, OTHER_ENTRY_RETRY_US, exchange_stopping_reason);
 }
 
 /*
@@ -435,7 +434,8 @@
 	x->service = fleet_next_part(flow, part->name);
 	set_deadlines(x);
 	if (may_be_cut(x)) {
-		exchange_refuse(x, 503, OTHER_ENTRY_RETRY_US, stopping_reason);
+		exchange_refuse(
+		    x, 503, OTHER_ENTRY_RETRY_US, exchange_stopping_reason);
 		return;
 	}
 	if (!ahead_hold(x))
--- a/src/flow/flow_grant.c
+++ b/src/flow/flow_grant.c
@@ -11,7 +11,9 @@
 	 * Grants of one request that may be refused, each of a target of which
 	 * its scheduler does not know of its backoff.
 	 */
-	REFUSED_GRANTS_MAX = 16
+	REFUSED_GRANTS_MAX = 16,
+	/* Targets may take this many times as long as expected. */
+	EXPECTED_TIME_FACTOR = 2
 };
 
 /*
@@ -90,6 +92,37 @@
 	return "rejected";
 }
 
+/*
+ * Tells the scheduler that a grant is not used.
+ */
+static void
+return_grant(struct exchange *x, const char *target, bool remote)
+{
+	struct attempt unused = {
+	    .exchange = x,
+	    .target = (char *)target,
+	    .started_us = flow_now_us(x->flow),
+	    .remote = remote,
+	};
+
+	schedule_complete(&unused, OUTCOME_ABANDONED);
+}
+
+/*
+ * Returns whether a stop would probably cut a request that is sent now.  One
+ * that was sent before has begun anyway.
+ */
+static bool
+would_be_cut(const struct exchange *x, uint64_t expected_us)
+{
+	const struct flow *flow = x->flow;
+	uint64_t end_us = stop_end_ms(flow) * US_PER_MS;
+
+	return flow->stopping && x->attempt_count == 0 &&
+	    x->deadline_us > end_us &&
+	    flow_now_us(flow) + expected_us * EXPECTED_TIME_FACTOR > end_us;
+}
+
 /*
  * Refuses the grant of a target that this entry backs off from: its
  * scheduler is told, and asked for another one.
@@ -99,12 +132,6 @@
     struct exchange *x, const char *target, bool remote, uint64_t left_us)
 {
 	struct flow *flow = x->flow;
-	struct attempt refused = {
-	    .exchange = x,
-	    .target = (char *)target,
-	    .started_us = flow_now_us(flow),
-	    .remote = remote,
-	};
 
 	counter_add(flow->refused_grants, 1);
 	if (flow_may_log(flow))
@@ -113,7 +140,7 @@
 		    "away_ms=%" PRIu64 " refused=%u",
 		    flow->settings.instance, x->id, x->attempt_id, target,
 		    left_us / US_PER_MS, x->refused_grants);
-	schedule_complete(&refused, OUTCOME_ABANDONED);
+	return_grant(x, target, remote);
 	if (exchange_has_open_attempt(x))
 		return;
 	if (x->refused_grants++ < REFUSED_GRANTS_MAX)
@@ -127,8 +154,8 @@
  * Sends a request to the granted target.
  */
 void
-exchange_on_grant(struct exchange *x, const char *target, bool remote,
-    uint64_t expected_us ATTR_UNUSED)
+exchange_on_grant(
+    struct exchange *x, const char *target, bool remote, uint64_t expected_us)
 {
 	struct flow *flow = x->flow;
 	struct pool *pool = g_hash_table_lookup(flow->pools, target);
@@ -148,6 +175,12 @@
 		refuse_grant(x, target, remote, away_us);
 		return;
 	}
+	if (would_be_cut(x, expected_us)) {
+		return_grant(x, target, remote);
+		exchange_refuse(
+		    x, 503, OTHER_ENTRY_RETRY_US, exchange_stopping_reason);
+		return;
+	}
 	attempt = &x->attempts[x->attempt_count++];
 	*attempt = (struct attempt){
 	    .exchange = x,
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -7,6 +7,14 @@
 
 #include "flow/flow_types.h"
 
+enum {
+	/* Retry-After of a stop; a new connection takes as long. */
+	OTHER_ENTRY_RETRY_US = 50 * 1000
+};
+
+/* The reason of a rejection by a stop, for logs and callers. */
+extern const char exchange_stopping_reason[];
+
 uint64_t flow_now_us(const struct flow *flow);
 /*
  * Records a loop iteration.  After a pause of the process, older grants are
--- a/test/unit/test_flow_deadline.c
+++ b/test/unit/test_flow_deadline.c
@@ -34,6 +34,43 @@
 	flow_fixture_close(&fixture, x);
 }
 
+/*
+ * Guards against a request that has waited, is sent shortly before the end of a
+ * stop, and cut there: it may have run.
+ */
+static void
+grant_that_a_stop_would_cut_is_returned(void **state ATTR_UNUSED)
+{
+	enum {
+		GRACE_MS = 6000,
+		LEFT_MS = 1000 /* until the stop ends requests */
+	};
+	static const struct {
+		uint64_t expected_ms;
+		bool sent;
+	} cases[] = {{100, true}, {600, false}};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct flow_fixture fixture;
+		struct exchange *x;
+
+		flow_fixture_open(&fixture, REPEAT_NEVER);
+		x = flow_fixture_exchange(&fixture);
+		fixture.flow->settings.grace_ms = GRACE_MS;
+		fixture.flow->stopping = true;
+		fixture.flow->stopping_ms = 0;
+		fixture.flow->stopping_ms =
+		    uv_now(&fixture.loop) + LEFT_MS - stop_end_ms(fixture.flow);
+		exchange_on_grant(
+		    x, "t1", true, cases[i].expected_ms * US_PER_MS);
+		assert_int_equal(x->attempt_count, cases[i].sent);
+		assert_int_equal(x->ended, !cases[i].sent);
+		if (!cases[i].sent)
+			assert_non_null(strstr(x->out.data, "HTTP/1.1 503"));
+		flow_fixture_close(&fixture, x);
+	}
+}
+
 static void
 add_field(struct exchange *x, const char *name, const char *value)
 {
@@ -114,6 +151,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(grant_in_the_last_milliseconds_is_ignored),
+	    cmocka_unit_test(grant_that_a_stop_would_cut_is_returned),
 	    cmocka_unit_test(kept_failure_is_sent_in_the_callers_time),
 	    cmocka_unit_test(
 		kept_failure_is_sent_after_the_time_of_one_at_work),
