Tell a replica that it was removed only after its removal is committed

A leader's list of members holds a change as soon as it is appended. Under its lease it told a member that was no longer in the list to join under a new id, and that member gave up its log. If the leader is lost before the removal is committed, for one by a full disk, the member is a voter still and its vote is gone for good; one more loss of a disk, which the group must bear, can then leave no majority.

Fix: replica_info says whether the members are committed, and a removal is reported only then.

--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -204,8 +204,9 @@
 
 /*
  * Notifies a replica that is not a member of its removal, so that it joins
- * under a new id.  Sent only under a lease, when the members are known for
- * certain.  Returns whether it was sent.
+ * under a new id.  Sent only under a lease and after the removal is committed:
+ * a replica that gives up its log before has no vote if the removal is lost with
+ * this leader.  Returns whether it was sent.
  */
 static bool
 send_removed_if_not_member(struct core *core, struct core_peer *peer)
@@ -213,7 +214,8 @@
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Removed removed = FLEET__REMOVED__INIT;
 
-	if (!core_has_lease(core, clock_boot_us()))
+	if (!core_has_lease(core, clock_boot_us()) ||
+	    !core->info.members_committed)
 		return false;
 	for (unsigned i = 0; i < core->info.member_count; i++)
 		if (core->info.members[i].id == peer->replica)
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -463,6 +463,8 @@
 	    .last_index = log_last_index(&replica->log),
 	    .snapshot_index = replica->snapshot_index,
 	    .member_count = replica->members.count,
+	    .members_committed =
+		replica->members_index <= replica->commit_index,
 	};
 	for (unsigned i = 0; i < replica->members.count; i++)
 		info->members[i] = replica->members.list[i].info;
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -66,6 +66,8 @@
 	uint64_t snapshot_index;
 	struct replica_member members[REPLICA_MEMBERS_MAX];
 	unsigned member_count;
+	/* false: a change is under way, which may not come to pass */
+	bool members_committed;
 };
 
 struct replica;
--- a/test/unit/test_replica_rules.c
+++ b/test/unit/test_replica_rules.c
@@ -268,6 +268,31 @@
 	testbed_free(testbed);
 }
 
+/*
+ * Guards against a member that is told of its removal and gives up its log
+ * before the removal is committed.
+ */
+static void
+removal_is_not_reported_before_it_is_committed(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	struct replica *r = testbed_get(testbed, 1);
+	struct replica_info info;
+	uint64_t index;
+
+	testbed_propose(testbed, 1, 1);
+	replica_describe(r, &info);
+	assert_true(info.members_committed);
+	assert_int_equal(replica_remove(r, 3, &index), STATUS_OK);
+	replica_describe(r, &info);
+	assert_int_equal(info.member_count, 2);
+	assert_false(info.members_committed);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	replica_describe(r, &info);
+	assert_true(info.members_committed);
+	testbed_free(testbed);
+}
+
 /*
  * A snapshot stores the members in effect at its index, not later ones that
  * may never be committed.
@@ -470,6 +495,7 @@
 	    cmocka_unit_test(leader_without_quorum_steps_down),
 	    cmocka_unit_test(membership_changes_are_serialized),
 	    cmocka_unit_test(removed_leader_steps_down),
+	    cmocka_unit_test(removal_is_not_reported_before_it_is_committed),
 	    cmocka_unit_test(snapshot_holds_members_at_its_index),
 	    cmocka_unit_test(lagging_follower_receives_a_snapshot),
 	    cmocka_unit_test(replica_with_lost_disk_never_votes),
