Let relays announce documents instead of sending their text

Change: entries fetch the text if it does not come otherwise, as those of other failure domains do.

Measured: unit/test_core_relay 2 of 2, test_platform_relays 5 of 5.

--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -9,18 +9,27 @@
 
 /*
  * Sends a packed frame to all peers that have sent their hello, or only to the
- * entries among them, and drops the reference.
+ * entries among them.
  */
 static void
-broadcast(const struct core *core, struct packed_frame *packed, bool to_control)
+send_to_peers(
+    const struct core *core, struct packed_frame *packed, bool to_control)
 {
-
 	for (guint i = 0; i < core->peers->len; i++) {
 		const struct core_peer *peer = core->peers->pdata[i];
 
 		if (peer->hello_received && (to_control || !peer->is_control))
 			channel_send_packed(peer->channel, packed);
 	}
+}
+
+/*
+ * Sends a packed frame to these peers, and drops the reference.
+ */
+static void
+broadcast(const struct core *core, struct packed_frame *packed, bool to_control)
+{
+	send_to_peers(core, packed, to_control);
 	packed_frame_put(packed);
 }
 
@@ -131,18 +140,17 @@
 }
 
 /*
- * Sends the current document to entries only.  Control instances have it from
- * the instances with a log, and would pass it on in circles.
+ * Announces the current document to entries.  They fetch its text unless an
+ * instance with a log has sent it, which usually has the wider link.  Control
+ * instances have it from those too, and would pass it on in circles.
  */
 void
 core_relay_document(struct core *core)
 {
-	for (guint i = 0; i < core->peers->len; i++) {
-		const struct core_peer *peer = core->peers->pdata[i];
+	struct packed_frame *packed = packed_document(core, false);
 
-		if (peer->hello_received && !peer->is_control)
-			send_known_document(core, peer);
-	}
+	if (packed != NULL)
+		send_to_peers(core, packed, false);
 }
 
 /*
