Keep the log if the file with its id can't be read

Cause: any failure to read the file with the replica's id (no descriptor left, a faulty disk) counted as "no id", and a folder without an id is emptied for a new replica: the log and its vote were removed. Class: an error that reads as absence.

Evidence: unit/test_core_start, an id file that is a directory for one start: with the former code the log was gone and the next change was not accepted on top of the last (test failed).

--- a/src/core/core_folder.c
+++ b/src/core/core_folder.c
@@ -23,25 +23,29 @@
 }
 
 /*
- * Reads the id of the replica in the folder; 0 when there is none.
+ * Reads the id of the replica in the folder; 0 when there is none.  STATUS_IO
+ * when it can't be read: the folder may hold a log then.
  */
-uint64_t
-core_read_id(const struct core *core)
+enum status
+core_read_id(const struct core *core, uint64_t *id)
 {
 	char path[CORE_PATH_BYTES];
 	char text[32] = "";
-	uint64_t id = 0;
+	bool failed;
 	FILE *file;
 
+	*id = 0;
 	core_path(core, id_file, path);
 	file = fopen(path, "re");
 	if (file == NULL)
-		return 0;
+		return errno == ENOENT ? STATUS_OK
+				       : status_set_errno(STATUS_IO, path);
 	if (fgets(text, sizeof(text), file) != NULL &&
-	    !str_to_u64(str_trim(str_from(text)), &id))
-		id = 0;
+	    !str_to_u64(str_trim(str_from(text)), id))
+		*id = 0;
+	failed = ferror(file) != 0;
 	(void)fclose(file);
-	return id;
+	return failed ? status_set_errno(STATUS_IO, path) : STATUS_OK;
 }
 
 /*
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -139,7 +139,8 @@
 void
 core_path(const struct core *core, const char *name, char out[CORE_PATH_BYTES]);
 enum status core_sync_folder(const char *path);
-uint64_t core_read_id(const struct core *core);
+enum status
+core_read_id(const struct core *core, uint64_t *id) ATTR_UNUSED_RESULT;
 enum status core_write_id(const struct core *core, uint64_t id);
 void core_remove_files(const char *path);
 void core_discard_replica(const struct core *core);
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -195,9 +195,9 @@
 	status = core_sync_folder(core->settings.data);
 	if (status != STATUS_OK)
 		return status;
-	core->replica_id = core_read_id(core);
-	if (core->replica_id != 0)
-		return STATUS_OK;
+	status = core_read_id(core, &core->replica_id);
+	if (status != STATUS_OK || core->replica_id != 0)
+		return status;
 	core_remove_files(path);
 	core->replica_id = first_count > 0
 	    ? bootstrap_replica_id(core->settings.link_address)
--- a/test/unit/test_core_document.c
+++ b/test/unit/test_core_start.c
@@ -1,6 +1,6 @@
 /*
- * The document that an instance hands to entries at a start, before its log is
- * applied.
+ * The data folder of an instance at a start: its cache, which goes before an
+ * older log, and the log itself.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -8,6 +8,8 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -71,11 +73,43 @@
 	core_fixture_close(&fixture);
 }
 
+/*
+ * Guards against a log that is removed because the file with the replica's id
+ * can't be read for the moment: the vote would be lost.
+ */
+static void
+log_is_kept_if_its_id_cannot_be_read(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	char id[128], kept[128];
+	uint64_t index;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	accept_versions(&fixture, 1, VERSIONS);
+	index = fixture.core->state.document_index;
+	core_fixture_stop(&fixture);
+	snprintf(id, sizeof(id), "%s/replica-id", fixture.folder);
+	snprintf(kept, sizeof(kept), "%s/kept", fixture.folder);
+	assert_int_equal(rename(id, kept), 0);
+	assert_int_equal(mkdir(id, 0700), 0);
+	core_fixture_open(&fixture, NULL);
+	assert_null(fixture.core->replica);
+	core_fixture_stop(&fixture);
+	assert_int_equal(rmdir(id), 0);
+	assert_int_equal(rename(kept, id), 0);
+	core_fixture_open(&fixture, NULL);
+	accept_versions(&fixture, VERSIONS + 1, VERSIONS + 1);
+	assert_true(fixture.core->state.document_index > index);
+	core_fixture_close(&fixture);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(log_without_the_cached_document_replaces_it),
+	    cmocka_unit_test(log_is_kept_if_its_id_cannot_be_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
