Name the kept document, and drop a packed one of another group

Relays and the start stand in design-platform, GLOSSARY and OPERATIONS.

Measured: unit/test_core_start, test_core_relay, test_core_initial_state, test_core, test_platform_history and test_platform_relays pass.

--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -80,7 +80,7 @@
 	 * What this instance had applied before its replica was opened; in force
 	 * while the log may be behind it.
 	 */
-	struct core_document known;
+	struct core_document kept;
 	bool document_due; /* a document was applied and not yet sent */
 	uint64_t sent_index; /* of the last document sent to all */
 	unsigned applied_count; /* documents applied since then */
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -192,6 +192,26 @@
 	batch_departure(&core->departures_due, departure);
 }
 
+/*
+ * Drops the kept document once the log has caught up.  If it is newer than the
+ * log's, it is of another group, whose indexes mean nothing here.
+ */
+static void
+release_kept_document(struct core *core)
+{
+	if (core->kept.index > core->state.document_index) {
+		log_warn("cache_dropped",
+		    "instance=%s index=%" PRIu64 " in_log=%" PRIu64
+		    " reason=\"of another group\"",
+		    core->settings.instance, core->kept.index,
+		    core->state.document_index);
+		drop_packed_document(core);
+		core->sent_index = 0;
+		core->document_due = true;
+	}
+	core_drop_kept_document(core);
+}
+
 /*
  * Sends what was applied since the last call: the newest document and all
  * departures.
@@ -199,9 +219,9 @@
 void
 core_push_applied(struct core *core)
 {
-	if (core->known.index != 0 && core->replica != NULL &&
+	if (core->kept.index != 0 && core->replica != NULL &&
 	    replica_has_caught_up(core->replica))
-		core_drop_kept_document(core);
+		release_kept_document(core);
 	if (core->document_due) {
 		core->document_due = false;
 		push_document(core);
--- a/src/core/core_warm_start.c
+++ b/src/core/core_warm_start.c
@@ -21,11 +21,11 @@
 {
 	Fleet__Document document = FLEET__DOCUMENT__INIT;
 
-	if (core->known.index > core->state.document_index) {
-		document.index = core->known.index;
-		document.version = core->known.version;
-		document.text.data = (uint8_t *)core->known.text.data;
-		document.text.len = core->known.text.len;
+	if (core->kept.index > core->state.document_index) {
+		document.index = core->kept.index;
+		document.version = core->kept.version;
+		document.text.data = (uint8_t *)core->kept.text.data;
+		document.text.len = core->kept.text.len;
 		return document;
 	}
 	document.index = core->state.document_index;
@@ -36,12 +36,12 @@
 }
 
 static void
-set_known(struct core *core, uint64_t index, uint64_t version, struct str text)
+set_kept(struct core *core, uint64_t index, uint64_t version, struct str text)
 {
-	core->known.index = index;
-	core->known.version = version;
-	str_buf_clear(&core->known.text);
-	str_buf_append(&core->known.text, text);
+	core->kept.index = index;
+	core->kept.version = version;
+	str_buf_clear(&core->kept.text);
+	str_buf_append(&core->kept.text, text);
 }
 
 /*
@@ -51,20 +51,19 @@
 void
 core_keep_document(struct core *core)
 {
-	if (core->state.document_index > core->known.index)
-		set_known(core, core->state.document_index, core->state.version,
+	if (core->state.document_index > core->kept.index)
+		set_kept(core, core->state.document_index, core->state.version,
 		    str_buf_view(&core->state.text));
 }
 
 /*
- * Drops the kept document.  A newer one than the log's is then of another
- * group, whose indexes mean nothing here.
+ * Drops the kept document.
  */
 void
 core_drop_kept_document(struct core *core)
 {
-	core->known.index = 0;
-	str_buf_free(&core->known.text);
+	core->kept.index = 0;
+	str_buf_free(&core->kept.text);
 }
 
 struct snapshot {
@@ -159,11 +158,10 @@
 	if (cache == NULL)
 		return;
 	if (cache->document != NULL)
-		set_known(core, cache->document->index,
-		    cache->document->version,
+		set_kept(core, cache->document->index, cache->document->version,
 		    str_of((const char *)cache->document->text.data,
 			cache->document->text.len));
-	core->sent_index = core->known.index;
+	core->sent_index = core->kept.index;
 	for (size_t i = 0; i < cache->n_announcement; i++)
 		core_on_announcement(core, cache->announcement[i]);
 	for (size_t i = 0; i < cache->n_estimate; i++) {
@@ -174,6 +172,6 @@
 	}
 	core->cache_dirty = false;
 	log_info("cache", "instance=%s index=%" PRIu64 " targets=%zu",
-	    core->settings.instance, core->known.index, cache->n_announcement);
+	    core->settings.instance, core->kept.index, cache->n_announcement);
 	fleet__cache__free_unpacked(cache, NULL);
 }
