Free a control instance that can't listen

core_open() left the instance and its roster behind when its address could not be bound. The programs end then; a test that tries the next port leaks.

Measured: test_core_start twice, test_core_relay and test_core_initial_state at once, three rounds under ASan: no leak.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -86,6 +86,24 @@
 	    &core->log_limiter, clock_boot_us() / US_PER_MS, false);
 }
 
+/*
+ * Closes the parts that core_open() opens, in reverse order.
+ */
+static void
+close_parts(struct core *core)
+{
+	core_propose_close(core);
+	core_departures_close(core);
+	core_replica_close(core);
+	core_link_close(core);
+	core_estimates_close(core);
+	core_state_destroy(&core->state);
+	core_drop_kept_document(core);
+	roster_free(core->roster);
+	minute_log_free(&core->refused_log);
+	minute_log_free(&core->messages_log);
+}
+
 /*
  * Opens a control instance on a loop.  Fails when its address can't be
  * listened on; a replica that can't be opened is retried later.
@@ -106,8 +124,11 @@
 	core_propose_open(core);
 	core_departures_open(core);
 	status = core_link_open(core);
-	if (status != STATUS_OK)
+	if (status != STATUS_OK) {
+		close_parts(core);
+		mem_free(core);
 		return status;
+	}
 	core_cache_load(core);
 	if (core_replica_open(core) != STATUS_OK)
 		log_error("replica_not_opened", "instance=%s reason=\"%s\"",
@@ -143,16 +164,7 @@
 		return;
 	uv_close((uv_handle_t *)&core->timer, NULL);
 	uv_close((uv_handle_t *)&core->prepare, NULL);
-	core_propose_close(core);
-	core_departures_close(core);
-	core_replica_close(core);
-	core_link_close(core);
-	core_estimates_close(core);
-	core_state_destroy(&core->state);
-	core_drop_kept_document(core);
-	roster_free(core->roster);
-	minute_log_free(&core->refused_log);
-	minute_log_free(&core->messages_log);
+	close_parts(core);
 }
 
 /*
