--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -355,6 +355,11 @@
 	case FLEET__FRAME__BODY_HEARD:
 		core_on_heard(core, frame->heard);
 		break;
+	case FLEET__FRAME__BODY_EVACUATIONS:
+	case FLEET__FRAME__BODY_DOCUMENT_RECEIVED:
+	case FLEET__FRAME__BODY_DRAW:
+	case FLEET__FRAME__BODY_DRAW_RESULT:
+	case FLEET__FRAME__BODY_DRAW_RETURN:
 	case FLEET__FRAME__BODY_PING:
 	case FLEET__FRAME__BODY__NOT_SET:
 	case _FLEET__FRAME__BODY__CASE_IS_INT_SIZE:
--- a/src/core/core_state.c
+++ b/src/core/core_state.c
@@ -133,6 +133,7 @@
 		apply_departure(
 		    state, command->departure, command->time_ms, effect);
 		break;
+	case FLEET__COMMAND__BODY_EVACUATION:
 	case FLEET__COMMAND__BODY__NOT_SET:
 	case _FLEET__COMMAND__BODY__CASE_IS_INT_SIZE:
 		break;
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -25,6 +25,7 @@
 #include "net/address.h"
 #include "net/channel.h"
 #include "roster/roster.h"
+#include "routing/account.h"
 #include "wire/fleet.pb-c.h"
 #include "wire/fleet_bounds.h"
 
@@ -188,6 +189,8 @@
 	uint64_t streamed_bytes; /* of the answer's body, so far */
 	struct routes *routes;
 	struct route *route;
+	/* of the caller's key, in routes; NULL: none */
+	const struct account *account;
 	struct service *service;
 	uint64_t arrival_us;
 	uint64_t prior_wait_ms; /* waited by the caller on earlier tries */
--- a/src/routing/routes.c
+++ b/src/routing/routes.c
@@ -119,6 +119,20 @@
 	return STATUS_OK;
 }
 
+/*
+ * Sets how a service's targets warm up.
+ */
+void
+routes_set_warmup(struct routes *routes, const char *name, uint64_t warmup_ms,
+    double warmup_per_s)
+{
+	struct route_service *service =
+	    g_hash_table_lookup(routes->services, name);
+
+	service->warmup_ms = warmup_ms;
+	service->warmup_per_s = warmup_per_s;
+}
+
 /*
  * Validates the fields of a single route.
  */
--- a/src/routing/routes.h
+++ b/src/routing/routes.h
@@ -22,6 +22,9 @@
 	char *name;
 	char *health_path;
 	uint32_t max_connections; /* to one target, from all entries */
+	uint64_t warmup_ms; /* how long a target is cold after its start */
+	/* requests per second that a cold target tolerates; 0: no limit */
+	double warmup_per_s;
 };
 
 /* A service of a route with its share of the requests. */
@@ -73,6 +76,9 @@
 enum status routes_add_service(struct routes *routes, const char *name,
     const char *health_path,
     uint32_t max_connections) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
+/* Sets how a service's targets warm up; the service was added before. */
+void routes_set_warmup(struct routes *routes, const char *name,
+    uint64_t warmup_ms, double warmup_per_s) ATTR_NONNULL_ALL;
 /*
  * Adds a route without destinations.  Strings are copied.  Returns
  * STATUS_INVALID with a message if it breaks a rule.
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -314,6 +314,94 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+fleet__evacuation__init(Fleet__Evacuation *message)
+{
+	static const Fleet__Evacuation init_value = FLEET__EVACUATION__INIT;
+	*message = init_value;
+}
+size_t
+fleet__evacuation__get_packed_size(const Fleet__Evacuation *message)
+{
+	assert(message->base.descriptor == &fleet__evacuation__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+fleet__evacuation__pack(const Fleet__Evacuation *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &fleet__evacuation__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+fleet__evacuation__pack_to_buffer(
+    const Fleet__Evacuation *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &fleet__evacuation__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Fleet__Evacuation *
+fleet__evacuation__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Fleet__Evacuation *)protobuf_c_message_unpack(
+	    &fleet__evacuation__descriptor, allocator, len, data);
+}
+void
+fleet__evacuation__free_unpacked(
+    Fleet__Evacuation *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__evacuation__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
+fleet__evacuations__init(Fleet__Evacuations *message)
+{
+	static const Fleet__Evacuations init_value = FLEET__EVACUATIONS__INIT;
+	*message = init_value;
+}
+size_t
+fleet__evacuations__get_packed_size(const Fleet__Evacuations *message)
+{
+	assert(message->base.descriptor == &fleet__evacuations__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+fleet__evacuations__pack(const Fleet__Evacuations *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &fleet__evacuations__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+fleet__evacuations__pack_to_buffer(
+    const Fleet__Evacuations *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &fleet__evacuations__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Fleet__Evacuations *
+fleet__evacuations__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Fleet__Evacuations *)protobuf_c_message_unpack(
+	    &fleet__evacuations__descriptor, allocator, len, data);
+}
+void
+fleet__evacuations__free_unpacked(
+    Fleet__Evacuations *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__evacuations__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 fleet__command__init(Fleet__Command *message)
 {
 	static const Fleet__Command init_value = FLEET__COMMAND__INIT;
@@ -704,6 +792,187 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+fleet__document_received__init(Fleet__DocumentReceived *message)
+{
+	static const Fleet__DocumentReceived init_value =
+	    FLEET__DOCUMENT_RECEIVED__INIT;
+	*message = init_value;
+}
+size_t
+fleet__document_received__get_packed_size(
+    const Fleet__DocumentReceived *message)
+{
+	assert(
+	    message->base.descriptor == &fleet__document_received__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+fleet__document_received__pack(
+    const Fleet__DocumentReceived *message, uint8_t *out)
+{
+	assert(
+	    message->base.descriptor == &fleet__document_received__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+fleet__document_received__pack_to_buffer(
+    const Fleet__DocumentReceived *message, ProtobufCBuffer *buffer)
+{
+	assert(
+	    message->base.descriptor == &fleet__document_received__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Fleet__DocumentReceived *
+fleet__document_received__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Fleet__DocumentReceived *)protobuf_c_message_unpack(
+	    &fleet__document_received__descriptor, allocator, len, data);
+}
+void
+fleet__document_received__free_unpacked(
+    Fleet__DocumentReceived *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(
+	    message->base.descriptor == &fleet__document_received__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
+fleet__draw__init(Fleet__Draw *message)
+{
+	static const Fleet__Draw init_value = FLEET__DRAW__INIT;
+	*message = init_value;
+}
+size_t
+fleet__draw__get_packed_size(const Fleet__Draw *message)
+{
+	assert(message->base.descriptor == &fleet__draw__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+fleet__draw__pack(const Fleet__Draw *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &fleet__draw__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+fleet__draw__pack_to_buffer(const Fleet__Draw *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &fleet__draw__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Fleet__Draw *
+fleet__draw__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Fleet__Draw *)protobuf_c_message_unpack(
+	    &fleet__draw__descriptor, allocator, len, data);
+}
+void
+fleet__draw__free_unpacked(Fleet__Draw *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__draw__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
+fleet__draw_result__init(Fleet__DrawResult *message)
+{
+	static const Fleet__DrawResult init_value = FLEET__DRAW_RESULT__INIT;
+	*message = init_value;
+}
+size_t
+fleet__draw_result__get_packed_size(const Fleet__DrawResult *message)
+{
+	assert(message->base.descriptor == &fleet__draw_result__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+fleet__draw_result__pack(const Fleet__DrawResult *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &fleet__draw_result__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+fleet__draw_result__pack_to_buffer(
+    const Fleet__DrawResult *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &fleet__draw_result__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Fleet__DrawResult *
+fleet__draw_result__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Fleet__DrawResult *)protobuf_c_message_unpack(
+	    &fleet__draw_result__descriptor, allocator, len, data);
+}
+void
+fleet__draw_result__free_unpacked(
+    Fleet__DrawResult *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__draw_result__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
+fleet__draw_return__init(Fleet__DrawReturn *message)
+{
+	static const Fleet__DrawReturn init_value = FLEET__DRAW_RETURN__INIT;
+	*message = init_value;
+}
+size_t
+fleet__draw_return__get_packed_size(const Fleet__DrawReturn *message)
+{
+	assert(message->base.descriptor == &fleet__draw_return__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+fleet__draw_return__pack(const Fleet__DrawReturn *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &fleet__draw_return__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+fleet__draw_return__pack_to_buffer(
+    const Fleet__DrawReturn *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &fleet__draw_return__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Fleet__DrawReturn *
+fleet__draw_return__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Fleet__DrawReturn *)protobuf_c_message_unpack(
+	    &fleet__draw_return__descriptor, allocator, len, data);
+}
+void
+fleet__draw_return__free_unpacked(
+    Fleet__DrawReturn *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__draw_return__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 fleet__heard__init(Fleet__Heard *message)
 {
 	static const Fleet__Heard init_value = FLEET__HEARD__INIT;
@@ -1567,7 +1836,7 @@
     (ProtobufCMessageInit)fleet__document__init, NULL, NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__members__field_descriptors[7] = {
+static const ProtobufCFieldDescriptor fleet__members__field_descriptors[8] = {
     {
 	"address", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
 	offsetof(Fleet__Members, n_address), offsetof(Fleet__Members, address),
@@ -1611,6 +1880,12 @@
 	offsetof(Fleet__Members, relay), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"voter", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_BOOL,
+	offsetof(Fleet__Members, n_voter), offsetof(Fleet__Members, voter),
+	NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__members__field_indices_by_name[] = {
     0, /* field[0] = address */
@@ -1619,13 +1894,14 @@
     3, /* field[3] = leader_address */
     5, /* field[5] = most_millis */
     6, /* field[6] = relay */
+    7, /* field[7] = voter */
     1, /* field[1] = voters */
 };
 static const ProtobufCIntRange fleet__members__number_ranges[1 + 1] = {
-    {1, 0}, {0, 7}};
+    {1, 0}, {0, 8}};
 const ProtobufCMessageDescriptor fleet__members__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Members", "Members",
-    "Fleet__Members", "fleet", sizeof(Fleet__Members), 7,
+    "Fleet__Members", "fleet", sizeof(Fleet__Members), 8,
     fleet__members__field_descriptors, fleet__members__field_indices_by_name, 1,
     fleet__members__number_ranges, (ProtobufCMessageInit)fleet__members__init,
     NULL, NULL, NULL /* reserved[123] */
@@ -1664,7 +1940,70 @@
     (ProtobufCMessageInit)fleet__edit__init, NULL, NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__command__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor fleet__evacuation__field_descriptors[2] =
+    {
+	{
+	    "failure_domain", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Evacuation, failure_domain), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "active", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Evacuation, active), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned fleet__evacuation__field_indices_by_name[] = {
+    1, /* field[1] = active */
+    0, /* field[0] = failure_domain */
+};
+static const ProtobufCIntRange fleet__evacuation__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor fleet__evacuation__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Evacuation", "Evacuation",
+    "Fleet__Evacuation", "fleet", sizeof(Fleet__Evacuation), 2,
+    fleet__evacuation__field_descriptors,
+    fleet__evacuation__field_indices_by_name, 1,
+    fleet__evacuation__number_ranges,
+    (ProtobufCMessageInit)fleet__evacuation__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__evacuations__field_descriptors[2] =
+    {
+	{
+	    "index", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Evacuations, index), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "failure_domain", 2, PROTOBUF_C_LABEL_REPEATED,
+	    PROTOBUF_C_TYPE_STRING,
+	    offsetof(Fleet__Evacuations, n_failure_domain),
+	    offsetof(Fleet__Evacuations, failure_domain), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned fleet__evacuations__field_indices_by_name[] = {
+    1, /* field[1] = failure_domain */
+    0, /* field[0] = index */
+};
+static const ProtobufCIntRange fleet__evacuations__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor fleet__evacuations__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Evacuations", "Evacuations",
+    "Fleet__Evacuations", "fleet", sizeof(Fleet__Evacuations), 2,
+    fleet__evacuations__field_descriptors,
+    fleet__evacuations__field_indices_by_name, 1,
+    fleet__evacuations__number_ranges,
+    (ProtobufCMessageInit)fleet__evacuations__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__command__field_descriptors[4] = {
     {
 	"edit", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
 	offsetof(Fleet__Command, body_case), offsetof(Fleet__Command, edit),
@@ -1685,17 +2024,25 @@
 	offsetof(Fleet__Command, time_ms), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"evacuation", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Command, body_case),
+	offsetof(Fleet__Command, evacuation), &fleet__evacuation__descriptor,
+	NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__command__field_indices_by_name[] = {
     1, /* field[1] = departure */
     0, /* field[0] = edit */
+    3, /* field[3] = evacuation */
     2, /* field[2] = time_ms */
 };
 static const ProtobufCIntRange fleet__command__number_ranges[1 + 1] = {
-    {1, 0}, {0, 3}};
+    {1, 0}, {0, 4}};
 const ProtobufCMessageDescriptor fleet__command__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Command", "Command",
-    "Fleet__Command", "fleet", sizeof(Fleet__Command), 3,
+    "Fleet__Command", "fleet", sizeof(Fleet__Command), 4,
     fleet__command__field_descriptors, fleet__command__field_indices_by_name, 1,
     fleet__command__number_ranges, (ProtobufCMessageInit)fleet__command__init,
     NULL, NULL, NULL /* reserved[123] */
@@ -1870,6 +2217,162 @@
     fleet__fetch__number_ranges, (ProtobufCMessageInit)fleet__fetch__init, NULL,
     NULL, NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    fleet__document_received__field_descriptors[1] = {
+	{
+	    "index", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__DocumentReceived, index), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned fleet__document_received__field_indices_by_name[] = {
+    0, /* field[0] = index */
+};
+static const ProtobufCIntRange fleet__document_received__number_ranges[1 + 1] =
+    {{1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor fleet__document_received__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.DocumentReceived",
+    "DocumentReceived", "Fleet__DocumentReceived", "fleet",
+    sizeof(Fleet__DocumentReceived), 1,
+    fleet__document_received__field_descriptors,
+    fleet__document_received__field_indices_by_name, 1,
+    fleet__document_received__number_ranges,
+    (ProtobufCMessageInit)fleet__document_received__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__draw__field_descriptors[6] = {
+    {
+	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Draw, request), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"account", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Draw, account), NULL, &protobuf_c_empty_string,
+	0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"document_index", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Draw, document_index), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"rate", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Draw, rate), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"burst", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Draw, burst), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"want", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Draw, want), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+};
+static const unsigned fleet__draw__field_indices_by_name[] = {
+    1, /* field[1] = account */
+    4, /* field[4] = burst */
+    2, /* field[2] = document_index */
+    3, /* field[3] = rate */
+    0, /* field[0] = request */
+    5, /* field[5] = want */
+};
+static const ProtobufCIntRange fleet__draw__number_ranges[1 + 1] = {
+    {1, 0}, {0, 6}};
+const ProtobufCMessageDescriptor fleet__draw__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Draw", "Draw", "Fleet__Draw",
+    "fleet", sizeof(Fleet__Draw), 6, fleet__draw__field_descriptors,
+    fleet__draw__field_indices_by_name, 1, fleet__draw__number_ranges,
+    (ProtobufCMessageInit)fleet__draw__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__draw_result__field_descriptors[4] =
+    {
+	{
+	    "request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__DrawResult, request), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "granted", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__DrawResult, granted), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "retry_after_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__DrawResult, retry_after_ms), NULL, NULL,
+	    0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "unavailable", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__DrawResult, unavailable), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned fleet__draw_result__field_indices_by_name[] = {
+    1, /* field[1] = granted */
+    0, /* field[0] = request */
+    2, /* field[2] = retry_after_ms */
+    3, /* field[3] = unavailable */
+};
+static const ProtobufCIntRange fleet__draw_result__number_ranges[1 + 1] = {
+    {1, 0}, {0, 4}};
+const ProtobufCMessageDescriptor fleet__draw_result__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.DrawResult", "DrawResult",
+    "Fleet__DrawResult", "fleet", sizeof(Fleet__DrawResult), 4,
+    fleet__draw_result__field_descriptors,
+    fleet__draw_result__field_indices_by_name, 1,
+    fleet__draw_result__number_ranges,
+    (ProtobufCMessageInit)fleet__draw_result__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__draw_return__field_descriptors[2] =
+    {
+	{
+	    "account", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__DrawReturn, account), NULL,
+	    &protobuf_c_empty_string, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "count", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__DrawReturn, count), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned fleet__draw_return__field_indices_by_name[] = {
+    0, /* field[0] = account */
+    1, /* field[1] = count */
+};
+static const ProtobufCIntRange fleet__draw_return__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor fleet__draw_return__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.DrawReturn", "DrawReturn",
+    "Fleet__DrawReturn", "fleet", sizeof(Fleet__DrawReturn), 2,
+    fleet__draw_return__field_descriptors,
+    fleet__draw_return__field_indices_by_name, 1,
+    fleet__draw_return__number_ranges,
+    (ProtobufCMessageInit)fleet__draw_return__init, NULL, NULL,
+    NULL /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor fleet__heard__field_descriptors[1] = {
     {
 	"target", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
@@ -1934,7 +2437,7 @@
     (ProtobufCMessageInit)fleet__estimate__init, NULL, NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__cache__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor fleet__cache__field_descriptors[4] = {
     {
 	"document", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
 	0, /* quantifier_offset */
@@ -1955,22 +2458,30 @@
 	&fleet__estimate__descriptor, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"evacuations", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Cache, evacuations), &fleet__evacuations__descriptor,
+	NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__cache__field_indices_by_name[] = {
     1, /* field[1] = announcement */
     0, /* field[0] = document */
     2, /* field[2] = estimate */
+    3, /* field[3] = evacuations */
 };
 static const ProtobufCIntRange fleet__cache__number_ranges[1 + 1] = {
-    {1, 0}, {0, 3}};
+    {1, 0}, {0, 4}};
 const ProtobufCMessageDescriptor fleet__cache__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Cache", "Cache",
-    "Fleet__Cache", "fleet", sizeof(Fleet__Cache), 3,
+    "Fleet__Cache", "fleet", sizeof(Fleet__Cache), 4,
     fleet__cache__field_descriptors, fleet__cache__field_indices_by_name, 1,
     fleet__cache__number_ranges, (ProtobufCMessageInit)fleet__cache__init, NULL,
     NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[18] = {
+static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[23] = {
     {
 	"ping", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
 	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, ping),
@@ -2095,13 +2606,54 @@
 	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"evacuations", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, evacuations),
+	&fleet__evacuations__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"document_received", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case),
+	offsetof(Fleet__Frame, document_received),
+	&fleet__document_received__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"draw", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, draw),
+	&fleet__draw__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"draw_result", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, draw_result),
+	&fleet__draw_result__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+	"draw_return", 23, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, draw_return),
+	&fleet__draw_return__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__frame__field_indices_by_name[] = {
     7, /* field[7] = announcement */
     8, /* field[8] = departure */
     6, /* field[6] = document */
+    19, /* field[19] = document_received */
+    20, /* field[20] = draw */
+    21, /* field[21] = draw_result */
+    22, /* field[22] = draw_return */
     9, /* field[9] = entry */
     17, /* field[17] = estimate */
+    18, /* field[18] = evacuations */
     14, /* field[14] = fetch */
     15, /* field[15] = heard */
     1, /* field[1] = hello */
@@ -2117,15 +2669,15 @@
     13, /* field[13] = synced */
 };
 static const ProtobufCIntRange fleet__frame__number_ranges[1 + 1] = {
-    {1, 0}, {0, 18}};
+    {1, 0}, {0, 23}};
 const ProtobufCMessageDescriptor fleet__frame__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Frame", "Frame",
-    "Fleet__Frame", "fleet", sizeof(Fleet__Frame), 18,
+    "Fleet__Frame", "fleet", sizeof(Fleet__Frame), 23,
     fleet__frame__field_descriptors, fleet__frame__field_indices_by_name, 1,
     fleet__frame__number_ranges, (ProtobufCMessageInit)fleet__frame__init, NULL,
     NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__state__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor fleet__state__field_descriptors[4] = {
     {
 	"document", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
 	0, /* quantifier_offset */
@@ -2145,22 +2697,30 @@
 	&fleet__departure__descriptor, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"evacuations", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	0, /* quantifier_offset */
+	offsetof(Fleet__State, evacuations), &fleet__evacuations__descriptor,
+	NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__state__field_indices_by_name[] = {
     1, /* field[1] = accepted */
     2, /* field[2] = departure */
     0, /* field[0] = document */
+    3, /* field[3] = evacuations */
 };
 static const ProtobufCIntRange fleet__state__number_ranges[1 + 1] = {
-    {1, 0}, {0, 3}};
+    {1, 0}, {0, 4}};
 const ProtobufCMessageDescriptor fleet__state__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.State", "State",
-    "Fleet__State", "fleet", sizeof(Fleet__State), 3,
+    "Fleet__State", "fleet", sizeof(Fleet__State), 4,
     fleet__state__field_descriptors, fleet__state__field_indices_by_name, 1,
     fleet__state__number_ranges, (ProtobufCMessageInit)fleet__state__init, NULL,
     NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__ask__field_descriptors[12] = {
+static const ProtobufCFieldDescriptor fleet__ask__field_descriptors[13] = {
     {
 	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
 	0, /* quantifier_offset */
@@ -2234,8 +2794,15 @@
 	offsetof(Fleet__Ask, sends_left), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"account", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Ask, account), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__ask__field_indices_by_name[] = {
+    12, /* field[12] = account */
     5, /* field[5] = deadline_left_ms */
     9, /* field[9] = excluded */
     6, /* field[6] = failure_domain */
@@ -2250,10 +2817,10 @@
     1, /* field[1] = service */
 };
 static const ProtobufCIntRange fleet__ask__number_ranges[2 + 1] = {
-    {1, 0}, {11, 9}, {0, 12}};
+    {1, 0}, {11, 9}, {0, 13}};
 const ProtobufCMessageDescriptor fleet__ask__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Ask", "Ask", "Fleet__Ask",
-    "fleet", sizeof(Fleet__Ask), 12, fleet__ask__field_descriptors,
+    "fleet", sizeof(Fleet__Ask), 13, fleet__ask__field_descriptors,
     fleet__ask__field_indices_by_name, 2, fleet__ask__number_ranges,
     (ProtobufCMessageInit)fleet__ask__init, NULL, NULL, NULL /* reserved[123] */
 };
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -22,6 +22,8 @@
 typedef struct Fleet__Document Fleet__Document;
 typedef struct Fleet__Members Fleet__Members;
 typedef struct Fleet__Edit Fleet__Edit;
+typedef struct Fleet__Evacuation Fleet__Evacuation;
+typedef struct Fleet__Evacuations Fleet__Evacuations;
 typedef struct Fleet__Command Fleet__Command;
 typedef struct Fleet__Propose Fleet__Propose;
 typedef struct Fleet__Result Fleet__Result;
@@ -31,6 +33,10 @@
 typedef struct Fleet__Ping Fleet__Ping;
 typedef struct Fleet__Synced Fleet__Synced;
 typedef struct Fleet__Fetch Fleet__Fetch;
+typedef struct Fleet__DocumentReceived Fleet__DocumentReceived;
+typedef struct Fleet__Draw Fleet__Draw;
+typedef struct Fleet__DrawResult Fleet__DrawResult;
+typedef struct Fleet__DrawReturn Fleet__DrawReturn;
 typedef struct Fleet__Heard Fleet__Heard;
 typedef struct Fleet__Estimate Fleet__Estimate;
 typedef struct Fleet__Cache Fleet__Cache;
@@ -200,10 +206,15 @@
    * the sender keeps no log
    */
   protobuf_c_boolean relay;
+  /*
+   * by address: a voter of the group
+   */
+  size_t n_voter;
+  protobuf_c_boolean *voter;
 };
 #define FLEET__MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__members__descriptor) \
-    , 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
 
 
 struct  Fleet__Edit
@@ -218,10 +229,43 @@
     , 0, 0, {0,NULL} }
 
 
+/*
+ * Starts or ends the evacuation of a failure domain.
+ */
+struct  Fleet__Evacuation
+{
+  ProtobufCMessage base;
+  char *failure_domain;
+  protobuf_c_boolean active;
+};
+#define FLEET__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * All evacuated failure domains.
+ */
+struct  Fleet__Evacuations
+{
+  ProtobufCMessage base;
+  /*
+   * log index of the last change
+   */
+  uint64_t index;
+  size_t n_failure_domain;
+  char **failure_domain;
+};
+#define FLEET__EVACUATIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__evacuations__descriptor) \
+    , 0, 0,NULL }
+
+
 typedef enum {
   FLEET__COMMAND__BODY__NOT_SET = 0,
   FLEET__COMMAND__BODY_EDIT = 1,
-  FLEET__COMMAND__BODY_DEPARTURE = 2
+  FLEET__COMMAND__BODY_DEPARTURE = 2,
+  FLEET__COMMAND__BODY_EVACUATION = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLEET__COMMAND__BODY__CASE)
 } Fleet__Command__BodyCase;
 
@@ -233,6 +277,7 @@
   union {
     Fleet__Edit *edit;
     Fleet__Departure *departure;
+    Fleet__Evacuation *evacuation;
   };
 };
 #define FLEET__COMMAND__INIT \
@@ -328,6 +373,82 @@
      }
 
 
+/*
+ * Confirms the text of a document: the sender has read it.
+ */
+struct  Fleet__DocumentReceived
+{
+  ProtobufCMessage base;
+  uint64_t index;
+};
+#define FLEET__DOCUMENT_RECEIVED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__document_received__descriptor) \
+    , 0 }
+
+
+/*
+ * Asks a voter for tokens of a client account's allowance.
+ */
+struct  Fleet__Draw
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  char *account;
+  /*
+   * of the document with rate and burst
+   */
+  uint64_t document_index;
+  /*
+   * requests per second of the whole account
+   */
+  double rate;
+  /*
+   * requests
+   */
+  double burst;
+  /*
+   * tokens, 1 at least
+   */
+  uint32_t want;
+};
+#define FLEET__DRAW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__draw__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Fleet__DrawResult
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  uint32_t granted;
+  /*
+   * if none: until the next token
+   */
+  uint32_t retry_after_ms;
+  /*
+   * not a voter, or it may not grant now
+   */
+  protobuf_c_boolean unavailable;
+};
+#define FLEET__DRAW_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__draw_result__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Returns tokens that no request has used.
+ */
+struct  Fleet__DrawReturn
+{
+  ProtobufCMessage base;
+  char *account;
+  uint32_t count;
+};
+#define FLEET__DRAW_RETURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__draw_return__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * Targets that have lately been heard of: they stay known.
  */
@@ -380,10 +501,11 @@
   Fleet__Announcement **announcement;
   size_t n_estimate;
   Fleet__Estimate **estimate;
+  Fleet__Evacuations *evacuations;
 };
 #define FLEET__CACHE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__cache__descriptor) \
-    , NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, NULL }
 
 
 typedef enum {
@@ -404,7 +526,12 @@
   FLEET__FRAME__BODY_SYNCED = 14,
   FLEET__FRAME__BODY_FETCH = 15,
   FLEET__FRAME__BODY_HEARD = 16,
-  FLEET__FRAME__BODY_ESTIMATE = 18
+  FLEET__FRAME__BODY_ESTIMATE = 18,
+  FLEET__FRAME__BODY_EVACUATIONS = 19,
+  FLEET__FRAME__BODY_DOCUMENT_RECEIVED = 20,
+  FLEET__FRAME__BODY_DRAW = 21,
+  FLEET__FRAME__BODY_DRAW_RESULT = 22,
+  FLEET__FRAME__BODY_DRAW_RETURN = 23
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLEET__FRAME__BODY__CASE)
 } Fleet__Frame__BodyCase;
 
@@ -434,6 +561,11 @@
     Fleet__Fetch *fetch;
     Fleet__Heard *heard;
     Fleet__Estimate *estimate;
+    Fleet__Evacuations *evacuations;
+    Fleet__DocumentReceived *document_received;
+    Fleet__Draw *draw;
+    Fleet__DrawResult *draw_result;
+    Fleet__DrawReturn *draw_return;
   };
 };
 #define FLEET__FRAME__INIT \
@@ -455,10 +587,11 @@
   uint64_t *accepted;
   size_t n_departure;
   Fleet__Departure **departure;
+  Fleet__Evacuations *evacuations;
 };
 #define FLEET__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__state__descriptor) \
-    , NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, NULL }
 
 
 /*
@@ -498,10 +631,14 @@
    * to further targets
    */
   uint32_t sends_left;
+  /*
+   * hash of the client account's name; 0: none
+   */
+  uint32_t account;
 };
 #define FLEET__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Fleet__Grant
@@ -770,6 +907,44 @@
 void   fleet__edit__free_unpacked
                      (Fleet__Edit *message,
                       ProtobufCAllocator *allocator);
+/* Fleet__Evacuation methods */
+void   fleet__evacuation__init
+                     (Fleet__Evacuation         *message);
+size_t fleet__evacuation__get_packed_size
+                     (const Fleet__Evacuation   *message);
+size_t fleet__evacuation__pack
+                     (const Fleet__Evacuation   *message,
+                      uint8_t             *out);
+size_t fleet__evacuation__pack_to_buffer
+                     (const Fleet__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Evacuation *
+       fleet__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__evacuation__free_unpacked
+                     (Fleet__Evacuation *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__Evacuations methods */
+void   fleet__evacuations__init
+                     (Fleet__Evacuations         *message);
+size_t fleet__evacuations__get_packed_size
+                     (const Fleet__Evacuations   *message);
+size_t fleet__evacuations__pack
+                     (const Fleet__Evacuations   *message,
+                      uint8_t             *out);
+size_t fleet__evacuations__pack_to_buffer
+                     (const Fleet__Evacuations   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Evacuations *
+       fleet__evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__evacuations__free_unpacked
+                     (Fleet__Evacuations *message,
+                      ProtobufCAllocator *allocator);
 /* Fleet__Command methods */
 void   fleet__command__init
                      (Fleet__Command         *message);
@@ -941,6 +1116,82 @@
 void   fleet__fetch__free_unpacked
                      (Fleet__Fetch *message,
                       ProtobufCAllocator *allocator);
+/* Fleet__DocumentReceived methods */
+void   fleet__document_received__init
+                     (Fleet__DocumentReceived         *message);
+size_t fleet__document_received__get_packed_size
+                     (const Fleet__DocumentReceived   *message);
+size_t fleet__document_received__pack
+                     (const Fleet__DocumentReceived   *message,
+                      uint8_t             *out);
+size_t fleet__document_received__pack_to_buffer
+                     (const Fleet__DocumentReceived   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__DocumentReceived *
+       fleet__document_received__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__document_received__free_unpacked
+                     (Fleet__DocumentReceived *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__Draw methods */
+void   fleet__draw__init
+                     (Fleet__Draw         *message);
+size_t fleet__draw__get_packed_size
+                     (const Fleet__Draw   *message);
+size_t fleet__draw__pack
+                     (const Fleet__Draw   *message,
+                      uint8_t             *out);
+size_t fleet__draw__pack_to_buffer
+                     (const Fleet__Draw   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Draw *
+       fleet__draw__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__draw__free_unpacked
+                     (Fleet__Draw *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__DrawResult methods */
+void   fleet__draw_result__init
+                     (Fleet__DrawResult         *message);
+size_t fleet__draw_result__get_packed_size
+                     (const Fleet__DrawResult   *message);
+size_t fleet__draw_result__pack
+                     (const Fleet__DrawResult   *message,
+                      uint8_t             *out);
+size_t fleet__draw_result__pack_to_buffer
+                     (const Fleet__DrawResult   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__DrawResult *
+       fleet__draw_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__draw_result__free_unpacked
+                     (Fleet__DrawResult *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__DrawReturn methods */
+void   fleet__draw_return__init
+                     (Fleet__DrawReturn         *message);
+size_t fleet__draw_return__get_packed_size
+                     (const Fleet__DrawReturn   *message);
+size_t fleet__draw_return__pack
+                     (const Fleet__DrawReturn   *message,
+                      uint8_t             *out);
+size_t fleet__draw_return__pack_to_buffer
+                     (const Fleet__DrawReturn   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__DrawReturn *
+       fleet__draw_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__draw_return__free_unpacked
+                     (Fleet__DrawReturn *message,
+                      ProtobufCAllocator *allocator);
 /* Fleet__Heard methods */
 void   fleet__heard__init
                      (Fleet__Heard         *message);
@@ -1211,6 +1462,12 @@
 typedef void (*Fleet__Edit_Closure)
                  (const Fleet__Edit *message,
                   void *closure_data);
+typedef void (*Fleet__Evacuation_Closure)
+                 (const Fleet__Evacuation *message,
+                  void *closure_data);
+typedef void (*Fleet__Evacuations_Closure)
+                 (const Fleet__Evacuations *message,
+                  void *closure_data);
 typedef void (*Fleet__Command_Closure)
                  (const Fleet__Command *message,
                   void *closure_data);
@@ -1238,6 +1495,18 @@
 typedef void (*Fleet__Fetch_Closure)
                  (const Fleet__Fetch *message,
                   void *closure_data);
+typedef void (*Fleet__DocumentReceived_Closure)
+                 (const Fleet__DocumentReceived *message,
+                  void *closure_data);
+typedef void (*Fleet__Draw_Closure)
+                 (const Fleet__Draw *message,
+                  void *closure_data);
+typedef void (*Fleet__DrawResult_Closure)
+                 (const Fleet__DrawResult *message,
+                  void *closure_data);
+typedef void (*Fleet__DrawReturn_Closure)
+                 (const Fleet__DrawReturn *message,
+                  void *closure_data);
 typedef void (*Fleet__Heard_Closure)
                  (const Fleet__Heard *message,
                   void *closure_data);
@@ -1291,6 +1560,8 @@
 extern const ProtobufCMessageDescriptor fleet__document__descriptor;
 extern const ProtobufCMessageDescriptor fleet__members__descriptor;
 extern const ProtobufCMessageDescriptor fleet__edit__descriptor;
+extern const ProtobufCMessageDescriptor fleet__evacuation__descriptor;
+extern const ProtobufCMessageDescriptor fleet__evacuations__descriptor;
 extern const ProtobufCMessageDescriptor fleet__command__descriptor;
 extern const ProtobufCMessageDescriptor fleet__propose__descriptor;
 extern const ProtobufCMessageDescriptor fleet__result__descriptor;
@@ -1300,6 +1571,10 @@
 extern const ProtobufCMessageDescriptor fleet__ping__descriptor;
 extern const ProtobufCMessageDescriptor fleet__synced__descriptor;
 extern const ProtobufCMessageDescriptor fleet__fetch__descriptor;
+extern const ProtobufCMessageDescriptor fleet__document_received__descriptor;
+extern const ProtobufCMessageDescriptor fleet__draw__descriptor;
+extern const ProtobufCMessageDescriptor fleet__draw_result__descriptor;
+extern const ProtobufCMessageDescriptor fleet__draw_return__descriptor;
 extern const ProtobufCMessageDescriptor fleet__heard__descriptor;
 extern const ProtobufCMessageDescriptor fleet__estimate__descriptor;
 extern const ProtobufCMessageDescriptor fleet__cache__descriptor;
--- a/src/wire/fleet_bounds.c
+++ b/src/wire/fleet_bounds.c
@@ -138,6 +138,7 @@
 	const struct bound bounds[] = {
 	    {"address", members->n_address, FLEET_CONTROLS_MAX},
 	    {"voters", members->voters, FLEET_CONTROLS_MAX},
+	    {"voter", members->n_voter, FLEET_CONTROLS_MAX},
 	    {"entries", members->entries, FLEET_ENTRIES_MAX},
 	    {"most_millis", members->most_millis, FLEET_MILLIS_MAX},
 	};
@@ -174,6 +175,72 @@
 	return are_speeds(estimate->speed) ? NULL : "speed";
 }
 
+/*
+ * Returns whether a name has 1 to FLEET_NAME_BYTES - 1 bytes.
+ */
+static bool
+is_name(const char *name)
+{
+	size_t len = strlen(name);
+
+	return len > 0 && len < FLEET_NAME_BYTES;
+}
+
+static const char *
+evacuations_fault(const Fleet__Evacuations *evacuations)
+{
+	if (evacuations->n_failure_domain > FLEET_EVACUATIONS_MAX)
+		return "failure_domain";
+	for (size_t i = 0; i < evacuations->n_failure_domain; i++) {
+		if (!is_name(evacuations->failure_domain[i]))
+			return "failure_domain";
+	}
+	return NULL;
+}
+
+/*
+ * Returns whether a number is within the bounds of a rate or a burst; false for
+ * NaN.
+ */
+static bool
+is_allowance(double value)
+{
+	return value >= 0 && value <= FLEET_ALLOWANCE_MAX;
+}
+
+static const char *
+draw_fault(const Fleet__Draw *draw)
+{
+	if (!is_name(draw->account))
+		return "account";
+	if (!is_allowance(draw->rate))
+		return "rate";
+	if (!is_allowance(draw->burst))
+		return "burst";
+	return draw->want == 0 || draw->want > FLEET_TOKENS_MAX ? "want" : NULL;
+}
+
+static const char *
+draw_result_fault(const Fleet__DrawResult *result)
+{
+	const struct bound bounds[] = {
+	    {"granted", result->granted, FLEET_TOKENS_MAX},
+	    {"retry_after_ms", result->retry_after_ms, FLEET_DURATION_MAX_MS},
+	};
+
+	return FIRST_ABOVE(bounds);
+}
+
+static const char *
+draw_return_fault(const Fleet__DrawReturn *returned)
+{
+	if (!is_name(returned->account))
+		return "account";
+	return returned->count == 0 || returned->count > FLEET_TOKENS_MAX
+	    ? "count"
+	    : NULL;
+}
+
 /*
  * Checks a frame of a control instance or an entry, but for announcements,
  * which are checked as targets of the roster.
@@ -197,6 +264,14 @@
 	case FLEET__FRAME__BODY_HEARD:
 		return frame->heard->n_target > FLEET_TARGETS_MAX ? "target"
 								  : NULL;
+	case FLEET__FRAME__BODY_EVACUATIONS:
+		return evacuations_fault(frame->evacuations);
+	case FLEET__FRAME__BODY_DRAW:
+		return draw_fault(frame->draw);
+	case FLEET__FRAME__BODY_DRAW_RESULT:
+		return draw_result_fault(frame->draw_result);
+	case FLEET__FRAME__BODY_DRAW_RETURN:
+		return draw_return_fault(frame->draw_return);
 	case FLEET__FRAME__BODY_RESULT:
 		return (unsigned)frame->result->outcome >
 			FLEET__OUTCOME__OUTCOME_UNAVAILABLE
--- a/src/wire/fleet_bounds.h
+++ b/src/wire/fleet_bounds.h
@@ -32,7 +32,10 @@
 	FLEET_LINK_MAX_KBPS = 1000 * 1000 * 1000, /* 1 Tbit/s */
 	FLEET_ENTRIES_MAX = 1 << 16,
 	FLEET_CONTROLS_MAX = 64,
-	FLEET_TARGETS_MAX = 1 << 16 /* in one list */
+	FLEET_TARGETS_MAX = 1 << 16, /* in one list */
+	FLEET_NAME_BYTES = 128, /* of a client account or a failure domain */
+	FLEET_EVACUATIONS_MAX = 256, /* failure domains */
+	FLEET_TOKENS_MAX = 64 /* of one draw or return */
 };
 
 /* Work of a request: an hour, in microseconds. */
@@ -40,6 +43,9 @@
 /* The last millisecond of the year 9999. */
 #define FLEET_TIME_MAX_MS UINT64_C(253402300799999)
 
+/* Requests per second, or requests, of one client account. */
+#define FLEET_ALLOWANCE_MAX 1e9
+
 /* Returns the smaller number: the value that a sender writes into a field. */
 static inline uint32_t
 fleet_clamp(uint64_t value, uint32_t max)
--- a/test/unit/test_fleet_bounds.c
+++ b/test/unit/test_fleet_bounds.c
@@ -57,6 +57,8 @@
     FRAME(HELLO, Hello, processor_millis, 1024000),
     FRAME(HELLO, Hello, link_kbps, 1000000000),
     FRAME(MEMBERS, Members, voters, 64),
+    FRAME(DRAW_RESULT, DrawResult, granted, 64),
+    FRAME(DRAW_RESULT, DrawResult, retry_after_ms, 3600000),
     FRAME(MEMBERS, Members, entries, 65536),
     FRAME(MEMBERS, Members, most_millis, 1024000),
     FRAME(RESULT, Result, outcome, 4),
