--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -287,6 +287,16 @@
 void away_on_added(struct pool *pool);
 void away_tick(struct flow *flow);
 
+/* flow_evacuation.c: failure domains that get no requests */
+void evacuation_open(struct flow *flow);
+void evacuation_close(struct flow *flow);
+/* Replaces the set by a newer one of control. */
+void evacuation_on_update(struct flow *flow, const Fleet__Evacuations *message);
+bool
+evacuation_is_active(const struct flow *flow, uint32_t failure_domain_hash);
+/* Called after each change of the set. */
+void evacuation_apply(struct flow *flow);
+
 /* flow_response.c: parsing of targets' responses */
 extern const http_parser_settings response_settings;
 /* A response is complete; stray is true if more bytes follow it. */
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -315,6 +315,9 @@
 	struct roster *roster;
 	struct leavings *leavings; /* departures that control does not know */
 	struct aways *aways; /* targets that want nothing from this entry */
+	/* evacuated failure domains: hash -> name */
+	GHashTable *evacuated;
+	uint64_t evacuation_index; /* log index of the last change */
 	/* route id -> struct caller_timeouts */
 	GHashTable *route_caller_timeouts;
 	/* route id -> struct answer_sizes */
@@ -392,6 +395,7 @@
 	struct counter *departures_asked;
 	struct counter *aways_heard;
 	struct counter *refused_grants;
+	struct counter *evacuations;
 	struct counter *scanned;
 	struct counter *announcements_refused;
 	struct counter *loads_refused;
--- a/src/flow/flow_updates.c
+++ b/src/flow/flow_updates.c
@@ -386,6 +386,9 @@
 	case FLEET__FRAME__BODY_DEPARTURE:
 		on_departure(flow, frame->departure);
 		break;
+	case FLEET__FRAME__BODY_EVACUATIONS:
+		evacuation_on_update(flow, frame->evacuations);
+		break;
 	case FLEET__FRAME__BODY_ENTRY:
 		on_entry(flow, control, frame->entry);
 		break;
