Client accounts: keys, ranks and the account of a request

Documents name client accounts and their keys, and requests had neither.

An entry authenticates a request behind its route, answers 401 without a valid key, places it by the account's rank, and passes the account's name to the target in place of the key. A key that is withdrawn while a request waits is found when the request is granted a target, when its connection is made and when it is rejected. Documents without accounts take none of these paths.

The unit tests of the entry are not run yet on a complete build.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -198,6 +198,7 @@
 	/* Ask ids must differ from those used before a restart. */
 	flow->next_ask = flow->started_ms << 20;
 	register_counters(flow);
+	account_open(flow);
 	flow->route_caller_timeouts =
 	    g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	uv_update_time(loop);
@@ -277,6 +278,7 @@
 	uint64_t count = atomic_load(&flow->latency.count);
 
 	counter_render(out);
+	account_render_counts(flow, out);
 	str_buf_printf(out,
 	    "# HELP %s Duration of answered requests (seconds)\n"
 	    "# TYPE %s histogram\n",
@@ -318,6 +320,7 @@
 	minute_log_free(&flow->messages_log);
 	routes_put(flow->routes);
 	g_hash_table_destroy(flow->route_caller_timeouts);
+	account_counts_close(flow);
 }
 
 /*
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -25,6 +25,13 @@
 	const char *load_header;
 	/* "1" in the answers of a target that leaves */
 	const char *leaving_header;
+	/* The key of a client account, and its authentication scheme. */
+	const char *key_header;
+	const char *key_scheme;
+	/* The name of the account, for targets. */
+	const char *account_header;
+	/* a spelling that targets may read as account_header */
+	const char *account_header_alias;
 	bool (*read_load)(struct str value, struct target_load *load);
 	enum status (*read_document)(struct str text, struct routes **routes);
 };
--- a/src/flow/flow_answer.c
+++ b/src/flow/flow_answer.c
@@ -39,6 +39,9 @@
 	if (retry_after_us > 0)
 		str_buf_printf(&x->out, "Retry-After: %.3f\r\n",
 		    (double)retry_after_us / US_PER_S);
+	if (status == 401)
+		str_buf_printf(&x->out, "WWW-Authenticate: %s\r\n",
+		    x->flow->dialect.key_scheme);
 	str_buf_printf(&x->out,
 	    "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n",
 	    len);
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -177,14 +177,20 @@
 {
 	if (x->ended)
 		return;
+	if (status == 503 && account_is_withdrawn(x)) {
+		account_refuse_withdrawn(x);
+		return;
+	}
 	startup_unpark(x);
 	schedule_cancel(x);
 	exchange_end_attempts(
 	    x, status == 504 ? OUTCOME_TIMED_OUT : OUTCOME_ABANDONED);
 	uv_timer_stop(&x->timer);
 	counter_add(status == 503 ? x->flow->rejected : x->flow->failed, 1);
-	exchange_log_end(
-	    x, status == 503 ? "rejected" : "failed", status, reason);
+	/* A refused key has a line of its own. */
+	if (status != 401)
+		exchange_log_end(
+		    x, status == 503 ? "rejected" : "failed", status, reason);
 	if (x->streaming && !drop_unsent_answer(x)) {
 		/*
 		 * A truncated answer must not look complete, and those before
@@ -426,6 +432,8 @@
 		exchange_refuse(x, 404, 0, "no route");
 		return;
 	}
+	if (!account_authenticate(x))
+		return;
 	part = route_next_destination(x->route);
 	if (part == NULL) {
 		exchange_refuse(x, 503, NO_DOCUMENT_RETRY_US, "no weight");
--- a/src/flow/flow_grant.c
+++ b/src/flow/flow_grant.c
@@ -170,6 +170,11 @@
 			schedule_ask(x, x->ask_repeat);
 		return;
 	}
+	if (account_is_withdrawn(x)) {
+		return_grant(x, target, remote);
+		account_refuse_withdrawn(x);
+		return;
+	}
 	away_us = away_left_us(flow, target);
 	if (away_us > 0) {
 		refuse_grant(x, target, remote, away_us);
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -204,6 +204,24 @@
 void exchange_log_end(
     struct exchange *x, const char *outcome, int status, const char *reason);
 
+/* flow_account.c: client accounts and their keys */
+void account_open(struct flow *flow);
+/* Sets the account of a request; false after a 401. */
+bool account_authenticate(struct exchange *x);
+/* Whether a waiting request has to be refused since its key was withdrawn. */
+bool account_is_withdrawn(struct exchange *x);
+void account_refuse_withdrawn(struct exchange *x);
+/* The rank of a request: its account's, or its route's. */
+uint32_t account_rank(const struct exchange *x);
+
+/* flow_account_counts.c: requests by account */
+void account_counts_open(struct flow *flow);
+void account_counts_close(struct flow *flow);
+void account_count(struct flow *flow, const char *name);
+/* Forgets the accounts that are not in the document in force. */
+void account_counts_prune(struct flow *flow);
+void account_render_counts(const struct flow *flow, struct str_buf *out);
+
 /* flow_grant.c: answers of schedulers */
 void exchange_on_grant(
     struct exchange *x, const char *target, bool remote, uint64_t expected_us);
@@ -231,6 +249,11 @@
 void targets_sweep(struct flow *flow);
 /* Closes idle connections: after a pause their age is unknown. */
 void targets_close_idle(struct flow *flow);
+/*
+ * Checks the request of a connection that is about to be written, since the
+ * document may have changed; false if it was refused.
+ */
+bool target_confirm_request(struct upstream *up);
 /* Starts a send; false if no connection is available. */
 bool target_send(struct attempt *attempt, struct pool *pool);
 bool target_probe(struct pool *pool, const char *path);
--- a/src/flow/flow_target.c
+++ b/src/flow/flow_target.c
@@ -82,8 +82,11 @@
 {
 	const struct exchange *x = attempt->exchange;
 	const struct flow_dialect *d = &x->flow->dialect;
-	const char *const without[] = {
-	    d->deadline_header, d->expect_header, NULL};
+	const bool accounts = x->routes->accounts != NULL;
+	/* Without accounts the list ends behind the second one. */
+	const char *const without[] = {d->deadline_header, d->expect_header,
+	    accounts ? d->key_header : NULL, d->account_header,
+	    d->account_header_alias, NULL};
 	uint64_t now = flow_now_us(x->flow);
 	uint64_t left = x->deadline_us > now ? x->deadline_us - now : 0;
 	size_t len = body_len(x->body);
@@ -95,12 +98,36 @@
 	str_buf_printf(out, "%s: %" PRIu64 "\r\n%s: %s\r\n", d->deadline_header,
 	    left > US_PER_MS ? left / US_PER_MS : 1, d->expect_header,
 	    attempt->target);
+	if (x->account != NULL)
+		str_buf_printf(
+		    out, "%s: %s\r\n", d->account_header, x->account->name);
 	if (len > 0 || x->method == HTTP_POST || x->method == HTTP_PUT ||
 	    x->method == HTTP_PATCH)
 		str_buf_printf(out, "Content-Length: %zu\r\n", len);
 	str_buf_append(out, STR_LITERAL("\r\n"));
 }
 
+/*
+ * Checks the request of a new connection before it is written: the document may
+ * have changed since its head was built.  Returns false if it was refused.
+ */
+bool
+target_confirm_request(struct upstream *up)
+{
+	struct exchange *x = up->attempt->exchange;
+	const struct account *account = x->account;
+
+	if (account_is_withdrawn(x)) {
+		account_refuse_withdrawn(x);
+		return false;
+	}
+	if (x->account != account) {
+		str_buf_clear(&up->request);
+		build_request_head(up->attempt, &up->request);
+	}
+	return true;
+}
+
 /*
  * Starts a send; returns false if no connection is available.
  */
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -46,6 +46,16 @@
 struct exchange;
 struct upstream;
 
+/* Why a request has no valid key. */
+enum key_reason {
+	KEY_MISSING,
+	KEY_UNKNOWN,
+	KEY_OTHER_SCHEME,
+	KEY_REPEATED, /* more than one header */
+	KEY_WITHDRAWN, /* by a document that came while the request waited */
+	KEY_REASONS
+};
+
 /* Connection of a caller. */
 struct caller {
 	uv_tcp_t tcp;
@@ -397,6 +407,11 @@
 	struct counter *loads_refused;
 	struct counter *messages_refused;
 	struct minute_log messages_log; /* by sender */
+	struct counter *keys_refused[KEY_REASONS];
+	/* account name -> struct account_requests */
+	GHashTable *account_requests;
+	/* of accounts that are no longer in the document */
+	uint64_t other_account_requests;
 	struct counter *log_dropped;
 	struct counter *documents;
 	struct counter *document_fetches;
--- a/src/flow/flow_updates.c
+++ b/src/flow/flow_updates.c
@@ -226,6 +226,7 @@
 	routes_randomize_rotation(routes, random_next(&flow->random));
 	routes_put(flow->routes);
 	flow->routes = routes;
+	account_counts_prune(flow);
 	late_ms = document_late_ms(flow, flow_now_us(flow));
 	flow->document_index = m->index;
 	flow->late_logged = false;
--- a/src/flow/flow_upstream.c
+++ b/src/flow/flow_upstream.c
@@ -297,7 +297,8 @@
 	}
 	up->connected = true;
 	uv_read_start((uv_stream_t *)&up->tcp, on_alloc, on_read);
-	write_request(up);
+	if (up->attempt == NULL || target_confirm_request(up))
+		write_request(up);
 }
 
 /*
--- a/src/routing/routes.c
+++ b/src/routing/routes.c
@@ -93,6 +93,7 @@
 		return;
 	g_hash_table_destroy(routes->hosts);
 	g_hash_table_destroy(routes->services);
+	accounts_free(routes->accounts);
 	mem_free(routes);
 }
 
--- a/src/routing/routes.h
+++ b/src/routing/routes.h
@@ -11,6 +11,7 @@
 #include "base/refcount.h"
 #include "base/status.h"
 #include "base/str.h"
+#include "routing/accounts.h"
 
 enum repeat_policy {
 	REPEAT_ALLOWED, /* idempotent */
@@ -40,6 +41,7 @@
 	char *host;
 	struct str prefix; /* begins with a slash */
 	enum repeat_policy repeat;
+	bool public; /* needs no key, also in a document with accounts */
 	uint32_t id; /* hash of the name */
 	uint32_t rank; /* 0 is the most urgent */
 	uint32_t max_attempts; /* targets tried per attempt of a caller */
@@ -62,6 +64,8 @@
 	struct request_limits limits;
 	GHashTable *services; /* name -> struct route_service, owned */
 	GHashTable *hosts; /* name -> struct route_host, owned */
+	/* NULL: the document has none, and requests need no key */
+	struct accounts *accounts;
 };
 
 enum {
