--- a/src/flow/flow_document.c
+++ b/src/flow/flow_document.c
@@ -221,6 +221,7 @@
 	routes_randomize_rotation(routes, random_next(&flow->random));
 	routes_put(flow->routes);
 	flow->routes = routes;
+	account_counts_prune(flow);
 	flow->document_index = read->index;
 	flow->late_logged = false;
 	counter_add(flow->documents, 1);
