Allowances over all entries: the decisions of voters and entries

An account's rate and burst are to hold for the sum over all entries, whatever is cut off. src/limit/allowance_bucket.c is a voter's share of it: a token bucket with a fixed part of the rate, which never asks another voter. src/limit/allowance_draw.c is the entry's side: whom to ask, time-outs, spare tokens and returns.

Tokens of requests that were not sent can be used in a later window as well, and returned tokens could be drawn again and again while the bucket refills. A voter therefore remembers its draws for the life of a token (500 ms, at most a tenth of the window), takes back only those, and counts live tokens and level together against the capacity.

--- /dev/null
+++ b/test/unit/test_allowance.c
@@ -0,0 +1,251 @@
+/*
+ * Allowances of accounts: the decisions of voters and entries, and the bound on
+ * all entries together over seeds of faults, in virtual time.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "limit/allowance_draw.h"
+#include "support_allowance.h"
+
+enum {
+	WINDOW_US = 5000 * 1000,
+	SHARES = 5,
+	SEEDS = 2
+};
+
+static unsigned
+draw(struct allowance_table *table, double rate, double burst, uint64_t index,
+    uint64_t request, unsigned want, uint64_t now_us)
+{
+	const struct allowance_limit limit = {rate, burst, index};
+
+	return allowance_table_draw(
+	    table, "a", &limit, 1, request, want, now_us)
+	    .granted;
+}
+
+static unsigned
+draw_all(struct allowance_table *table, double rate, double burst,
+    uint64_t index, uint64_t now_us)
+{
+	unsigned count = 0;
+
+	while (draw(table, rate, burst, index, 1000 + count, 1, now_us) == 1)
+		count++;
+	return count;
+}
+
+/*
+ * Guards against a voter that grants its whole share again after a restart, and
+ * against one that withholds from a new account what has accrued since.
+ */
+static void
+a_bucket_holds_what_has_accrued_since_the_start(void **state ATTR_UNUSED)
+{
+	struct allowance_table *table =
+	    allowance_table_new(SHARES, WINDOW_US, US_PER_S);
+
+	assert_int_equal(draw_all(table, 100, 500, 1, US_PER_S), 1);
+	assert_int_equal(draw_all(table, 100, 500, 1, 2 * US_PER_S), 20);
+	allowance_table_reset(table, 3 * US_PER_S);
+	assert_int_equal(draw_all(table, 100, 500, 1, 4 * US_PER_S), 21);
+	assert_int_equal(draw_all(table, 100, 500, 1, 100 * US_PER_S), 100);
+	allowance_table_free(table);
+}
+
+/*
+ * Guards against a lower limit that holds only once the old burst is spent, and
+ * against an entry with an older document that brings the old limit back.
+ */
+static void
+the_limit_of_the_newest_document_counts(void **state ATTR_UNUSED)
+{
+	struct allowance_table *table =
+	    allowance_table_new(SHARES, WINDOW_US, 0);
+
+	assert_int_equal(draw(table, 100, 500, 1, 1, 1, 60 * US_PER_S), 1);
+	assert_int_equal(draw_all(table, 10, 50, 2, 60 * US_PER_S), 10);
+	assert_int_equal(draw_all(table, 100, 500, 1, 61 * US_PER_S), 2);
+	allowance_table_free(table);
+}
+
+/*
+ * Guards against tokens that come back twice, or so late that they add to
+ * another window.
+ */
+static void
+a_token_is_returned_once_and_in_time(void **state ATTR_UNUSED)
+{
+	struct allowance_table *table =
+	    allowance_table_new(SHARES, WINDOW_US, 0);
+	uint64_t now = 60 * US_PER_S;
+
+	assert_int_equal(draw(table, 50, 50, 1, 7, 1, now), 1);
+	assert_int_equal(allowance_table_return(table, "a", 1, 8, 1, now), 0);
+	assert_int_equal(allowance_table_return(table, "a", 2, 7, 1, now), 0);
+	assert_int_equal(allowance_table_return(table, "a", 1, 7, 9, now), 1);
+	assert_int_equal(allowance_table_return(table, "a", 1, 7, 1, now), 0);
+	assert_int_equal(draw(table, 50, 50, 1, 9, 1, now), 1);
+	assert_int_equal(allowance_table_return(table, "a", 1, 9, 1,
+			     now + ALLOWANCE_TOKEN_MS * US_PER_MS),
+	    0);
+	allowance_table_free(table);
+}
+
+/*
+ * Guards against spare tokens beyond a quarter of the rest, or beyond the sum
+ * that may be unspent at a time.
+ */
+static void
+spare_tokens_are_few(void **state ATTR_UNUSED)
+{
+	struct allowance_table *table =
+	    allowance_table_new(SHARES, WINDOW_US, 0);
+	uint64_t now = 600 * US_PER_S;
+
+	/* 0.02 x (500 x 5 + 500) / 5 + 1 = 13 */
+	assert_int_equal(draw(table, 500, 500, 1, 1, 64, now), 1 + 13);
+	assert_int_equal(draw(table, 500, 500, 1, 2, 64, now), 1);
+	(void)draw_all(table, 500, 500, 1, now);
+	assert_int_equal(
+	    draw(table, 500, 500, 1, 3, 64, now + 100 * US_PER_MS), 1);
+	assert_int_equal(
+	    draw(table, 500, 500, 1, 4, 64, now + 590 * US_PER_MS), 1 + 13);
+	allowance_table_free(table);
+}
+
+static struct allowance_step
+answer(struct allowance_draws *draws, const struct allowance_step *asked,
+    unsigned granted, uint64_t retry_us, uint64_t now_us)
+{
+	const struct allowance_result result = {
+	    .granted = granted,
+	    .retry_us = retry_us,
+	};
+
+	return allowance_draws_on_result(
+	    draws, asked->request, &result, 3, now_us);
+}
+
+/*
+ * Guards against a frozen entry that wakes and uses the answers in its socket,
+ * and against tokens that are lost or used twice when a request is not sent.
+ */
+static void
+an_entry_uses_each_token_once_and_in_time(void **state ATTR_UNUSED)
+{
+	const struct allowance_limit limit = {10, 10, 1};
+	struct allowance_draws *draws = allowance_draws_new(WINDOW_US, 0);
+	struct allowance_call first = {0};
+	struct allowance_call second = {0};
+	struct allowance_step step;
+	uint64_t now = 10 * US_PER_S;
+
+	(void)allowance_draws_name_voter(draws, "v0", now);
+	(void)allowance_draws_name_voter(draws, "v1", now);
+	step = allowance_draws_begin(draws, &first, "a", &limit, 3, now);
+	assert_int_equal(step.kind, ALLOWANCE_ASK);
+	step = answer(draws, &step, 1, 0, now + US_PER_S);
+	assert_int_equal(step.kind, ALLOWANCE_ASK);
+	now += US_PER_S;
+	step = answer(draws, &step, 1, 0, now);
+	assert_int_equal(step.kind, ALLOWANCE_GRANTED);
+	allowance_draws_end(draws, &first, false, now);
+	step = allowance_draws_begin(draws, &second, "a", &limit, 3, now);
+	assert_int_equal(step.kind, ALLOWANCE_GRANTED);
+	step = allowance_draws_begin(draws, &first, "a", &limit, 3, now);
+	assert_int_equal(step.kind, ALLOWANCE_ASK);
+	allowance_draws_end(draws, &first, false, now);
+	allowance_draws_end(draws, &second, true, now);
+	allowance_draws_free(draws);
+}
+
+/*
+ * Guards against 429 where no voter has said that there is no room, and against
+ * 503 where one has.
+ */
+static void
+all_voters_are_asked_before_a_refusal(void **state ATTR_UNUSED)
+{
+	const struct allowance_limit limit = {10, 10, 1};
+	struct allowance_draws *draws = allowance_draws_new(WINDOW_US, 0);
+	struct allowance_call call = {0};
+	struct allowance_step step;
+	uint64_t now = 10 * US_PER_S;
+
+	(void)allowance_draws_name_voter(draws, "v0", now);
+	(void)allowance_draws_name_voter(draws, "v1", now);
+	step = allowance_draws_begin(draws, &call, "a", &limit, 0, now);
+	assert_int_equal(step.kind, ALLOWANCE_UNKNOWN);
+	allowance_draws_end(draws, &call, false, now);
+	step = allowance_draws_begin(draws, &call, "a", &limit, 3, now);
+	step = allowance_draws_on_silence(draws, &call, 3, now);
+	assert_int_equal(step.kind, ALLOWANCE_ASK);
+	step = answer(draws, &step, 0, 70 * US_PER_MS, now);
+	assert_int_equal(step.kind, ALLOWANCE_REFUSED);
+	assert_int_equal(step.retry_us, 70 * US_PER_MS);
+	allowance_draws_end(draws, &call, false, now);
+	step = allowance_draws_begin(draws, &call, "a", &limit, 3, now);
+	assert_int_equal(step.kind, ALLOWANCE_ASK);
+	step = allowance_draws_on_silence(draws, &call, 3, now);
+	assert_int_equal(step.kind, ALLOWANCE_REFUSED);
+	allowance_draws_end(draws, &call, false, now);
+	allowance_draws_free(draws);
+}
+
+/*
+ * Guards against any window above the bound, whatever fails, and against
+ * refusals below the allowance where nothing does.
+ */
+static void
+the_bound_holds_and_the_allowance_is_usable(void **state ATTR_UNUSED)
+{
+	for (const struct allowance_model *m = allowance_models;
+	     m->name != NULL; m++) {
+		for (unsigned seed = 1; seed <= SEEDS; seed++) {
+			struct allowance_outcome o =
+			    allowance_model_run(m, seed);
+
+			if (o.above > 0 ||
+			    (!m->faults && m->pause_ms == 0 && o.usable < 0.95))
+				fail_msg("%s, seed %u: %u windows above, "
+					 "usable %.3f",
+				    m->name, seed, o.above, o.usable);
+		}
+	}
+}
+
+/*
+ * Guards against a checker that finds nothing: each voter holds the whole rate.
+ */
+static void
+the_checker_finds_a_planted_violation(void **state ATTR_UNUSED)
+{
+	const struct allowance_model whole = {"whole rate at each voter", 100,
+	    50, 5000, 7, 141, 0, 10, 0, 0, false, 0, 1};
+
+	assert_true(allowance_model_run(&whole, 1).above > 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(a_bucket_holds_what_has_accrued_since_the_start),
+	    cmocka_unit_test(the_limit_of_the_newest_document_counts),
+	    cmocka_unit_test(a_token_is_returned_once_and_in_time),
+	    cmocka_unit_test(spare_tokens_are_few),
+	    cmocka_unit_test(an_entry_uses_each_token_once_and_in_time),
+	    cmocka_unit_test(all_voters_are_asked_before_a_refusal),
+	    cmocka_unit_test(the_bound_holds_and_the_allowance_is_usable),
+	    cmocka_unit_test(the_checker_finds_a_planted_violation),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
