Allowances: voters of the control group grant tokens

core_allowance.c answers Draw and takes DrawReturn. A share must have one holder at a time: the first 2 f + 1 voters in the order of their joining hold one each, a holder grants for 3 s after its last touch with the leader, and one that joined later waits 4 s after the list that gives it its share is committed. A first member of the group succeeds nobody and does not wait.

Touch with the leader is new in replica_info: a heartbeat counts only if it was not held up on its way (500 ms beyond the least of late) and a second after the leader's first one. Otherwise a frozen voter would wake, read the heartbeats in its socket, and grant for 3 s beside its successor.

DrawReturn gets the field request: a voter takes back only tokens of a draw that it remembers.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -26,6 +26,7 @@
 	core_push_tick(core);
 	core_cache_tick(core, now);
 	core_liveness_tick(core, now);
+	core_allowance_tick(core, now);
 }
 
 /*
@@ -92,6 +93,7 @@
 static void
 close_parts(struct core *core)
 {
+	core_allowance_close(core);
 	core_propose_close(core);
 	core_departures_close(core);
 	core_replica_close(core);
@@ -123,6 +125,7 @@
 	register_counters(core);
 	core_propose_open(core);
 	core_departures_open(core);
+	core_allowance_open(core);
 	status = core_link_open(core);
 	if (status != STATUS_OK) {
 		close_parts(core);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -22,6 +22,8 @@
 	bool bootstrap; /* a new group is created */
 	unsigned losses; /* simultaneous losses of disks to tolerate */
 	uint64_t target_kept_ms; /* expiry of a target without reports */
+	/* window of the bound on allowances; 0: the default */
+	uint64_t quota_window_ms;
 };
 
 enum core_outcome {
--- /dev/null
+++ b/src/core/core_allowance.c
@@ -0,0 +1,224 @@
+/*
+ * This instance's share of the allowances of client accounts.  2 f + 1 voters
+ * of the group hold one share each.  A share must have one holder at a time,
+ * although a voter that is replaced may be cut off and not know it: a holder
+ * grants only while it is in touch with the leader, and the next one waits
+ * until the one before it must have stopped.
+ */
+#include <inttypes.h>
+
+#include "base/clock.h"
+#include "base/logger.h"
+#include "core/core_internal.h"
+#include "wire/fleet_bounds.h"
+
+enum {
+	/* A holder without touch with the leader grants for this long. */
+	TOUCH_MS = 3000,
+	/* A new holder waits longer than that, by a second for slow loops. */
+	SUCCESSION_MS = 4000,
+	SWEEP_MS = 60 * 1000
+};
+
+/* Ids with this bit were drawn by replicas that joined a group. */
+#define JOINED_ID_BIT (UINT64_C(1) << 47)
+
+/*
+ * Creates an empty table and the metrics.
+ */
+void
+core_allowance_open(struct core *core)
+{
+	struct core_allowance *a = &core->allowance;
+	uint64_t window_ms = core->settings.quota_window_ms > 0
+	    ? core->settings.quota_window_ms
+	    : ALLOWANCE_WINDOW_MS;
+	const struct {
+		struct counter **counter;
+		const char *name;
+		const char *help;
+	} list[] = {
+	    {&a->granted, "gypsummill_core_allowance_tokens_total",
+		"Tokens of allowances granted to entries (count)"},
+	    {&a->refused, "gypsummill_core_allowance_refused_total",
+		"Draws of entries for which the bucket had no token (count)"},
+	    {&a->unavailable, "gypsummill_core_allowance_unavailable_total",
+		"Draws of entries while this instance may not grant (count)"},
+	    {&a->returned, "gypsummill_core_allowance_returned_total",
+		"Tokens that entries have returned in time (count)"},
+	};
+
+	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++)
+		*list[i].counter = counter_register(
+		    COUNTER_TOTAL, list[i].name, list[i].help, NULL);
+	a->buckets =
+	    counter_register(COUNTER_GAUGE, "gypsummill_core_allowance_buckets",
+		"Accounts with a bucket at this instance (count)", NULL);
+	a->shares = 2 * core->settings.losses + 1;
+	a->table = allowance_table_new(
+	    a->shares, window_ms * US_PER_MS, clock_boot_us());
+}
+
+/*
+ * Frees the table.
+ */
+void
+core_allowance_close(struct core *core)
+{
+	allowance_table_free(core->allowance.table);
+	core->allowance.table = NULL;
+}
+
+/*
+ * Starts anew for a replica that was opened.  A first member of a group that
+ * has at most as many voters as shares has had its share from the beginning and
+ * succeeds nobody, so it need not wait.
+ */
+void
+core_allowance_on_opened(struct core *core)
+{
+	struct core_allowance *a = &core->allowance;
+	bool first = (core->replica_id & JOINED_ID_BIT) == 0 &&
+	    (core->info.last_index == 0 ||
+		core->settings.seed_count <= a->shares);
+
+	a->replica_id = core->replica_id;
+	a->held_since_us = 0;
+	a->granting = false;
+	a->wait_us = first ? 0 : SUCCESSION_MS * US_PER_MS;
+}
+
+/*
+ * Returns whether a member holds a share: the first ones of the voters in the
+ * order of their joining.  A successor is promoted before the voter that it
+ * replaces is removed, and holds none until then.
+ */
+bool
+core_allowance_is_holder(const struct core *core, unsigned i)
+{
+	unsigned before = 0;
+
+	for (unsigned j = 0; j < i; j++)
+		before += core->info.members[j].voter ? 1 : 0;
+	return core->info.members[i].voter && before < core->allowance.shares;
+}
+
+static bool
+is_own_holder(const struct core *core)
+{
+	if (core->replica == NULL || core->rejoin_due ||
+	    core->info.role == REPLICA_STOPPED)
+		return false;
+	for (unsigned i = 0; i < core->info.member_count; i++)
+		if (core->info.members[i].id == core->replica_id)
+			return core_allowance_is_holder(core, i);
+	return false;
+}
+
+/*
+ * Returns whether this instance may grant now.  Evaluated for each draw: this
+ * process may have been frozen since the last tick.
+ */
+static bool
+may_grant(const struct core *core, uint64_t now_us)
+{
+	const struct core_allowance *a = &core->allowance;
+
+	return a->granting && is_own_holder(core) && core->info.touch_us != 0 &&
+	    now_us - core->info.touch_us <= TOUCH_MS * US_PER_MS;
+}
+
+/*
+ * Follows the list of members, and sweeps the buckets.  A list that is not
+ * committed yet may end a share but not begin one.
+ */
+void
+core_allowance_tick(struct core *core, uint64_t now_us)
+{
+	struct core_allowance *a = &core->allowance;
+	bool held = is_own_holder(core);
+
+	if (!held) {
+		a->held_since_us = 0;
+		/* A later share succeeds somebody. */
+		if (a->granting)
+			a->wait_us = SUCCESSION_MS * US_PER_MS;
+	} else if (a->held_since_us == 0 && core->info.members_committed) {
+		a->held_since_us = now_us;
+	}
+	held = a->held_since_us != 0 && now_us - a->held_since_us >= a->wait_us;
+	if (held != a->granting) {
+		a->granting = held;
+		allowance_table_reset(a->table, now_us);
+		log_info("allowance_share",
+		    "instance=%s holder=%d shares=%u waited_ms=%" PRIu64,
+		    core->settings.instance, held, a->shares,
+		    a->wait_us / US_PER_MS);
+	}
+	if (now_us < a->next_sweep_us)
+		return;
+	a->next_sweep_us = now_us + SWEEP_MS * US_PER_MS;
+	allowance_table_sweep(a->table, now_us);
+	counter_set(a->buckets, allowance_table_count(a->table));
+}
+
+/*
+ * Returns the number that stands for an entry, also after it has connected
+ * again.
+ */
+static uint64_t
+holder_of(const struct core_peer *peer)
+{
+	return str_hash(str_from(peer->hello->datagram_address));
+}
+
+/*
+ * Draws tokens for an entry.
+ */
+void
+core_on_draw(
+    struct core *core, const struct core_peer *peer, const Fleet__Draw *draw)
+{
+	struct core_allowance *a = &core->allowance;
+	uint64_t now = clock_boot_us();
+	const struct allowance_limit limit = {
+	    .rate_per_s = draw->rate,
+	    .burst = draw->burst,
+	    .document_index = draw->document_index,
+	};
+	struct allowance_result result = {.unavailable = true};
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__DrawResult message = FLEET__DRAW_RESULT__INIT;
+
+	if (draw->rate > 0 && may_grant(core, now))
+		result = allowance_table_draw(a->table, draw->account, &limit,
+		    holder_of(peer), draw->request, draw->want, now);
+	counter_add(a->granted, result.granted);
+	if (result.unavailable)
+		counter_add(a->unavailable, 1);
+	else if (result.granted == 0)
+		counter_add(a->refused, 1);
+	message.request = draw->request;
+	message.granted = result.granted;
+	message.unavailable = result.unavailable;
+	message.retry_after_ms =
+	    fleet_clamp((result.retry_us + US_PER_MS - 1) / US_PER_MS,
+		FLEET_DURATION_MAX_MS);
+	frame.body_case = FLEET__FRAME__BODY_DRAW_RESULT;
+	frame.draw_result = &message;
+	channel_send(peer->channel, &frame);
+}
+
+/*
+ * Takes back tokens that an entry has not used.
+ */
+void
+core_on_draw_return(struct core *core, const struct core_peer *peer,
+    const Fleet__DrawReturn *message)
+{
+	struct core_allowance *a = &core->allowance;
+
+	counter_add(a->returned,
+	    allowance_table_return(a->table, message->account, holder_of(peer),
+		message->request, message->count, clock_boot_us()));
+}
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -12,6 +12,7 @@
 #include "base/minute_log.h"
 #include "core/core.h"
 #include "core/core_state.h"
+#include "limit/allowance_bucket.h"
 #include "net/channel.h"
 #include "replica/replica.h"
 #include "replica/storage.h"
@@ -55,6 +56,22 @@
 	struct channel *peer; /* NULL: a local caller */
 };
 
+/* What this instance holds as a voter of the allowances of accounts. */
+struct core_allowance {
+	struct allowance_table *table;
+	unsigned shares; /* 2 f + 1, as of the start */
+	uint64_t replica_id; /* for which the following holds */
+	uint64_t held_since_us; /* a share is held; 0: it is not */
+	uint64_t wait_us; /* from then until it is granted from */
+	bool granting;
+	uint64_t next_sweep_us;
+	struct counter *granted;
+	struct counter *refused;
+	struct counter *unavailable;
+	struct counter *returned;
+	struct counter *buckets;
+};
+
 /* A document with its text. */
 struct core_document {
 	uint64_t index; /* of the log; 0: none */
@@ -118,6 +135,7 @@
 	GHashTable *pending_requests; /* by core_pending_request.request */
 	/* departures that entries have asked for: id -> struct asked_departure */
 	GHashTable *asked_departures;
+	struct core_allowance allowance;
 	struct log_limiter log_limiter; /* of lines about peers and targets */
 	struct counter *edits;
 	struct counter *texts_sent;
@@ -221,6 +239,19 @@
 void core_push_tick(struct core *core);
 void core_push_close(struct core *core);
 
+/* core_allowance.c: this instance's share of the allowances of accounts */
+void core_allowance_open(struct core *core);
+void core_allowance_close(struct core *core);
+/* A replica was opened. */
+void core_allowance_on_opened(struct core *core);
+void core_allowance_tick(struct core *core, uint64_t now_us);
+/* Whether member number i of info.members holds a share. */
+bool core_allowance_is_holder(const struct core *core, unsigned i);
+void core_on_draw(
+    struct core *core, const struct core_peer *peer, const Fleet__Draw *draw);
+void core_on_draw_return(struct core *core, const struct core_peer *peer,
+    const Fleet__DrawReturn *message);
+
 /* core_propose.c */
 void core_propose_open(struct core *core);
 void core_propose_close(struct core *core);
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -355,11 +355,17 @@
 	case FLEET__FRAME__BODY_HEARD:
 		core_on_heard(core, frame->heard);
 		break;
+	case FLEET__FRAME__BODY_DRAW:
+		if (peer != NULL && peer->hello_received)
+			core_on_draw(core, peer, frame->draw);
+		break;
+	case FLEET__FRAME__BODY_DRAW_RETURN:
+		if (peer != NULL && peer->hello_received)
+			core_on_draw_return(core, peer, frame->draw_return);
+		break;
 	case FLEET__FRAME__BODY_EVACUATIONS:
 	case FLEET__FRAME__BODY_DOCUMENT_RECEIVED:
-	case FLEET__FRAME__BODY_DRAW:
 	case FLEET__FRAME__BODY_DRAW_RESULT:
-	case FLEET__FRAME__BODY_DRAW_RETURN:
 	case FLEET__FRAME__BODY_PING:
 	case FLEET__FRAME__BODY__NOT_SET:
 	case _FLEET__FRAME__BODY__CASE_IS_INT_SIZE:
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -335,9 +335,11 @@
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Members message = FLEET__MEMBERS__INIT;
 	char *addresses[FLEET_CONTROLS_MAX];
+	protobuf_c_boolean voters[FLEET_CONTROLS_MAX] = {0};
 	size_t count = 0;
 
 	for (unsigned i = 0; i < core->info.member_count; i++) {
+		voters[count] = core_allowance_is_holder(core, i);
 		addresses[count++] = core->info.members[i].address;
 		message.voters += core->info.members[i].voter ? 1 : 0;
 	}
@@ -350,6 +352,10 @@
 		    MIN(core->reported_members->len, FLEET_CONTROLS_MAX - 1);
 	if (core->settings.data != NULL)
 		addresses[count++] = (char *)core->settings.link_address;
+	if (core->info.member_count > 0) {
+		message.n_voter = count;
+		message.voter = voters;
+	}
 	message.n_address = count;
 	message.address = addresses;
 	message.leader = core->info.leader;
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -247,6 +247,7 @@
 	if (status != STATUS_OK)
 		return status;
 	replica_describe(core->replica, &core->info);
+	core_allowance_on_opened(core);
 	log_info("replica_opened",
 	    "instance=%s replica=%" PRIu64 " term=%" PRIu64
 	    " last_index=%" PRIu64 " members=%u first=%u",
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -45,6 +45,8 @@
 	double probes_per_second; /* of one target, at most */
 	/* how long a target is kept without a sign of life */
 	uint64_t target_kept_ms;
+	/* window of the bound on allowances; 0: the default */
+	uint64_t quota_window_ms;
 };
 
 struct flow;
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -302,6 +302,8 @@
 		return;
 	election_tick(replica);
 	append_tick(replica);
+	if (replica_has_lease(replica, replica->now_us))
+		replica->touch_us = replica->now_us;
 	notify_if_changed(replica);
 }
 
@@ -465,6 +467,7 @@
 	    .member_count = replica->members.count,
 	    .members_committed =
 		replica->members_index <= replica->commit_index,
+	    .touch_us = replica->touch_us,
 	};
 	for (unsigned i = 0; i < replica->members.count; i++)
 		info->members[i] = replica->members.list[i].info;
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -68,6 +68,12 @@
 	unsigned member_count;
 	/* false: a change is under way, which may not come to pass */
 	bool members_committed;
+	/*
+	 * When it was last in touch with a leader, or led with a majority: by
+	 * messages that were not held up on their way.  0: never since it was
+	 * opened.
+	 */
+	uint64_t touch_us;
 };
 
 struct replica;
--- a/src/replica/replica_append.c
+++ b/src/replica/replica_append.c
@@ -1,7 +1,53 @@
+#include "base/clock.h"
 #include "base/invariant.h"
 #include "base/memory.h"
 #include "replica/replica_defs.h"
 
+enum {
+	/*
+	 * A leader's messages count as proof of touch this long after its first
+	 * one: those that waited in a socket while this process was frozen or
+	 * cut off all come at once.
+	 */
+	TOUCH_AFTER_MS = 1000,
+	/* A message that was this much longer on its way proves nothing. */
+	TOUCH_DELAY_MAX_MS = 500,
+	/* Clocks drift apart by milliseconds in two such periods. */
+	DELAY_PERIOD_MS = 60 * 1000
+};
+
+/*
+ * Records a leader's message as proof of touch, unless it was held up on its
+ * way: this replica may have been replaced meanwhile.
+ */
+void
+append_record_touch(struct replica *r, const Replica__Message *m)
+{
+	struct leader_delay *d = &r->leader_delay;
+	int64_t delay = (int64_t)(r->now_us - m->sent_us);
+	int64_t least;
+
+	if (d->term != m->term) {
+		*d = (struct leader_delay){
+		    .term = m->term,
+		    .since_us = r->now_us,
+		    .period_us = r->now_us,
+		    .least_us = delay,
+		    .previous_us = delay,
+		};
+	} else if (r->now_us - d->period_us > DELAY_PERIOD_MS * US_PER_MS) {
+		d->previous_us = d->least_us;
+		d->least_us = delay;
+		d->period_us = r->now_us;
+	}
+	if (delay < d->least_us)
+		d->least_us = delay;
+	least = d->least_us < d->previous_us ? d->least_us : d->previous_us;
+	if (r->now_us - d->since_us >= TOUCH_AFTER_MS * US_PER_MS &&
+	    delay - least <= (int64_t)(TOUCH_DELAY_MAX_MS * US_PER_MS))
+		r->touch_us = r->now_us;
+}
+
 /*
  * Schedules a heartbeat to each follower when the interval has passed.
  */
@@ -261,6 +307,7 @@
 
 	election_become_follower(r, m->term, from);
 	r->leader_contact_us = r->now_us;
+	append_record_touch(r, m);
 	election_reset_timer(r);
 	if (m->index < r->commit_index && match <= r->commit_index) {
 		append_confirm(r, from, m, r->commit_index);
--- a/src/replica/replica_defs.h
+++ b/src/replica/replica_defs.h
@@ -55,6 +55,19 @@
 	PEER_SNAPSHOT /* snapshot chunks, one at a time */
 };
 
+/*
+ * Differences between the own clock and the one in a leader's messages.  The
+ * clocks are unrelated and drift, so only a message's distance from the least
+ * one of late says how long it was on its way.
+ */
+struct leader_delay {
+	uint64_t term; /* 0: none */
+	uint64_t since_us; /* first message of the term */
+	uint64_t period_us; /* start of the current period */
+	int64_t least_us; /* in the current period */
+	int64_t previous_us; /* the least one of the period before */
+};
+
 /* An encoded snapshot with the members in effect at its index. */
 struct image {
 	struct refcount ref;
@@ -132,6 +145,8 @@
 	struct peer peers[REPLICA_MEMBERS_MAX];
 	unsigned peer_count;
 	uint64_t leader_contact_us; /* last message of a leader */
+	struct leader_delay leader_delay;
+	uint64_t touch_us; /* replica_info.touch_us */
 	uint64_t election_due_us;
 	uint64_t heartbeat_due_us;
 
@@ -185,6 +200,7 @@
 
 /* replica_append.c */
 void append_tick(struct replica *r);
+void append_record_touch(struct replica *r, const Replica__Message *m);
 void append_replicate(struct replica *r);
 void append_advance_commit(struct replica *r);
 void
--- a/src/replica/replica_snapshot.c
+++ b/src/replica/replica_snapshot.c
@@ -193,6 +193,7 @@
 {
 	election_become_follower(r, m->term, from);
 	r->leader_contact_us = r->now_us;
+	append_record_touch(r, m);
 	election_reset_timer(r);
 	if (m->index <= r->commit_index) {
 		append_confirm(r, from, m, r->commit_index);
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -2342,7 +2342,7 @@
     (ProtobufCMessageInit)fleet__draw_result__init, NULL, NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__draw_return__field_descriptors[2] =
+static const ProtobufCFieldDescriptor fleet__draw_return__field_descriptors[3] =
     {
 	{
 	    "account", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
@@ -2357,16 +2357,23 @@
 	    offsetof(Fleet__DrawReturn, count), NULL, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "request", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__DrawReturn, request), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned fleet__draw_return__field_indices_by_name[] = {
     0, /* field[0] = account */
     1, /* field[1] = count */
+    2, /* field[2] = request */
 };
 static const ProtobufCIntRange fleet__draw_return__number_ranges[1 + 1] = {
-    {1, 0}, {0, 2}};
+    {1, 0}, {0, 3}};
 const ProtobufCMessageDescriptor fleet__draw_return__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.DrawReturn", "DrawReturn",
-    "Fleet__DrawReturn", "fleet", sizeof(Fleet__DrawReturn), 2,
+    "Fleet__DrawReturn", "fleet", sizeof(Fleet__DrawReturn), 3,
     fleet__draw_return__field_descriptors,
     fleet__draw_return__field_indices_by_name, 1,
     fleet__draw_return__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -443,10 +443,14 @@
   ProtobufCMessage base;
   char *account;
   uint32_t count;
+  /*
+   * of the draw that gave them
+   */
+  uint64_t request;
 };
 #define FLEET__DRAW_RETURN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__draw_return__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/test/unit/test_core_allowance.c
@@ -0,0 +1,220 @@
+/*
+ * Draws of an entry at a control instance: who grants, from when on, and what
+ * the list of members says of it.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "support_core.h"
+
+struct drawer {
+	struct channel *channel;
+	bool opened;
+	bool answered;
+	Fleet__DrawResult result;
+	unsigned voters; /* named in the last list of members */
+};
+
+static void
+on_opened(void *ctx, struct channel *channel)
+{
+	struct drawer *drawer = ctx;
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Hello hello = FLEET__HELLO__INIT;
+
+	hello.instance = hello.failure_domain = (char *)"entry";
+	hello.datagram_address = hello.caller_address = (char *)"127.0.7.9:98";
+	frame.body_case = FLEET__FRAME__BODY_HELLO;
+	frame.hello = &hello;
+	channel_send(channel, &frame);
+	drawer->opened = true;
+}
+
+static void
+on_message(
+    void *ctx, struct channel *channel ATTR_UNUSED, const Fleet__Frame *frame)
+{
+	struct drawer *drawer = ctx;
+
+	if (frame->body_case == FLEET__FRAME__BODY_DRAW_RESULT) {
+		drawer->answered = true;
+		drawer->result = *frame->draw_result;
+	}
+	if (frame->body_case != FLEET__FRAME__BODY_MEMBERS)
+		return;
+	drawer->voters = 0;
+	for (size_t i = 0; i < frame->members->n_voter; i++)
+		drawer->voters += frame->members->voter[i] ? 1 : 0;
+}
+
+static void
+on_closed(void *ctx ATTR_UNUSED, struct channel *channel ATTR_UNUSED,
+    const char *reason ATTR_UNUSED)
+{
+}
+
+static bool
+is_opened(const void *ctx)
+{
+	return ((const struct drawer *)ctx)->opened;
+}
+
+static bool
+is_answered(const void *ctx)
+{
+	return ((const struct drawer *)ctx)->answered;
+}
+
+static void
+open_drawer(struct core_fixture *fixture, struct drawer *drawer)
+{
+	const struct channel_callbacks callbacks = {
+	    .ctx = drawer,
+	    .opened = on_opened,
+	    .message = on_message,
+	    .closed = on_closed,
+	};
+
+	*drawer = (struct drawer){0};
+	drawer->channel =
+	    channel_dial(&fixture->loop, fixture->address, &callbacks);
+	core_fixture_run_until(fixture, is_opened, drawer);
+}
+
+static void
+draw(struct core_fixture *fixture, struct drawer *drawer, uint64_t request)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Draw message = FLEET__DRAW__INIT;
+
+	message.request = request;
+	message.account = (char *)"acct";
+	message.rate = 0.001;
+	message.burst = 1;
+	message.want = 1;
+	frame.body_case = FLEET__FRAME__BODY_DRAW;
+	frame.draw = &message;
+	drawer->answered = false;
+	channel_send(drawer->channel, &frame);
+	core_fixture_run_until(fixture, is_answered, drawer);
+	assert_int_equal(drawer->result.request, request);
+}
+
+static void
+give_back(struct drawer *drawer, uint64_t request)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__DrawReturn message = FLEET__DRAW_RETURN__INIT;
+
+	message.request = request;
+	message.account = (char *)"acct";
+	message.count = 1;
+	frame.body_case = FLEET__FRAME__BODY_DRAW_RETURN;
+	frame.draw_return = &message;
+	channel_send(drawer->channel, &frame);
+}
+
+/*
+ * Guards against an instance that grants without a group behind it, and against
+ * tokens that are granted again without having been returned.
+ */
+static void
+a_voter_grants_while_its_group_has_a_leader(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct drawer drawer;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	core_fixture_edit(&fixture, 0, 1, "text");
+	core_fixture_run(&fixture, 100);
+	open_drawer(&fixture, &drawer);
+	draw(&fixture, &drawer, 1);
+	assert_int_equal(drawer.result.granted, 1);
+	draw(&fixture, &drawer, 2);
+	assert_int_equal(drawer.result.granted, 0);
+	assert_false(drawer.result.unavailable);
+	assert_true(drawer.result.retry_after_ms > 1000);
+	give_back(&drawer, 1);
+	draw(&fixture, &drawer, 3);
+	assert_int_equal(drawer.result.granted, 1);
+	core_fixture_run(&fixture, 1200);
+	assert_int_equal(drawer.voters, 1);
+	/* As if the process had been cut off from its leader. */
+	fixture.core->info.touch_us = clock_boot_us() - 4 * US_PER_S;
+	fixture.core->allowance.granting = true;
+	uv_timer_stop(&fixture.core->timer);
+	draw(&fixture, &drawer, 4);
+	assert_true(drawer.result.unavailable);
+	channel_close(drawer.channel);
+	core_fixture_close(&fixture);
+}
+
+/*
+ * Guards against two holders of one share: a successor grants only when the
+ * voter that it replaces must have stopped.
+ */
+static void
+a_new_holder_waits(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct core *core;
+	uint64_t now;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	core_fixture_edit(&fixture, 0, 1, "text");
+	core = fixture.core;
+	uv_timer_stop(&core->timer);
+	now = clock_boot_us();
+	core->replica_id |= UINT64_C(1) << 47;
+	core->info.members[0].id = core->replica_id;
+	core_allowance_on_opened(core);
+	core_allowance_tick(core, now);
+	core_allowance_tick(core, now + 3900 * US_PER_MS);
+	assert_false(core->allowance.granting);
+	core_allowance_tick(core, now + 4000 * US_PER_MS);
+	assert_true(core->allowance.granting);
+	/* One more voter is there before it in the list. */
+	core->info.members[1] = core->info.members[0];
+	core->info.members[0].id = 7;
+	core->info.member_count = 2;
+	assert_true(core_allowance_is_holder(core, 0));
+	assert_false(core_allowance_is_holder(core, 1));
+	core_allowance_tick(core, now + 4100 * US_PER_MS);
+	assert_false(core->allowance.granting);
+	core_fixture_close(&fixture);
+}
+
+static void
+an_instance_without_a_log_never_grants(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct drawer drawer;
+
+	core_fixture_init(&fixture, false);
+	core_fixture_open(&fixture, NULL);
+	open_drawer(&fixture, &drawer);
+	draw(&fixture, &drawer, 1);
+	assert_true(drawer.result.unavailable);
+	channel_close(drawer.channel);
+	core_fixture_close(&fixture);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(a_voter_grants_while_its_group_has_a_leader),
+	    cmocka_unit_test(a_new_holder_waits),
+	    cmocka_unit_test(an_instance_without_a_log_never_grants),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/unit/test_replica_rules.c
+++ b/test/unit/test_replica_rules.c
@@ -484,6 +484,57 @@
 	testbed_free(testbed);
 }
 
+/*
+ * Passes a heartbeat of replica 1 to a follower, sent and received then.
+ */
+static void
+receive_heartbeat(
+    struct testbed *testbed, struct replica *r, uint64_t sent, uint64_t now)
+{
+	Replica__Message m = REPLICA__MESSAGE__INIT;
+	uint8_t bytes[256];
+	size_t len;
+
+	m.kind = REPLICA__KIND__KIND_APPEND;
+	m.term = r->term;
+	m.sent_us = sent;
+	m.to_disk = r->storage.disk;
+	m.from_disk = testbed_get(testbed, 1)->storage.disk;
+	len = replica__message__pack(&m, bytes);
+	assert_int_equal(
+	    replica_receive(r, 1, str_of((const char *)bytes, len), now),
+	    STATUS_OK);
+}
+
+/*
+ * A follower that was frozen or cut off reads heartbeats that waited in its
+ * socket: they must not count as touch with the leader, which may have replaced
+ * the follower meanwhile.
+ */
+static void
+held_up_heartbeats_are_no_touch(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	struct replica *r = testbed_get(testbed, 2);
+	struct replica_info info;
+	uint64_t sent;
+
+	testbed_run(testbed, 2 * US_PER_S);
+	replica_describe(r, &info);
+	assert_true(testbed->now_us - info.touch_us <= 2 * HEARTBEAT_US);
+	sent = testbed->now_us;
+	for (unsigned i = 1; i <= 40; i++)
+		receive_heartbeat(
+		    testbed, r, sent + i * HEARTBEAT_US, sent + 20 * US_PER_S);
+	replica_describe(r, &info);
+	assert_true(info.touch_us <= sent);
+	receive_heartbeat(
+	    testbed, r, sent + 21 * US_PER_S, sent + 21 * US_PER_S);
+	replica_describe(r, &info);
+	assert_true(info.touch_us == sent + 21 * US_PER_S);
+	testbed_free(testbed);
+}
+
 int
 main(void)
 {
@@ -503,6 +554,7 @@
 	    cmocka_unit_test(failed_disk_stops_the_replica),
 	    cmocka_unit_test(failed_append_is_neither_refused_nor_accepted),
 	    cmocka_unit_test(uncommitted_commands_are_bounded),
+	    cmocka_unit_test(held_up_heartbeats_are_no_touch),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
