--- a/src/core/core.c
+++ b/src/core/core.c
@@ -70,6 +70,9 @@
 	    "gypsummill_core_messages_refused_total",
 	    "Messages of instances with a field out of its bounds (count)",
 	    NULL);
+	core->evacuations =
+	    counter_register(COUNTER_GAUGE, "gypsummill_core_evacuations",
+		"Failure domains that are being evacuated (count)", NULL);
 	core->is_leader =
 	    counter_register(COUNTER_GAUGE, "gypsummill_core_leader",
 		"1 while this instance is the leader", NULL);
@@ -100,6 +103,7 @@
 	core_estimates_close(core);
 	core_state_destroy(&core->state);
 	core_drop_kept_document(core);
+	evacuation_set_destroy(&core->kept_evacuations);
 	roster_free(core->roster);
 	minute_log_free(&core->refused_log);
 	minute_log_free(&core->messages_log);
@@ -121,6 +125,7 @@
 	core->log_limiter.instance = settings->instance;
 	core->roster = roster_new(NULL);
 	core_state_init(&core->state, core->roster);
+	evacuation_set_init(&core->kept_evacuations);
 	register_counters(core);
 	core_propose_open(core);
 	core_departures_open(core);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -6,6 +6,7 @@
 #ifndef CORE_CORE_H
 #define CORE_CORE_H
 
+#include <glib.h>
 #include <uv.h>
 
 #include "base/status.h"
@@ -26,8 +27,10 @@
 
 enum core_outcome {
 	CORE_ACCEPTED,
-	CORE_CONFLICT, /* based on another version */
-	CORE_STALE, /* version not higher than the current one */
+	/* based on another version; of an evacuation: too many */
+	CORE_CONFLICT,
+	/* version not higher than the current one; no failure domain */
+	CORE_STALE,
 	CORE_UNAVAILABLE /* no leader in time; may have been accepted */
 };
 
@@ -68,11 +71,25 @@
 void core_edit(struct core *core, uint64_t base_version, uint64_t version,
     struct str text, core_done *done, void *ctx) ATTR_NONNULL(1, 5);
 
+/*
+ * Starts or ends the evacuation of a failure domain.  Accepted when a majority
+ * has stored it, also if it changes nothing.
+ */
+void core_evacuate(struct core *core, const char *failure_domain, bool active,
+    core_done *done, void *ctx) ATTR_NONNULL(1, 2, 4);
+/*
+ * The names of the evacuated failure domains that this instance knows, valid
+ * until control returns to the loop.
+ */
+const GPtrArray *core_evacuations(const struct core *core) ATTR_NONNULL_ALL;
+
 /* text is the newest document, empty if there is none yet. */
 typedef void
 core_read_done(void *ctx, enum core_outcome outcome, struct str text);
 
-/* Reads the newest document; CORE_UNAVAILABLE if it may be out of date. */
+/*
+ * Reads the newest document.  From then on, core_evacuations() of an instance
+ * with a log is as new.  CORE_UNAVAILABLE if it may be out of date. */
 void core_read(struct core *core, core_read_done *done, void *ctx)
     ATTR_NONNULL(1, 2);
 
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -97,6 +97,10 @@
 	uint64_t sent_index; /* of the last document sent to all */
 	unsigned applied_count; /* documents applied since then */
 	struct str_buf departures_due; /* applied and not yet sent */
+	/* as kept, of evacuations */
+	struct evacuation_set kept_evacuations;
+	bool evacuations_due; /* a change that was not yet sent */
+	uint64_t sent_evacuations; /* index of the last set sent to all */
 	bool cache_dirty;
 	uint64_t next_cache_us; /* earliest time of the next write */
 	GHashTable *estimates; /* service -> Fleet__Estimate; NULL: none */
@@ -140,6 +144,7 @@
 	struct counter *messages_refused;
 	struct minute_log messages_log; /* by sender */
 	struct counter *is_leader;
+	struct counter *evacuations;
 };
 
 enum {
@@ -192,8 +197,8 @@
 
 /* core_warm_start.c */
 Fleet__Document core_latest_document(const struct core *core);
-/* Keeps the document that is in force, before the replica is opened again. */
-void core_keep_document(struct core *core);
+/* Keeps what is in force, before the replica is opened again. */
+void core_keep_state(struct core *core);
 /* Drops the kept document, once the log holds all that was committed. */
 void core_drop_kept_document(struct core *core);
 /* Saves the document and the targets if they have changed. */
@@ -244,7 +249,20 @@
 void core_drop_packed_document(struct core *core);
 void core_text_tick(struct core *core, uint64_t now_us);
 
+/* core_evacuation.c */
+const struct evacuation_set *core_latest_evacuations(const struct core *core);
+/* Keeps a set, or NULL, while the log may be behind it. */
+void
+core_keep_evacuations(struct core *core, const Fleet__Evacuations *message);
+void core_release_evacuations(struct core *core);
+void core_batch_evacuations(const struct core *core, struct str_buf *batch);
+void core_push_evacuations(struct core *core);
+void core_on_evacuations(struct core *core, const Fleet__Evacuations *message);
+
 /* core_propose.c */
+/* Proposes a command locally, or forwards it to the leader. */
+void core_submit_command(
+    struct core *core, Fleet__Command *command, core_done *done, void *ctx);
 void core_propose_open(struct core *core);
 void core_propose_close(struct core *core);
 void core_on_propose(
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -377,6 +377,9 @@
 		core_on_heard(core, frame->heard);
 		break;
 	case FLEET__FRAME__BODY_EVACUATIONS:
+		if (peer == NULL || peer->is_control)
+			core_on_evacuations(core, frame->evacuations);
+		break;
 	case FLEET__FRAME__BODY_DRAW:
 	case FLEET__FRAME__BODY_DRAW_RESULT:
 	case FLEET__FRAME__BODY_DRAW_RETURN:
--- a/src/core/core_propose.c
+++ b/src/core/core_propose.c
@@ -141,8 +141,8 @@
 /*
  * Proposes a command locally, or forwards it to the leader.
  */
-static void
-submit_command(
+void
+core_submit_command(
     struct core *core, Fleet__Command *command, core_done *done, void *ctx)
 {
 	struct core_pending_request *pending = add_pending_request(core);
@@ -188,7 +188,7 @@
 	departure.started_ms = started_ms;
 	command.body_case = FLEET__COMMAND__BODY_DEPARTURE;
 	command.departure = &departure;
-	submit_command(core, &command, done, ctx);
+	core_submit_command(core, &command, done, ctx);
 }
 
 /*
@@ -207,7 +207,20 @@
 	edit.text.len = text.len;
 	command.body_case = FLEET__COMMAND__BODY_EDIT;
 	command.edit = &edit;
-	submit_command(core, &command, done, ctx);
+	core_submit_command(core, &command, done, ctx);
+}
+
+/*
+ * Returns the index of the last change of the document or the evacuations that
+ * this instance has applied.  Without a log the two come separately, and reads
+ * wait for the document.
+ */
+static uint64_t
+applied_index(const struct core *core)
+{
+	return core->settings.data != NULL
+	    ? MAX(core->state.document_index, core->state.evacuations.index)
+	    : core->state.document_index;
 }
 
 /*
@@ -264,10 +277,12 @@
 core_on_read(struct core *core, struct channel *from, const Fleet__Read *read)
 {
 	bool leads = core_has_lease(core, clock_boot_us());
+	const struct core_peer *peer = channel_user(from);
+	bool has_log = peer != NULL && peer->replica != 0;
 
 	send_result(from, read->request,
 	    leads ? CORE_ACCEPTED : CORE_UNAVAILABLE,
-	    core->state.document_index);
+	    has_log ? applied_index(core) : core->state.document_index);
 }
 
 /*
@@ -283,7 +298,7 @@
 	if (pending == NULL)
 		return;
 	if (pending->read_done != NULL && outcome == CORE_ACCEPTED &&
-	    core->state.document_index < result->index) {
+	    applied_index(core) < result->index) {
 		pending->index = result->index;
 		return;
 	}
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -102,6 +102,10 @@
 	if (core->kept.index != 0 && core->replica != NULL &&
 	    replica_has_caught_up(core->replica))
 		release_kept_document(core);
+	if (core->kept_evacuations.index != 0 && core->replica != NULL &&
+	    replica_has_caught_up(core->replica))
+		core_release_evacuations(core);
+	core_push_evacuations(core);
 	if (core->document_due) {
 		core->document_due = false;
 		core_push_document(core);
@@ -276,8 +280,8 @@
 }
 
 /*
- * Returns the first part of the initial state.  Departures precede targets,
- * so that no peer uses a departed target.
+ * Returns the first part of the initial state.  Departures and evacuations
+ * precede targets, so that no peer uses a target that it must not use.
  */
 static struct packed_frame *
 pack_members_and_departures(struct core *core)
@@ -286,6 +290,7 @@
 	struct packed_frame *packed;
 
 	with_members_frame(core, batch_frame, &batch);
+	core_batch_evacuations(core, &batch);
 	roster_for_each_departure(core->roster, add_departure_to_batch, &batch);
 	packed = channel_pack_batch(&batch);
 	str_buf_free(&batch);
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -103,6 +103,15 @@
 		core->document_due = true;
 		core->applied_count++;
 	}
+	if (effect.evacuations_changed) {
+		core->cache_dirty = true;
+		core->evacuations_due = true;
+		log_info("evacuation_order",
+		    "instance=%s index=%" PRIu64 " failure_domain=%s active=%d",
+		    core->settings.instance, index,
+		    command->evacuation->failure_domain,
+		    command->evacuation->active);
+	}
 	if (effect.has_departed) {
 		core->cache_dirty = true;
 		counter_add(core->departures, 1);
@@ -144,6 +153,7 @@
 	    core->settings.instance, index, core->state.version);
 	if (status == STATUS_OK) {
 		core->document_due = true;
+		core->evacuations_due = true;
 		roster_for_each_departure(
 		    core->roster, queue_one_departure, core);
 	}
@@ -448,7 +458,7 @@
 	if (now_us < core->reopen_us)
 		return;
 	core->reopen_us = now_us + REOPEN_MS * US_PER_MS;
-	core_keep_document(core);
+	core_keep_state(core);
 	core_replica_close(core);
 	if (core->rejoin_due) {
 		core_discard_replica(core);
--- a/src/core/core_state.c
+++ b/src/core/core_state.c
@@ -23,6 +23,7 @@
 	    .accepted = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
 	    .roster = roster,
 	};
+	evacuation_set_init(&state->evacuations);
 }
 
 /*
@@ -34,6 +35,7 @@
 	if (state->accepted != NULL)
 		g_array_free(state->accepted, TRUE);
 	str_buf_free(&state->text);
+	evacuation_set_destroy(&state->evacuations);
 	*state = (struct core_state){0};
 }
 
@@ -117,6 +119,30 @@
 		    state->roster, time_ms - DEPARTURE_RETENTION_MS);
 }
 
+/*
+ * Starts or ends an evacuation.  An order that changes nothing is accepted, since
+ * it may be a resent one.
+ */
+static void
+apply_evacuation(struct core_state *state, uint64_t index,
+    const Fleet__Evacuation *evacuation, struct core_effect *effect)
+{
+	switch (evacuation_set_apply(&state->evacuations, index,
+	    evacuation->failure_domain, evacuation->active)) {
+	case EVACUATION_CHANGED:
+		effect->evacuations_changed = true;
+		break;
+	case EVACUATION_FULL:
+		effect->outcome = CORE_CONFLICT;
+		break;
+	case EVACUATION_INVALID:
+		effect->outcome = CORE_STALE;
+		break;
+	case EVACUATION_UNCHANGED:
+		break;
+	}
+}
+
 /*
  * Applies the command at a log index.
  */
@@ -134,6 +160,8 @@
 		    state, command->departure, command->time_ms, effect);
 		break;
 	case FLEET__COMMAND__BODY_EVACUATION:
+		apply_evacuation(state, index, command->evacuation, effect);
+		break;
 	case FLEET__COMMAND__BODY__NOT_SET:
 	case _FLEET__COMMAND__BODY__CASE_IS_INT_SIZE:
 		break;
@@ -163,6 +191,8 @@
 {
 	Fleet__State message = FLEET__STATE__INIT;
 	Fleet__Document document = FLEET__DOCUMENT__INIT;
+	Fleet__Evacuations evacuations =
+	    evacuation_set_message(&state->evacuations);
 	GPtrArray *list = g_ptr_array_new();
 	Fleet__Departure *space;
 	Fleet__Departure **pointers;
@@ -174,6 +204,9 @@
 	document.text.data = (uint8_t *)state->text.data;
 	document.text.len = state->text.len;
 	message.document = &document;
+	/* Snapshots of groups without evacuations stay as they were. */
+	if (evacuations.index != 0)
+		message.evacuations = &evacuations;
 	message.n_accepted = state->accepted->len;
 	message.accepted = (uint64_t *)(void *)state->accepted->data;
 	roster_for_each_departure(state->roster, collect_departure, list);
@@ -224,6 +257,7 @@
 	    state->accepted, message->accepted, (guint)message->n_accepted);
 	set_document(state, message->document->index,
 	    message->document->version, &message->document->text);
+	evacuation_set_load(&state->evacuations, message->evacuations);
 	roster_clear_departures(state->roster);
 	for (size_t i = 0; i < message->n_departure; i++) {
 		const struct roster_departure from = {
--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -10,6 +10,7 @@
 #include "base/status.h"
 #include "base/str.h"
 #include "core/core.h"
+#include "core/evacuation_set.h"
 #include "roster/roster.h"
 #include "wire/fleet.pb-c.h"
 
@@ -19,12 +20,14 @@
 	struct str_buf text;
 	GArray *accepted; /* of uint64_t: digests of all accepted edits */
 	struct roster *roster; /* its departures are replicated */
+	struct evacuation_set evacuations;
 };
 
 /* Changes made by a command, to be sent to peers. */
 struct core_effect {
 	enum core_outcome outcome;
 	bool document_changed;
+	bool evacuations_changed;
 	bool has_departed;
 	struct roster_departure departed; /* id is borrowed from the command */
 };
--- a/src/core/core_warm_start.c
+++ b/src/core/core_warm_start.c
@@ -45,12 +45,16 @@
 }
 
 /*
- * Keeps the document of the state, which a replica that is opened again
- * replaces by that of its snapshot.
+ * Keeps the document and the evacuations of the state, which a replica that is
+ * opened again replaces by those of its snapshot.
  */
 void
-core_keep_document(struct core *core)
+core_keep_state(struct core *core)
 {
+	Fleet__Evacuations evacuations =
+	    evacuation_set_message(&core->state.evacuations);
+
+	core_keep_evacuations(core, &evacuations);
 	if (core->state.document_index > core->kept.index)
 		set_kept(core, core->state.document_index, core->state.version,
 		    str_buf_view(&core->state.text));
@@ -116,6 +120,8 @@
 {
 	Fleet__Cache cache = FLEET__CACHE__INIT;
 	Fleet__Document document = core_latest_document(core);
+	Fleet__Evacuations evacuations =
+	    evacuation_set_message(core_latest_evacuations(core));
 	struct snapshot s = {0};
 	GPtrArray *estimates;
 	size_t count = 0;
@@ -130,6 +136,8 @@
 	s.list = mem_calloc(count, sizeof(*s.list));
 	roster_for_each(core->roster, cache_target, &s);
 	cache.document = &document;
+	if (evacuations.index != 0)
+		cache.evacuations = &evacuations;
 	cache.n_announcement = s.count;
 	cache.announcement = s.list;
 	estimates = g_ptr_array_new();
@@ -162,6 +170,7 @@
 		    str_of((const char *)cache->document->text.data,
 			cache->document->text.len));
 	core->sent_index = core->kept.index;
+	core_keep_evacuations(core, cache->evacuations);
 	for (size_t i = 0; i < cache->n_announcement; i++)
 		core_on_announcement(core, cache->announcement[i]);
 	for (size_t i = 0; i < cache->n_estimate; i++) {
--- a/test/fuzz/fuzz_core_state.c
+++ b/test/fuzz/fuzz_core_state.c
@@ -37,6 +37,9 @@
 		loaded.document_index == state->document_index &&
 		loaded.text.len == state->text.len,
 	    "a loaded document is as it was saved");
+	INVARIANT(loaded.evacuations.index == state->evacuations.index &&
+		loaded.evacuations.names->len == state->evacuations.names->len,
+	    "a loaded set of evacuations is as it was saved");
 	core_state_destroy(&loaded);
 	roster_free(roster);
 	str_buf_free(&first);
@@ -60,6 +63,9 @@
 		INVARIANT(
 		    !effect.document_changed || state->document_index == index,
 		    "a changed document has the index of its command");
+		INVARIANT(!effect.evacuations_changed ||
+			state->evacuations.index == index,
+		    "a changed set has the index of its command");
 	}
 	check_saved(state);
 	fleet__command__free_unpacked(command, NULL);
@@ -103,6 +109,9 @@
 	Fleet__Edit edit = FLEET__EDIT__INIT;
 	Fleet__Departure departure = FLEET__DEPARTURE__INIT;
 	Fleet__Departure *departures[] = {&departure};
+	Fleet__Evacuation evacuation = FLEET__EVACUATION__INIT;
+	Fleet__Evacuations evacuations = FLEET__EVACUATIONS__INIT;
+	char *names[] = {(char *)"z-a", (char *)"z-b"};
 	Fleet__Document document = FLEET__DOCUMENT__INIT;
 	Fleet__State state = FLEET__STATE__INIT;
 	uint64_t accepted[] = {1, 2};
@@ -121,6 +130,15 @@
 	departure.id = (char *)"t1";
 	departure.started_ms = departure.recorded_ms = 1700000000000;
 	seeds[n++] = pack_seed(&command.base);
+	command.body_case = FLEET__COMMAND__BODY_EVACUATION;
+	command.evacuation = &evacuation;
+	evacuation.failure_domain = (char *)"z-a";
+	evacuation.active = true;
+	seeds[n++] = pack_seed(&command.base);
+	evacuations.index = 6;
+	evacuations.n_failure_domain = 2;
+	evacuations.failure_domain = names;
+	state.evacuations = &evacuations;
 	document.index = document.version = 5;
 	document.text = edit.text;
 	state.document = &document;
--- a/test/unit/support_core.c
+++ b/test/unit/support_core.c
@@ -213,6 +213,11 @@
 	case FLEET__FRAME__BODY_DEPARTURE:
 		subscriber->departure_count++;
 		break;
+	case FLEET__FRAME__BODY_EVACUATIONS:
+		subscriber->evacuations_received++;
+		subscriber->evacuation_index = frame->evacuations->index;
+		subscriber->evacuated = frame->evacuations->n_failure_domain;
+		break;
 	case FLEET__FRAME__BODY_SYNCED:
 		subscriber->synced = true;
 		break;
--- a/test/unit/support_core.h
+++ b/test/unit/support_core.h
@@ -33,6 +33,9 @@
 	unsigned text_count; /* documents with their text */
 	size_t text_bytes; /* of the last one */
 	unsigned departure_count;
+	unsigned evacuations_received; /* sets */
+	uint64_t evacuation_index; /* of the last set */
+	size_t evacuated; /* failure domains in it */
 	bool synced;
 };
 
