Tests of the entry's set of evacuations and of the list on the metrics address

An entry ignores a set that is not newer (unit/test_flow_messages). A relay lists the set on its metrics address, which the test gives an IP address of its own: the port is fixed.

--- a/test/functional/test_platform_evacuation.py
+++ b/test/functional/test_platform_evacuation.py
@@ -2,15 +2,18 @@
 all control processes, the last order wins, and a resent order is acknowledged
 again."""
 
+import http.client
 import json
 import os
+import random
 import re
 import unittest
 
-from platform_bed import Testbed
+from platform_bed import Instance, Testbed
 from support import wait_until
 
 CORES = 3
+METRICS_PORT = 9465  # the same for all instances
 
 
 class Evacuations(unittest.TestCase):
@@ -121,6 +124,30 @@
         self.acknowledged("DELETE", "many-007")
         self.acknowledged("POST", "more")
 
+    def test_relay_lists_the_set_on_its_metrics_address(self):
+        # An address of its own: other tests may hold the port on the first.
+        relay = Instance(self.bed, random.randrange(150, 190), core=True,
+                         disk=False)
+        self.bed.instances.append(relay)
+        relay.start("core")
+        self.acknowledged("POST", "z-a")
+        wait_until(lambda: self.metrics_list(relay) == ["z-a"],
+                   "the relay lists z-a")
+        self.acknowledged("DELETE", "z-a")
+        wait_until(lambda: self.metrics_list(relay) == [],
+                   "the relay lists nothing")
+
+    def metrics_list(self, instance):
+        connection = http.client.HTTPConnection(
+            instance.ip, METRICS_PORT, timeout=5)
+        try:
+            connection.request("GET", "/evacuations")
+            return json.loads(connection.getresponse().read())
+        except (OSError, http.client.HTTPException):
+            return None
+        finally:
+            connection.close()
+
     def test_order_without_a_majority_is_not_acknowledged(self):
         self.acknowledged("POST", "z-a")
         for one in self.bed.instances[1:CORES]:
--- a/test/unit/test_flow_messages.c
+++ b/test/unit/test_flow_messages.c
@@ -153,6 +153,44 @@
 	flow_fixture_close(&fixture, NULL);
 }
 
+static void
+update_evacuations(
+    struct flow_fixture *fixture, uint64_t index, char **names, size_t count)
+{
+	Fleet__Evacuations message = FLEET__EVACUATIONS__INIT;
+
+	message.index = index;
+	message.n_failure_domain = count;
+	message.failure_domain = names;
+	evacuation_on_update(fixture->flow, &message);
+}
+
+/*
+ * Guards against an instance that lags behind and undoes a later order.
+ */
+static void
+older_set_of_evacuations_is_ignored(void **state ATTR_UNUSED)
+{
+	static char *names[] = {(char *)"x", (char *)"y"};
+	const uint32_t x = (uint32_t)str_hash(str_from("x"));
+	const uint32_t y = (uint32_t)str_hash(str_from("y"));
+	struct flow_fixture fixture;
+
+	flow_fixture_open(&fixture, REPEAT_ALLOWED);
+	assert_false(evacuation_is_active(fixture.flow, x));
+	update_evacuations(&fixture, 7, names, 2);
+	assert_true(evacuation_is_active(fixture.flow, x));
+	assert_true(evacuation_is_active(fixture.flow, y));
+	update_evacuations(&fixture, 8, names, 1);
+	assert_false(evacuation_is_active(fixture.flow, y));
+	update_evacuations(&fixture, 7, names, 2);
+	assert_false(evacuation_is_active(fixture.flow, y));
+	assert_int_equal(counter_get(fixture.flow->evacuations), 1);
+	update_evacuations(&fixture, 9, names, 0);
+	assert_false(evacuation_is_active(fixture.flow, x));
+	flow_fixture_close(&fixture, NULL);
+}
+
 int
 main(void)
 {
@@ -161,6 +199,7 @@
 	    cmocka_unit_test(call_with_odd_deadline_is_not_kept),
 	    cmocka_unit_test(odd_load_of_another_entry_changes_no_target),
 	    cmocka_unit_test(odd_size_of_fleet_does_not_end_scheduling),
+	    cmocka_unit_test(older_set_of_evacuations_is_ignored),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
