--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -376,6 +376,10 @@
 	case FLEET__FRAME__BODY_HEARD:
 		core_on_heard(core, frame->heard);
 		break;
+	case FLEET__FRAME__BODY_EVACUATIONS:
+		if (peer == NULL || peer->is_control)
+			core_on_evacuations(core, frame->evacuations);
+		break;
 	case FLEET__FRAME__BODY_DRAW:
 		if (peer != NULL && peer->hello_received)
 			core_on_draw(core, peer, frame->draw);
@@ -384,7 +388,6 @@
 		if (peer != NULL && peer->hello_received)
 			core_on_draw_return(core, peer, frame->draw_return);
 		break;
-	case FLEET__FRAME__BODY_EVACUATIONS:
 	case FLEET__FRAME__BODY_DRAW_RESULT:
 	case FLEET__FRAME__BODY_PING:
 	case FLEET__FRAME__BODY__NOT_SET:
