--- a/test/fuzz/fuzz_platform.c
+++ b/test/fuzz/fuzz_platform.c
@@ -33,6 +33,40 @@
     "\"max_attempts\":2},{\"path_prefix\":\"/b/\",\"kind\":\"unsafe\","
     "\"timeout_ms\":1500,\"service\":\"b\"}]}]}";
 
+static const char accounts_seed[] =
+    "{\"version\":8,\"services\":[{\"name\":\"a\"}],\"limits\":{"
+    "\"max_header_bytes\":1,\"max_body_bytes\":1,\"header_timeout_ms\":1,"
+    "\"idle_timeout_ms\":1},\"tenants\":[{\"name\":\"acme\",\"api_keys\":["
+    "\"k1\",\"k2\"],\"priority\":0,\"rate_per_s\":10.5,\"burst\":5},{"
+    "\"name\":\"other\",\"api_keys\":[\"k3\"]}],\"hosts\":[{\"host\":"
+    "\"h.example\",\"paths\":[{\"path_prefix\":\"/a/\",\"kind\":\"safe\","
+    "\"timeout_ms\":1200,\"service\":\"a\",\"public\":true}]}]}";
+
+static void
+check_accounts(const struct accounts *accounts)
+{
+	static const char *const keys[] = {"k1", "k2", "k3", "", "k"};
+
+	for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+		const struct account *account =
+		    accounts_find(accounts, str_from(keys[i]));
+
+		if (account == NULL)
+			continue;
+		INVARIANT(
+		    accounts_find_name(accounts, account->name) == account &&
+			account->id != 0,
+		    "a key belongs to an account of the document");
+		INVARIANT(account_text_is_valid(
+			      str_from(account->name), ACCOUNT_NAME_MAX_BYTES),
+		    "a name is a valid header value");
+		INVARIANT(isfinite(account->rate_per_s) &&
+			account->rate_per_s >= 0 && isfinite(account->burst) &&
+			account->burst >= 0,
+		    "a limit is a finite number");
+	}
+}
+
 static void
 check_route(struct route *route)
 {
@@ -56,6 +90,8 @@
 	if (platform_document_read(text, &routes) != STATUS_OK)
 		return;
 	INVARIANT(routes->version < INT64_MAX, "a version is exact");
+	if (routes->accounts != NULL)
+		check_accounts(routes->accounts);
 	route =
 	    routes_find(routes, STR_LITERAL("h.example"), STR_LITERAL("/a/x"));
 	if (route != NULL)
@@ -87,8 +123,8 @@
 size_t
 fuzz_seeds(struct fuzz_seed *seeds, size_t max)
 {
-	static const char *const texts[] = {
-	    report_seed, odd_seed, departure_seed, document_seed};
+	static const char *const texts[] = {report_seed, odd_seed,
+	    departure_seed, document_seed, accounts_seed};
 	size_t count = sizeof(texts) / sizeof(texts[0]);
 
 	INVARIANT(max >= count, "all seeds fit in the array");
--- a/test/unit/support_flow.c
+++ b/test/unit/support_flow.c
@@ -84,6 +84,10 @@
 	    .not_run_header = "Not-Run",
 	    .load_header = "Load",
 	    .leaving_header = "Leaving",
+	    .key_header = "Authorization",
+	    .key_scheme = "Bearer",
+	    .account_header = "Account",
+	    .account_header_alias = "Account_",
 	    .read_load = read_load,
 	    .read_document = read_document,
 	};
--- /dev/null
+++ b/test/unit/test_flow_account.c
@@ -0,0 +1,239 @@
+/*
+ * Keys of requests that wait: a document withdraws them before the grant, while
+ * the connection to the target is made, and before a rejection.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "support_flow.h"
+
+struct withdrawal {
+	struct flow_fixture fixture;
+	struct exchange *x;
+	struct routes *next; /* the document that follows */
+};
+
+static void
+add_key(struct accounts *accounts, const char *name, const char *key)
+{
+	const struct account from = {.name = (char *)name};
+	const struct account *account;
+
+	assert_int_equal(accounts_add(accounts, &from, &account), STATUS_OK);
+	assert_int_equal(
+	    accounts_add_key(accounts, account, str_from(key)), STATUS_OK);
+}
+
+/*
+ * Opens an entry with a request of account "a" that waits.
+ */
+static void
+open_withdrawal(struct withdrawal *w, bool public)
+{
+	struct flow *flow;
+
+	flow_fixture_open(&w->fixture, REPEAT_ALLOWED);
+	flow = w->fixture.flow;
+	w->fixture.routes->accounts = accounts_new();
+	add_key(w->fixture.routes->accounts, "a", "k1");
+	flow->routes = routes_get(w->fixture.routes);
+	w->x = flow_fixture_exchange(&w->fixture);
+	w->x->route->public = public;
+	assert_true(
+	    head_append_name(&w->x->head, STR_LITERAL("authorization")));
+	assert_true(head_append_value(&w->x->head, STR_LITERAL("bEARER k1")));
+	assert_true(account_authenticate(w->x));
+	assert_string_equal(w->x->account->name, "a");
+	w->next = routes_new(2);
+	w->next->accounts = accounts_new();
+}
+
+static void
+put_in_force(struct withdrawal *w)
+{
+	routes_put(w->fixture.flow->routes);
+	w->fixture.flow->routes = routes_get(w->next);
+}
+
+static void
+close_withdrawal(struct withdrawal *w)
+{
+	routes_put(w->next);
+	flow_fixture_close(&w->fixture, w->x);
+}
+
+static void
+assert_refused(const struct exchange *x)
+{
+	assert_true(x->ended);
+	assert_false(x->close_after);
+	assert_memory_equal(x->out.data, "HTTP/1.1 401 ", 13);
+	assert_null(strstr(x->out.data, "k1"));
+}
+
+static void
+withdrawn_before_the_grant(void **state ATTR_UNUSED)
+{
+	struct withdrawal w;
+
+	open_withdrawal(&w, false);
+	put_in_force(&w);
+	exchange_on_grant(w.x, "t1", false, 0);
+	assert_refused(w.x);
+	assert_int_equal(w.x->attempt_count, 0);
+	close_withdrawal(&w);
+}
+
+static void
+withdrawn_while_the_connection_is_made(void **state ATTR_UNUSED)
+{
+	struct withdrawal w;
+
+	open_withdrawal(&w, false);
+	exchange_on_grant(w.x, "t1", false, 0);
+	assert_int_equal(w.x->attempt_count, 1);
+	put_in_force(&w);
+	flow_fixture_run(&w.fixture, 50);
+	assert_refused(w.x);
+	assert_false(w.x->attempts[0].sent);
+	close_withdrawal(&w);
+}
+
+static void
+withdrawn_before_the_rejection(void **state ATTR_UNUSED)
+{
+	struct withdrawal w;
+
+	open_withdrawal(&w, false);
+	put_in_force(&w);
+	exchange_on_reject(w.x, 0, REJECT_NO_ROOM);
+	assert_refused(w.x);
+	close_withdrawal(&w);
+}
+
+/*
+ * A 401 would say that it did not run.
+ */
+static void
+a_sent_request_ends_as_without_the_withdrawal(void **state ATTR_UNUSED)
+{
+	struct withdrawal w;
+
+	open_withdrawal(&w, false);
+	exchange_on_grant(w.x, "t1", false, 0);
+	flow_fixture_run(&w.fixture, 50);
+	assert_true(w.x->attempts[0].sent);
+	put_in_force(&w);
+	exchange_refuse(w.x, 503, 0, "stop");
+	assert_memory_equal(w.x->out.data, "HTTP/1.1 503 ", 13);
+	close_withdrawal(&w);
+}
+
+/*
+ * The document in force holds the key, for another account, or asks for none.
+ */
+static void
+a_key_that_stays_is_not_refused(void **state ATTR_UNUSED)
+{
+	for (int i = 0; i < 2; i++) {
+		struct withdrawal w;
+
+		open_withdrawal(&w, false);
+		if (i == 0) {
+			add_key(w.next->accounts, "b", "k1");
+		} else {
+			accounts_free(w.next->accounts);
+			w.next->accounts = NULL;
+		}
+		put_in_force(&w);
+		exchange_on_grant(w.x, "t1", false, 0);
+		flow_fixture_run(&w.fixture, 50);
+		assert_false(w.x->ended);
+		assert_true(w.x->attempts[0].sent);
+		close_withdrawal(&w);
+	}
+}
+
+/*
+ * On a public route the request goes on, without the account's name.
+ */
+static void
+a_public_route_needs_no_key(void **state ATTR_UNUSED)
+{
+	for (int i = 0; i < 2; i++) {
+		struct withdrawal w;
+		const struct str_buf *request;
+
+		open_withdrawal(&w, true);
+		if (i == 0)
+			put_in_force(&w);
+		exchange_on_grant(w.x, "t1", false, 0);
+		assert_int_equal(w.x->attempt_count, 1);
+		request = &w.x->attempts[0].upstream->request;
+		assert_true(
+		    (strstr(request->data, "Account: a") == NULL) == (i == 0));
+		assert_null(strstr(request->data, "k1"));
+		put_in_force(&w);
+		flow_fixture_run(&w.fixture, 50);
+		assert_true(w.x->attempts[0].sent);
+		assert_null(w.x->account);
+		close_withdrawal(&w);
+	}
+}
+
+/*
+ * More accounts than series: the largest by name, and all in the sum.
+ */
+static void
+requests_are_counted_for_the_largest_accounts(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct str_buf text = {0};
+	unsigned series = 0;
+
+	flow_fixture_open(&fixture, REPEAT_ALLOWED);
+	for (unsigned i = 1; i <= 20; i++) {
+		char name[32];
+
+		snprintf(name, sizeof(name), i == 20 ? "q\"%u" : "a-%u", i);
+		for (unsigned k = 0; k < i; k++)
+			account_count(fixture.flow, name);
+	}
+	account_render_counts(fixture.flow, &text);
+	for (const char *at = text.data; (at = strstr(at, "{account=")) != NULL;
+	     at++)
+		series++;
+	assert_int_equal(series, 17);
+	assert_non_null(strstr(text.data, "{account=\"q\\\"20\"} 20\n"));
+	assert_non_null(strstr(text.data, "{account=\"a-5\"} 5\n"));
+	assert_null(strstr(text.data, "{account=\"a-4\"}"));
+	assert_non_null(strstr(text.data, "{account=\"other\"} 10\n"));
+	str_buf_free(&text);
+	fixture.flow->routes = routes_get(fixture.routes);
+	account_counts_prune(fixture.flow);
+	account_render_counts(fixture.flow, &text);
+	assert_non_null(strstr(text.data, "{account=\"other\"} 210\n"));
+	str_buf_free(&text);
+	flow_fixture_close(&fixture, NULL);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(withdrawn_before_the_grant),
+	    cmocka_unit_test(withdrawn_while_the_connection_is_made),
+	    cmocka_unit_test(withdrawn_before_the_rejection),
+	    cmocka_unit_test(a_sent_request_ends_as_without_the_withdrawal),
+	    cmocka_unit_test(a_key_that_stays_is_not_refused),
+	    cmocka_unit_test(a_public_route_needs_no_key),
+	    cmocka_unit_test(requests_are_counted_for_the_largest_accounts),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
