--- a/test/unit/test_flow_account.c
+++ b/test/unit/test_flow_account.c
@@ -10,6 +10,7 @@
 
 #include <cmocka.h>
 
+#include "base/memory.h"
 #include "support_flow.h"
 
 struct withdrawal {
@@ -186,6 +187,71 @@
 	}
 }
 
+/*
+ * Returns the metrics of the entry.
+ */
+static char *
+render(const struct flow *flow)
+{
+	struct str_buf text = {0};
+
+	flow_render_metrics(flow, &text);
+	return text.data;
+}
+
+/*
+ * Each reason has a counter, and no metric shows a key.
+ */
+static void
+refusals_are_counted_by_reason(void **state ATTR_UNUSED)
+{
+	static const struct {
+		const char *first;
+		const char *second;
+		enum key_reason reason;
+	} cases[] = {
+	    {NULL, NULL, KEY_MISSING},
+	    {"", NULL, KEY_MISSING},
+	    {"Bearer", NULL, KEY_MISSING},
+	    {"Bearer k2", NULL, KEY_UNKNOWN},
+	    {"Basic k1", NULL, KEY_OTHER_SCHEME},
+	    {"k1", NULL, KEY_OTHER_SCHEME},
+	    {"Bearer k1", "Bearer k1", KEY_REPEATED},
+	    {"Bearer k1", "Basic k1", KEY_REPEATED},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const char *values[] = {cases[i].first, cases[i].second};
+		struct withdrawal w;
+		int64_t before[KEY_REASONS];
+		char *text;
+
+		open_withdrawal(&w, false);
+		for (unsigned k = 0; k < KEY_REASONS; k++)
+			before[k] =
+			    counter_get(w.fixture.flow->keys_refused[k]);
+		w.x->account = NULL;
+		head_clear(&w.x->head);
+		for (unsigned k = 0; k < 2 && values[k] != NULL; k++) {
+			assert_true(head_append_name(
+			    &w.x->head, STR_LITERAL("Authorization")));
+			assert_true(
+			    head_append_value(&w.x->head, str_from(values[k])));
+		}
+		assert_false(account_authenticate(w.x));
+		assert_refused(w.x);
+		for (unsigned k = 0; k < KEY_REASONS; k++)
+			assert_int_equal(
+			    counter_get(w.fixture.flow->keys_refused[k]),
+			    before[k] + (k == cases[i].reason ? 1 : 0));
+		text = render(w.fixture.flow);
+		assert_non_null(strstr(text, "{account=\"a\"} 1\n"));
+		assert_null(strstr(text, "k1"));
+		mem_free(text);
+		close_withdrawal(&w);
+	}
+}
+
 /*
  * More accounts than series: the largest by name, and all in the sum.
  */
@@ -232,6 +298,7 @@
 	    cmocka_unit_test(a_sent_request_ends_as_without_the_withdrawal),
 	    cmocka_unit_test(a_key_that_stays_is_not_refused),
 	    cmocka_unit_test(a_public_route_needs_no_key),
+	    cmocka_unit_test(refusals_are_counted_by_reason),
 	    cmocka_unit_test(requests_are_counted_for_the_largest_accounts),
 	};
 
