Allowances: entries draw a token beside the ask for a target

schedule_ask() draws a token, once in a request's life, if its account has a rate; a grant that comes first is kept until the token is there, and returned to its scheduler if the token is refused. 429 beyond the allowance, 503 if no voter can say, both with Retry-After and event=allowance_refused. Requests of accounts without a limit take the earlier path and hold no state.

A timer that is late is no proof of a silent voter: an entry with a tenth of a core reads its input first. A name of 128 bytes, the longest of an account, passes the bounds of a draw.

Test: unit/test_flow_allowance.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -212,6 +212,7 @@
 	targets_open(flow);
 	leaving_open(flow);
 	away_open(flow);
+	allowance_open(flow);
 	probe_open(flow);
 	fleet_open(flow);
 	status = callers_open(flow);
@@ -314,6 +315,7 @@
 	fleet_close(flow);
 	leaving_close(flow);
 	away_close(flow);
+	allowance_close(flow);
 	probe_close(flow);
 	minute_log_free(&flow->messages_log);
 	routes_put(flow->routes);
--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -127,6 +127,8 @@
 	uint64_t away_us = away_service_left_us(x->service);
 
 	schedule_cancel(x);
+	if (!allowance_begin(x))
+		return;
 	x->held = false;
 	x->ask_repeat = repeat;
 	x->ask_tries = 0;
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -122,6 +122,7 @@
 	if (uv_is_closing((uv_handle_t *)&x->timer))
 		return;
 	startup_unpark(x);
+	allowance_end(x);
 	schedule_cancel(x);
 	exchange_end_attempts(x, OUTCOME_ABANDONED);
 	uv_close((uv_handle_t *)&x->timer, on_handle_closed);
@@ -175,16 +176,18 @@
 exchange_refuse(
     struct exchange *x, int status, uint64_t retry_after_us, const char *reason)
 {
+	bool not_run = status == 503 || status == 429;
+
 	if (x->ended)
 		return;
 	startup_unpark(x);
+	allowance_end(x);
 	schedule_cancel(x);
 	exchange_end_attempts(
 	    x, status == 504 ? OUTCOME_TIMED_OUT : OUTCOME_ABANDONED);
 	uv_timer_stop(&x->timer);
-	counter_add(status == 503 ? x->flow->rejected : x->flow->failed, 1);
-	exchange_log_end(
-	    x, status == 503 ? "rejected" : "failed", status, reason);
+	counter_add(not_run ? x->flow->rejected : x->flow->failed, 1);
+	exchange_log_end(x, not_run ? "rejected" : "failed", status, reason);
 	if (x->streaming && !drop_unsent_answer(x)) {
 		/*
 		 * A truncated answer must not look complete, and those before
@@ -209,6 +212,7 @@
 	uint64_t away_us;
 
 	if (x->fallback_status != 0 && !x->ended && !x->streaming) {
+		allowance_end(x);
 		schedule_cancel(x);
 		uv_timer_stop(&x->timer);
 		counter_add(x->flow->failed, 1);
--- a/src/flow/flow_grant.c
+++ b/src/flow/flow_grant.c
@@ -95,8 +95,8 @@
 /*
  * Tells the scheduler that a grant is not used.
  */
-static void
-return_grant(struct exchange *x, const char *target, bool remote)
+void
+exchange_return_grant(struct exchange *x, const char *target, bool remote)
 {
 	struct attempt unused = {
 	    .exchange = x,
@@ -140,7 +140,7 @@
 		    "away_ms=%" PRIu64 " refused=%u",
 		    flow->settings.instance, x->id, x->attempt_id, target,
 		    left_us / US_PER_MS, x->refused_grants);
-	return_grant(x, target, remote);
+	exchange_return_grant(x, target, remote);
 	if (exchange_has_open_attempt(x))
 		return;
 	if (x->refused_grants++ < REFUSED_GRANTS_MAX)
@@ -176,11 +176,13 @@
 		return;
 	}
 	if (would_be_cut(x, expected_us)) {
-		return_grant(x, target, remote);
+		exchange_return_grant(x, target, remote);
 		exchange_refuse(
 		    x, 503, OTHER_ENTRY_RETRY_US, exchange_stopping_reason);
 		return;
 	}
+	if (allowance_keep_grant(x, target, remote, expected_us))
+		return;
 	attempt = &x->attempts[x->attempt_count++];
 	*attempt = (struct attempt){
 	    .exchange = x,
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -210,6 +210,21 @@
 void exchange_on_reject(
     struct exchange *x, uint64_t retry_after_us, enum placement_reason reason);
 
+/* Tells the scheduler that a grant is not used. */
+void exchange_return_grant(struct exchange *x, const char *target, bool remote);
+
+/* flow_allowance.c: allowances of client accounts */
+void allowance_open(struct flow *flow);
+void allowance_close(struct flow *flow);
+/* Draws a token if one is needed; false if the request was refused. */
+bool allowance_begin(struct exchange *x);
+/* Keeps a grant until the token is there; false if it can be used. */
+bool allowance_keep_grant(
+    struct exchange *x, const char *target, bool remote, uint64_t expected_us);
+void allowance_end(struct exchange *x);
+void allowance_on_result(struct flow *flow, const Fleet__DrawResult *message);
+void allowance_on_members(struct flow *flow, const Fleet__Members *m);
+
 /* flow_startup.c */
 uint64_t startup_remaining_us(const struct flow *flow);
 /* Parks a request during the startup; false if it need not wait. */
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -44,6 +44,8 @@
 };
 
 struct exchange;
+struct exchange_allowance;
+struct flow_allowance;
 struct upstream;
 
 /* Connection of a caller. */
@@ -191,6 +193,7 @@
 	struct route *route;
 	/* of the caller's key, in routes; NULL: none */
 	const struct account *account;
+	struct exchange_allowance *allowance; /* NULL: has no limit */
 	struct service *service;
 	uint64_t arrival_us;
 	uint64_t prior_wait_ms; /* waited by the caller on earlier tries */
@@ -335,6 +338,7 @@
 	/* fleet_generation for which owners were computed */
 	unsigned owners_generation;
 	unsigned suspect_count; /* unresponsive entries */
+	struct flow_allowance *allowance;
 	GHashTable *controls; /* link address -> struct control */
 	uint64_t control_bits; /* bits in use */
 	uint64_t controls_expire_due_us; /* time of the next expiry scan */
--- a/src/flow/flow_updates.c
+++ b/src/flow/flow_updates.c
@@ -311,6 +311,7 @@
 		if (control != NULL)
 			control->last_named_us = flow_now_us(flow);
 	}
+	allowance_on_members(flow, m);
 	from->relay = m->relay;
 	if (m->relay)
 		return;
@@ -392,6 +393,9 @@
 	case FLEET__FRAME__BODY_MEMBERS:
 		on_members(flow, control, frame->members);
 		break;
+	case FLEET__FRAME__BODY_DRAW_RESULT:
+		allowance_on_result(flow, frame->draw_result);
+		break;
 	case FLEET__FRAME__BODY_ESTIMATE:
 		schedule_on_estimate(flow, frame->estimate);
 		break;
--- a/src/wire/fleet_bounds.c
+++ b/src/wire/fleet_bounds.c
@@ -176,14 +176,14 @@
 }
 
 /*
- * Returns whether a name has 1 to FLEET_NAME_BYTES - 1 bytes.
+ * Returns whether a name has 1 to FLEET_NAME_BYTES bytes.
  */
 static bool
 is_name(const char *name)
 {
 	size_t len = strlen(name);
 
-	return len > 0 && len < FLEET_NAME_BYTES;
+	return len > 0 && len <= FLEET_NAME_BYTES;
 }
 
 static const char *
