--- a/src/flow/flow_grant.c
+++ b/src/flow/flow_grant.c
@@ -95,8 +95,8 @@
 /*
  * Tells the scheduler that a grant is not used.
  */
-void
-exchange_return_grant(struct exchange *x, const char *target, bool remote)
+static void
+return_grant(struct exchange *x, const char *target, bool remote)
 {
 	struct attempt unused = {
 	    .exchange = x,
@@ -140,7 +140,7 @@
 		    "away_ms=%" PRIu64 " refused=%u",
 		    flow->settings.instance, x->id, x->attempt_id, target,
 		    left_us / US_PER_MS, x->refused_grants);
-	exchange_return_grant(x, target, remote);
+	return_grant(x, target, remote);
 	if (exchange_has_open_attempt(x))
 		return;
 	if (x->refused_grants++ < REFUSED_GRANTS_MAX)
@@ -170,13 +170,18 @@
 			schedule_ask(x, x->ask_repeat);
 		return;
 	}
+	if (account_is_withdrawn(x)) {
+		return_grant(x, target, remote);
+		account_refuse_withdrawn(x);
+		return;
+	}
 	away_us = away_left_us(flow, target);
 	if (away_us > 0) {
 		refuse_grant(x, target, remote, away_us);
 		return;
 	}
 	if (would_be_cut(x, expected_us)) {
-		exchange_return_grant(x, target, remote);
+		return_grant(x, target, remote);
 		exchange_refuse(
 		    x, 503, OTHER_ENTRY_RETRY_US, exchange_stopping_reason);
 		return;
@@ -200,6 +205,15 @@
 		    unusable_reason(flow, pool, target));
 }
 
+/*
+ * Returns a grant that was kept for a token.
+ */
+void
+exchange_return_grant(struct exchange *x, const char *target, bool remote)
+{
+	return_grant(x, target, remote);
+}
+
 /*
  * The scheduler has rejected the request.
  */
--- a/test/unit/test_flow_allowance.c
+++ b/test/unit/test_flow_allowance.c
@@ -99,6 +99,8 @@
 	assert_non_null(voter->channel);
 	send_members(voter);
 	flow_fixture_run(fixture, 50);
+	/* An account comes with a document that is in force. */
+	fixture->flow->routes = routes_get(fixture->routes);
 	x = flow_fixture_exchange(fixture);
 	x->account = &account;
 	return x;
