--- a/src/flow/flow_allowance.c
+++ b/src/flow/flow_allowance.c
@@ -140,8 +140,9 @@
 {
 	struct flow *flow = x->flow;
 	bool empty = step->kind == ALLOWANCE_REFUSED;
-	uint64_t retry_us =
-	    empty ? step->retry_us : UNKNOWN_RETRY_MS * US_PER_MS;
+	uint64_t retry_ms = empty
+	    ? MAX((step->retry_us + US_PER_MS - 1) / US_PER_MS, 1)
+	    : UNKNOWN_RETRY_MS;
 
 	if (empty)
 		counter_add(flow->allowance->refused, 1);
@@ -150,10 +151,9 @@
 		    "instance=%s request=%" PRIu64 " attempt=%s account=%s "
 		    "asked=%u retry_after_ms=%" PRIu64 " why=%s",
 		    flow->settings.instance, x->id, x->attempt_id,
-		    step->account, step->call->asked_count,
-		    (retry_us + US_PER_MS - 1) / US_PER_MS,
+		    step->account, step->call->asked_count, retry_ms,
 		    empty ? "used_up" : "no_voter");
-	exchange_refuse(x, empty ? 429 : 503, retry_us,
+	exchange_refuse(x, empty ? 429 : 503, retry_ms * US_PER_MS,
 	    empty ? "the allowance of the account is used up"
 		  : "the allowance of the account is unknown");
 }
