--- a/src/limit/allowance_draw.c
+++ b/src/limit/allowance_draw.c
@@ -1,19 +1,15 @@
 #include "limit/allowance_draw.h"
 
 #include <math.h>
-#include <stdio.h>
 #include <string.h>
 
-#include <glib.h>
-
 #include "base/clock.h"
 #include "base/memory.h"
 #include "base/str.h"
+#include "limit/allowance_draw_defs.h"
 
 enum {
 	SILENT_MS = 1000, /* a silent voter is asked last for this long */
-	VOTER_KEPT_MS = 10 * 1000, /* ten lists of members */
-	ACCOUNT_KEPT_MS = 60 * 1000,
 	/*
 	 * Longest time that a voter counts as empty without being asked: others
 	 * may have returned tokens.
@@ -25,44 +21,6 @@
 	ROUND_TRIP_WEIGHT = 8
 };
 
-struct voter {
-	char address[64]; /* empty: unused */
-	uint64_t named_us;
-	uint64_t silent_until_us;
-	uint64_t round_trip_us; /* mean; 0: unknown */
-};
-
-struct allowance_account {
-	char *name;
-	struct allowance_limit limit;
-	uint64_t used_us;
-	double rate_per_s; /* of the own requests, at used_us */
-	unsigned spare_due; /* asked for in draws without an answer */
-	unsigned users; /* calls and draws */
-	uint64_t empty_until_us[ALLOWANCE_VOTERS_MAX];
-	GQueue tokens; /* struct allowance_token, unused */
-};
-
-/* A draw without an answer. */
-struct draw {
-	uint64_t request;
-	struct allowance_account *account;
-	struct allowance_call *call; /* NULL: it ended or has a token */
-	unsigned voter;
-	unsigned want;
-	uint64_t asked_us;
-};
-
-struct allowance_draws {
-	struct voter voters[ALLOWANCE_VOTERS_MAX];
-	GHashTable *accounts; /* name -> struct allowance_account */
-	GHashTable *pending; /* struct draw.request -> struct draw */
-	GQueue pending_order; /* their requests, oldest first */
-	uint64_t token_us;
-	uint64_t last_request;
-	struct allowance_counts counts;
-};
-
 static void
 account_free(void *value)
 {
@@ -105,60 +63,6 @@
 	mem_free(draws);
 }
 
-/*
- * Records that an address is a voter's.
- */
-unsigned
-allowance_draws_name_voter(
-    struct allowance_draws *draws, const char *address, uint64_t now_us)
-{
-	unsigned unused = ALLOWANCE_VOTERS_MAX;
-	struct voter *voter;
-
-	for (unsigned i = 0; i < ALLOWANCE_VOTERS_MAX; i++) {
-		voter = &draws->voters[i];
-		if (strcmp(voter->address, address) == 0) {
-			voter->named_us = now_us;
-			return i;
-		}
-		if (voter->address[0] == '\0' && unused == ALLOWANCE_VOTERS_MAX)
-			unused = i;
-	}
-	if (unused == ALLOWANCE_VOTERS_MAX)
-		return unused;
-	voter = &draws->voters[unused];
-	*voter = (struct voter){.named_us = now_us};
-	snprintf(voter->address, sizeof(voter->address), "%s", address);
-	return unused;
-}
-
-/*
- * Forgets voters that are no longer named.  Called when a list of members has
- * arrived, so that a pause of this process forgets none.
- */
-void
-allowance_draws_expire_voters(struct allowance_draws *draws, uint64_t now_us)
-{
-	for (unsigned i = 0; i < ALLOWANCE_VOTERS_MAX; i++) {
-		struct voter *voter = &draws->voters[i];
-
-		if (now_us - voter->named_us > VOTER_KEPT_MS * US_PER_MS)
-			voter->address[0] = '\0';
-	}
-}
-
-/*
- * Returns the address of a voter by its number, NULL if there is none.
- */
-const char *
-allowance_draws_voter(const struct allowance_draws *draws, unsigned voter)
-{
-	return voter < ALLOWANCE_VOTERS_MAX &&
-		draws->voters[voter].address[0] != '\0'
-	    ? draws->voters[voter].address
-	    : NULL;
-}
-
 /*
  * Returns an account's state, with its limit of the newest document and its
  * rate including the request that is about to draw.
@@ -191,37 +95,6 @@
 	return account;
 }
 
-/*
- * Takes the oldest token that is kept; false if there is none.
- */
-static bool
-take_token(struct allowance_draws *draws, struct allowance_account *account,
-    uint64_t now_us, struct allowance_token *token)
-{
-	struct allowance_token *kept;
-
-	while ((kept = g_queue_pop_head(&account->tokens)) != NULL) {
-		bool live = now_us - kept->asked_us < draws->token_us;
-
-		*token = *kept;
-		mem_free(kept);
-		if (live)
-			return true;
-		draws->counts.dropped++;
-	}
-	return false;
-}
-
-static void
-keep_token(
-    struct allowance_account *account, const struct allowance_token *token)
-{
-	struct allowance_token *kept = mem_calloc(1, sizeof(*kept));
-
-	*kept = *token;
-	g_queue_push_tail(&account->tokens, kept);
-}
-
 static void
 give_token(struct allowance_call *call, const struct allowance_token *token)
 {
@@ -344,7 +217,7 @@
 	call->retry_us = UINT64_MAX;
 	call->request = 0;
 	call->has_token = false;
-	if (take_token(draws, call->account, now_us, &token)) {
+	if (allowance_take_token(draws, call->account, now_us, &token)) {
 		give_token(call, &token);
 		return (struct allowance_step){
 		    .kind = ALLOWANCE_GRANTED,
@@ -355,19 +228,6 @@
 	return ask_next(draws, call, open, now_us);
 }
 
-/*
- * Forgets a draw.  Its place in the order must be the caller's, or is searched
- * for from the oldest on.
- */
-static void
-forget(struct allowance_draws *draws, struct draw *draw)
-{
-	draw->account->spare_due -= draw->want - 1;
-	draw->account->users--;
-	g_queue_remove(&draws->pending_order, draw);
-	g_hash_table_remove(draws->pending, &draw->request);
-}
-
 /*
  * Detaches a call from its draws, whose answers may still come.
  */
@@ -411,11 +271,11 @@
 		step.call = call;
 		step.account = call->account->name;
 	} else {
-		keep_token(draw->account, &token);
+		allowance_keep_token(draw->account, &token);
 	}
 	token.spare = true;
 	for (unsigned i = 1; i < granted; i++)
-		keep_token(draw->account, &token);
+		allowance_keep_token(draw->account, &token);
 	return step;
 }
 
@@ -438,7 +298,7 @@
 	if (pending == NULL)
 		return nothing;
 	draw = *pending;
-	forget(draws, pending);
+	allowance_forget_draw(draws, pending);
 	voter = &draws->voters[draw.voter];
 	took = now_us - draw.asked_us;
 	if (took >= draws->token_us) {
@@ -499,7 +359,7 @@
 	detach(draws, call);
 	if (call->has_token && !used) {
 		if (now_us - call->token.asked_us < draws->token_us)
-			keep_token(call->account, &call->token);
+			allowance_keep_token(call->account, &call->token);
 		else
 			draws->counts.dropped++;
 	}
@@ -509,66 +369,6 @@
 	call->has_token = false;
 }
 
-/*
- * Returns the tokens of an account that were not drawn as spare ones and have
- * waited for half of their life, and drops those that are too old.
- */
-static void
-sweep_tokens(struct allowance_draws *draws, struct allowance_account *account,
-    uint64_t now_us,
-    void (*give_back)(
-	void *ctx, const char *account, const struct allowance_token *token),
-    void *ctx)
-{
-	GList *next;
-
-	for (GList *node = account->tokens.head; node != NULL; node = next) {
-		struct allowance_token *token = node->data;
-		uint64_t age = now_us - token->asked_us;
-
-		next = node->next;
-		if (age < draws->token_us / 2 ||
-		    (token->spare && age < draws->token_us))
-			continue;
-		if (age < draws->token_us) {
-			draws->counts.returned++;
-			give_back(ctx, account->name, token);
-		} else {
-			draws->counts.dropped++;
-		}
-		mem_free(token);
-		g_queue_delete_link(&account->tokens, node);
-	}
-}
-
-/*
- * Periodic work, as long as it returns true.
- */
-bool
-allowance_draws_tick(struct allowance_draws *draws, uint64_t now_us,
-    void (*give_back)(
-	void *ctx, const char *account, const struct allowance_token *token),
-    void *ctx)
-{
-	struct draw *draw;
-	GHashTableIter iter;
-	gpointer value;
-
-	while ((draw = g_queue_peek_head(&draws->pending_order)) != NULL &&
-	    draw->call == NULL && now_us - draw->asked_us >= draws->token_us)
-		forget(draws, draw);
-	g_hash_table_iter_init(&iter, draws->accounts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct allowance_account *account = value;
-
-		sweep_tokens(draws, account, now_us, give_back, ctx);
-		if (account->users == 0 && account->tokens.length == 0 &&
-		    now_us - account->used_us > ACCOUNT_KEPT_MS * US_PER_MS)
-			g_hash_table_iter_remove(&iter);
-	}
-	return g_hash_table_size(draws->accounts) > 0;
-}
-
 /*
  * Returns what was counted so far.
  */
