--- a/src/flow/flow_grant.c
+++ b/src/flow/flow_grant.c
@@ -186,6 +186,8 @@
 		    x, 503, OTHER_ENTRY_RETRY_US, exchange_stopping_reason);
 		return;
 	}
+	if (allowance_keep_grant(x, target, remote, expected_us))
+		return;
 	attempt = &x->attempts[x->attempt_count++];
 	*attempt = (struct attempt){
 	    .exchange = x,
@@ -203,6 +205,15 @@
 		    unusable_reason(flow, pool, target));
 }
 
+/*
+ * Returns a grant that was kept for a token.
+ */
+void
+exchange_return_grant(struct exchange *x, const char *target, bool remote)
+{
+	return_grant(x, target, remote);
+}
+
 /*
  * The scheduler has rejected the request.
  */
