--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -88,13 +88,19 @@
 /* flow_updates.c: frames from control instances */
 void updates_on_frame(
     struct flow *flow, struct control *control, const Fleet__Frame *frame);
-/* Fetches an announced document when it is due. */
-void updates_fetch_document(struct flow *flow, uint64_t now_us);
-/* Reports a document that was announced long ago and not received. */
-void updates_check_lateness(struct flow *flow, uint64_t now_us);
 void updates_drop_source(struct flow *flow, unsigned bit);
 void peer_entry_free(void *value);
 
+/* flow_document.c: documents, of which only the newest is parsed */
+void document_open(struct flow *flow);
+void document_close(struct flow *flow);
+void document_on_update(
+    struct flow *flow, struct control *control, const Fleet__Document *message);
+/* Fetches an announced document when it is due. */
+void document_fetch(struct flow *flow, uint64_t now_us);
+/* Reports a document that was announced long ago and not received. */
+void document_check_lateness(struct flow *flow, uint64_t now_us);
+
 /* flow_service.c: services, their parts and their schedulers */
 uint64_t rank_hash(uint64_t a, uint64_t b);
 void flow_service_free(void *value);
@@ -299,6 +305,15 @@
 /* The target was without requests, e.g. in an evacuation. */
 void cold_assume(struct pool *pool);
 void cold_tick(struct flow *flow);
+/* flow_evacuation.c: failure domains that get no requests */
+void evacuation_open(struct flow *flow);
+void evacuation_close(struct flow *flow);
+/* Replaces the set by a newer one of control. */
+void evacuation_on_update(struct flow *flow, const Fleet__Evacuations *message);
+bool
+evacuation_is_active(const struct flow *flow, uint32_t failure_domain_hash);
+/* Called after each change of the set. */
+void evacuation_apply(struct flow *flow);
 
 /* flow_response.c: parsing of targets' responses */
 extern const http_parser_settings response_settings;
