Entries send nothing to targets of an evacuated failure domain

The set of evacuated failure domains had no effect on targets. Requests that run there end there, and their connections close after them.

A grant of a scheduler that does not know yet is returned, and the report of that keeps it from granting the target to this entry again for 1 s; after four such grants the entry places the request on its own view. Afterwards a target counts as cold until its first probe.

--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -13,6 +13,11 @@
 	ANSWER_TIMEOUT_MS = 20,
 	/* Then a held request is asked for again: a message may be lost. */
 	HELD_TIMEOUT_MS = 60,
+	/*
+	 * Within this time a scheduler hears of an evacuation from control; it
+	 * does not grant the target to this entry meanwhile.
+	 */
+	EVACUATED_AWAY_MS = 1000,
 	SUSPECT_TIMEOUTS = 3 /* consecutive, of two asks each */
 };
 
@@ -76,6 +81,17 @@
 	(void)schedule_submit(x->service, &request);
 }
 
+/*
+ * Ends an open ask and places the request on this entry's own view.
+ */
+void
+schedule_locally(struct exchange *x, bool repeat)
+{
+	counter_add(x->flow->local_placements, 1);
+	schedule_cancel(x);
+	place_locally(x, repeat);
+}
+
 static void
 send_ask(struct exchange *x, bool repeat)
 {
@@ -198,9 +214,7 @@
 	if (peer_entry != NULL && ++peer_entry->timeouts >= SUSPECT_TIMEOUTS) {
 		fleet_mark_suspect(flow, peer_entry);
 	}
-	counter_add(flow->local_placements, 1);
-	schedule_cancel(x);
-	place_locally(x, x->ask_repeat);
+	schedule_locally(x, x->ask_repeat);
 }
 
 /*
@@ -214,6 +228,8 @@
 	uint64_t now = flow_now_us(x->flow);
 	uint64_t took = now - attempt->started_us;
 	uint64_t away_us = away_left_us(x->flow, attempt->target);
+	const struct pool *pool =
+	    g_hash_table_lookup(x->flow->pools, attempt->target);
 	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
 	Fleet__Done done = FLEET__DONE__INIT;
 
@@ -236,6 +252,9 @@
 	done.waiting = attempt->load.waiting;
 	done.slots = attempt->load.slots;
 	done.slowness = attempt->load.slowness;
+	if (pool != NULL && pool->evacuated &&
+	    away_us < EVACUATED_AWAY_MS * US_PER_MS)
+		away_us = EVACUATED_AWAY_MS * US_PER_MS;
 	done.departed =
 	    leaving_is_known(x->flow, attempt->target, &done.started_ms);
 	done.away_ms = (uint32_t)((away_us + US_PER_MS - 1) / US_PER_MS);
--- a/src/flow/flow_cold.c
+++ b/src/flow/flow_cold.c
@@ -108,7 +108,9 @@
 	if (warmup_per_s(flow, pool->service) <= 0)
 		return;
 	flow->limits_warmup = true;
-	if (target != NULL && target->warmup_end_us > flow_now_us(flow))
+	if (pool->assumed_cold)
+		cold_assume(pool);
+	else if (target != NULL && target->warmup_end_us > flow_now_us(flow))
 		log_cold(pool, target->warmup_end_us, "report");
 }
 
@@ -121,13 +123,13 @@
 {
 	struct flow *flow = pool->flow;
 	struct roster_target *target = roster_find(flow->roster, pool->id);
-	struct str text;
+	struct str text = {0};
 	uint64_t left_ms;
 
-	if (target == NULL || flow->dialect.warmup_header == NULL ||
-	    warmup_per_s(flow, pool->service) <= 0)
+	if (target == NULL || warmup_per_s(flow, pool->service) <= 0)
 		return;
-	text = head_find(head, flow->dialect.warmup_header);
+	if (flow->dialect.warmup_header != NULL)
+		text = head_find(head, flow->dialect.warmup_header);
 	if (text.data != NULL && str_to_u64(str_trim(text), &left_ms) &&
 	    left_ms <= WARMUP_MAX_MS) {
 		pool->warmup_heard_us = flow_now_us(flow);
--- a/src/flow/flow_evacuation.c
+++ b/src/flow/flow_evacuation.c
@@ -70,14 +70,6 @@
 	}
 }
 
-/*
- * Applies a change of the set to targets and requests.
- */
-void
-evacuation_apply(struct flow *flow ATTR_UNUSED)
-{
-}
-
 /*
  * Replaces the set by one that control has sent.  One that is not newer comes
  * from a control instance that lags behind.
--- a/src/flow/flow_grant.c
+++ b/src/flow/flow_grant.c
@@ -12,6 +12,8 @@
 	 * its scheduler does not know of its backoff.
 	 */
 	REFUSED_GRANTS_MAX = 16,
+	/* Each takes a round trip to the scheduler. */
+	EVACUATED_GRANTS_MAX = 4,
 	/* Targets may take this many times as long as expected. */
 	EXPECTED_TIME_FACTOR = 2
 };
@@ -150,6 +152,32 @@
 		    x, left_us, reject_reason(REJECT_NO_TARGET));
 }
 
+/*
+ * Refuses the grant of a target in an evacuated failure domain, of which the
+ * scheduler does not know yet.  After a few of them the request is placed here:
+ * the scheduler may be cut off, and knows of no other targets.
+ */
+static void
+refuse_evacuated(struct exchange *x, const char *target, bool remote)
+{
+	struct flow *flow = x->flow;
+
+	counter_add(flow->refused_grants, 1);
+	if (flow_may_log(flow))
+		log_info("grant_refused",
+		    "instance=%s request=%" PRIu64 " attempt=%s target=%s "
+		    "evacuated=1 refused=%u",
+		    flow->settings.instance, x->id, x->attempt_id, target,
+		    x->refused_grants);
+	return_grant(x, target, remote);
+	if (exchange_has_open_attempt(x))
+		return;
+	if (x->refused_grants++ < EVACUATED_GRANTS_MAX)
+		schedule_ask(x, x->ask_repeat);
+	else
+		schedule_locally(x, x->ask_repeat);
+}
+
 /*
  * Sends a request to the granted target.
  */
@@ -170,6 +198,10 @@
 			schedule_ask(x, x->ask_repeat);
 		return;
 	}
+	if (pool != NULL && pool->evacuated) {
+		refuse_evacuated(x, target, remote);
+		return;
+	}
 	away_us = away_left_us(flow, target);
 	if (away_us > 0) {
 		refuse_grant(x, target, remote, away_us);
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -305,6 +305,7 @@
 /* The target was without requests, e.g. in an evacuation. */
 void cold_assume(struct pool *pool);
 void cold_tick(struct flow *flow);
+
 /* flow_evacuation.c: failure domains that get no requests */
 void evacuation_open(struct flow *flow);
 void evacuation_close(struct flow *flow);
@@ -312,8 +313,11 @@
 void evacuation_on_update(struct flow *flow, const Fleet__Evacuations *message);
 bool
 evacuation_is_active(const struct flow *flow, uint32_t failure_domain_hash);
+
+/* flow_evacuation_targets.c */
 /* Called after each change of the set. */
 void evacuation_apply(struct flow *flow);
+void evacuation_on_added(struct pool *pool);
 
 /* flow_response.c: parsing of targets' responses */
 extern const http_parser_settings response_settings;
@@ -323,6 +327,8 @@
 
 /* flow_ask.c: asks sent to schedulers */
 void schedule_ask(struct exchange *x, bool repeat);
+/* Places a request on this entry's own view, without the scheduler. */
+void schedule_locally(struct exchange *x, bool repeat);
 void schedule_cancel(struct exchange *x);
 bool schedule_is_stale(const struct exchange *x);
 void schedule_complete(struct attempt *attempt, enum placement_outcome outcome);
--- a/src/flow/flow_probe.c
+++ b/src/flow/flow_probe.c
@@ -156,7 +156,7 @@
 
 /*
  * Starts or stops probing a target: only the entry that schedules its service
- * probes it.  The first probes are spread over an interval, so that the load is
+ * probes it, unless it is evacuated.  The first probes are spread over an interval, so that the load is
  * even.
  */
 void
@@ -166,7 +166,7 @@
 	uint64_t now = flow_now_us(flow);
 	uint64_t interval_us = PROBE_BACKOFF_MS * US_PER_MS;
 
-	if (!pool->service_part->owner) {
+	if (!pool->service_part->owner || pool->evacuated) {
 		probe_remove(pool);
 		return;
 	}
--- a/src/flow/flow_service.c
+++ b/src/flow/flow_service.c
@@ -288,6 +288,7 @@
 		    pool->failure_domain, target->slots, target->warmup_end_us,
 		    flow_now_us(flow));
 	away_on_added(pool);
+	evacuation_on_added(pool);
 	cold_on_added(pool);
 }
 
--- a/src/flow/flow_target.c
+++ b/src/flow/flow_target.c
@@ -54,6 +54,8 @@
 {
 	struct upstream *up;
 
+	if (pool->evacuated)
+		return NULL;
 	while ((up = find_idle(pool, x)) != NULL) {
 		upstream_leave_queue(up);
 		/* What has already arrived belongs to no later request. */
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -144,6 +144,7 @@
 	/* when a probe's answer told the rest of the warm-up; 0: never */
 	uint64_t warmup_heard_us;
 	bool assumed_cold; /* until its next probe is answered */
+	bool evacuated; /* it gets no requests, probes or connections */
 	unsigned probe_failures;
 };
 
--- a/src/flow/flow_upstream.c
+++ b/src/flow/flow_upstream.c
@@ -369,8 +369,8 @@
 {
 	if (up->closing)
 		return;
-	if (!up->keep_alive || up->pool == NULL || up->keep_alive_ms == 0 ||
-	    up->flow->stopping) {
+	if (!up->keep_alive || up->pool == NULL || up->pool->evacuated ||
+	    up->keep_alive_ms == 0 || up->flow->stopping) {
 		upstream_close(up);
 		return;
 	}
