--- a/src/core/core_warm_start.c
+++ b/src/core/core_warm_start.c
@@ -74,6 +74,7 @@
 	Fleet__Announcement *space;
 	Fleet__Announcement **list;
 	size_t count;
+	uint64_t now_us;
 };
 
 /*
@@ -93,6 +94,14 @@
 	to->started_ms = target->started_ms;
 	to->sequence = target->sequence;
 	to->slots = target->slots;
+	/*
+	 * The time in between is unknown: a target that was cold when the cache
+	 * was written is cold for as long again, or until its next report.
+	 */
+	if (target->warmup_end_us > s->now_us)
+		to->warm_in_ms = (uint32_t)((target->warmup_end_us - s->now_us +
+						US_PER_MS - 1) /
+		    US_PER_MS);
 	s->list[s->count++] = to;
 }
 
@@ -122,7 +131,7 @@
 	Fleet__Document document = core_latest_document(core);
 	Fleet__Evacuations evacuations =
 	    evacuation_set_message(core_latest_evacuations(core));
-	struct snapshot s = {0};
+	struct snapshot s = {.now_us = clock_boot_us()};
 	GPtrArray *estimates;
 	size_t count = 0;
 
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -32,6 +32,12 @@
 	const char *account_header;
 	/* a spelling that targets may read as account_header */
 	const char *account_header_alias;
+
+	/*
+	 * In the answers to probes: milliseconds until the end of the warm-up;
+	 * NULL: none.
+	 */
+	const char *warmup_header;
 	bool (*read_load)(struct str value, struct target_load *load);
 	enum status (*read_document)(struct str text, struct routes **routes);
 };
--- a/src/flow/flow_document.c
+++ b/src/flow/flow_document.c
@@ -234,6 +234,7 @@
 	    read->from, late_ms, flow->fetch_count, flow->named_index,
 	    (flow_now_us(flow) - flow->opened_us) / US_PER_MS);
 	schedule_fetch(flow);
+	cold_on_document(flow);
 }
 
 /*
