--- a/src/core/core.c
+++ b/src/core/core.c
@@ -24,8 +24,10 @@
 	core_propose_tick(core, now);
 	core_link_tick(core, now);
 	core_push_tick(core);
+	core_text_tick(core, now);
 	core_cache_tick(core, now);
 	core_liveness_tick(core, now);
+	core_allowance_tick(core, now);
 }
 
 /*
@@ -69,6 +71,9 @@
 	    "gypsummill_core_messages_refused_total",
 	    "Messages of instances with a field out of its bounds (count)",
 	    NULL);
+	core->evacuations =
+	    counter_register(COUNTER_GAUGE, "gypsummill_core_evacuations",
+		"Failure domains that are being evacuated (count)", NULL);
 	core->is_leader =
 	    counter_register(COUNTER_GAUGE, "gypsummill_core_leader",
 		"1 while this instance is the leader", NULL);
@@ -92,6 +97,7 @@
 static void
 close_parts(struct core *core)
 {
+	core_allowance_close(core);
 	core_propose_close(core);
 	core_departures_close(core);
 	core_replica_close(core);
@@ -99,6 +105,7 @@
 	core_estimates_close(core);
 	core_state_destroy(&core->state);
 	core_drop_kept_document(core);
+	evacuation_set_destroy(&core->kept_evacuations);
 	roster_free(core->roster);
 	minute_log_free(&core->refused_log);
 	minute_log_free(&core->messages_log);
@@ -120,9 +127,11 @@
 	core->log_limiter.instance = settings->instance;
 	core->roster = roster_new(NULL);
 	core_state_init(&core->state, core->roster);
+	evacuation_set_init(&core->kept_evacuations);
 	register_counters(core);
 	core_propose_open(core);
 	core_departures_open(core);
+	core_allowance_open(core);
 	status = core_link_open(core);
 	if (status != STATUS_OK) {
 		close_parts(core);
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -12,10 +12,22 @@
 #include "base/minute_log.h"
 #include "core/core.h"
 #include "core/core_state.h"
+#include "limit/allowance_bucket.h"
 #include "net/channel.h"
 #include "replica/replica.h"
 #include "replica/storage.h"
 
+/* What a peer was sent of documents. */
+struct core_peer_document {
+	uint64_t text_index; /* of a text that is not confirmed; 0: none */
+	uint64_t text_sent_us;
+	uint64_t text_end; /* in the bytes queued on the channel */
+	uint64_t confirmed_index; /* of the last text that was confirmed */
+	bool text_due; /* the newest text, once none is on its way */
+	bool announcement_due;
+	uint64_t announcement_end; /* of the last one; as text_end */
+};
+
 /* The remote end of an accepted channel. */
 struct core_peer {
 	struct channel *channel;
@@ -25,6 +37,7 @@
 	bool wants_all; /* subscribes to targets and entries */
 	uint64_t replica; /* 0: an entry, or an instance without a disk */
 	Fleet__Hello *hello; /* owned */
+	struct core_peer_document document;
 };
 
 /* An entry reported by other control instances. */
@@ -55,6 +68,22 @@
 	struct channel *peer; /* NULL: a local caller */
 };
 
+/* What this instance holds as a voter of the allowances of accounts. */
+struct core_allowance {
+	struct allowance_table *table;
+	unsigned shares; /* 2 f + 1, as of the start */
+	uint64_t replica_id; /* for which the following holds */
+	uint64_t held_since_us; /* a share is held; 0: it is not */
+	uint64_t wait_us; /* from then until it is granted from */
+	bool granting;
+	uint64_t next_sweep_us;
+	struct counter *granted;
+	struct counter *refused;
+	struct counter *unavailable;
+	struct counter *returned;
+	struct counter *buckets;
+};
+
 /* A document with its text. */
 struct core_document {
 	uint64_t index; /* of the log; 0: none */
@@ -85,6 +114,10 @@
 	uint64_t sent_index; /* of the last document sent to all */
 	unsigned applied_count; /* documents applied since then */
 	struct str_buf departures_due; /* applied and not yet sent */
+	/* as kept, of evacuations */
+	struct evacuation_set kept_evacuations;
+	bool evacuations_due; /* a change that was not yet sent */
+	uint64_t sent_evacuations; /* index of the last set sent to all */
 	bool cache_dirty;
 	uint64_t next_cache_us; /* earliest time of the next write */
 	GHashTable *estimates; /* service -> Fleet__Estimate; NULL: none */
@@ -118,6 +151,7 @@
 	GHashTable *pending_requests; /* by core_pending_request.request */
 	/* departures that entries have asked for: id -> struct asked_departure */
 	GHashTable *asked_departures;
+	struct core_allowance allowance;
 	struct log_limiter log_limiter; /* of lines about peers and targets */
 	struct counter *edits;
 	struct counter *texts_sent;
@@ -128,6 +162,7 @@
 	struct counter *messages_refused;
 	struct minute_log messages_log; /* by sender */
 	struct counter *is_leader;
+	struct counter *evacuations;
 };
 
 enum {
@@ -180,8 +215,8 @@
 
 /* core_warm_start.c */
 Fleet__Document core_latest_document(const struct core *core);
-/* Keeps the document that is in force, before the replica is opened again. */
-void core_keep_document(struct core *core);
+/* Keeps what is in force, before the replica is opened again. */
+void core_keep_state(struct core *core);
 /* Drops the kept document, once the log holds all that was committed. */
 void core_drop_kept_document(struct core *core);
 /* Saves the document and the targets if they have changed. */
@@ -211,17 +246,54 @@
 /* Sends the newest document and the queued departures, if there are any. */
 void core_push_applied(struct core *core);
 /* Without a log: passes on what an instance with a log has sent. */
-void core_relay_document(struct core *core);
 void core_relay_departure(
     struct core *core, const struct roster_departure *departure);
-void core_send_document(struct core *core, const struct core_peer *peer);
 /* Sent to subscribers at the next tick. */
 void core_publish_entry(struct core *core, Fleet__Hello *hello, bool gone);
 void core_publish_target(struct core *core, const struct roster_target *target);
 void core_push_tick(struct core *core);
 void core_push_close(struct core *core);
 
+/* core_text.c: documents, of which only the newest is sent */
+/* Sends the newest document to all peers, unless they have it. */
+void core_push_document(struct core *core);
+/* Sends a peer the newest document, or its announcement. */
+void core_send_known_document(struct core *core, struct core_peer *peer);
+/* Without a log: announces the document to entries. */
+void core_relay_document(struct core *core);
+void core_on_fetch(struct core *core, struct core_peer *peer);
+void core_on_document_received(struct core *core, struct core_peer *peer,
+    const Fleet__DocumentReceived *received);
+void core_drop_packed_document(struct core *core);
+void core_text_tick(struct core *core, uint64_t now_us);
+
+/* core_allowance.c: this instance's share of the allowances of accounts */
+void core_allowance_open(struct core *core);
+void core_allowance_close(struct core *core);
+/* A replica was opened. */
+void core_allowance_on_opened(struct core *core);
+void core_allowance_tick(struct core *core, uint64_t now_us);
+/* Whether member number i of info.members holds a share. */
+bool core_allowance_is_holder(const struct core *core, unsigned i);
+void core_on_draw(
+    struct core *core, const struct core_peer *peer, const Fleet__Draw *draw);
+void core_on_draw_return(struct core *core, const struct core_peer *peer,
+    const Fleet__DrawReturn *message);
+
+/* core_evacuation.c */
+const struct evacuation_set *core_latest_evacuations(const struct core *core);
+/* Keeps a set, or NULL, while the log may be behind it. */
+void
+core_keep_evacuations(struct core *core, const Fleet__Evacuations *message);
+void core_release_evacuations(struct core *core);
+void core_batch_evacuations(const struct core *core, struct str_buf *batch);
+void core_push_evacuations(struct core *core);
+void core_on_evacuations(struct core *core, const Fleet__Evacuations *message);
+
 /* core_propose.c */
+/* Proposes a command locally, or forwards it to the leader. */
+void core_submit_command(
+    struct core *core, Fleet__Command *command, core_done *done, void *ctx);
 void core_propose_open(struct core *core);
 void core_propose_close(struct core *core);
 void core_on_propose(
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -33,126 +33,6 @@
 	packed_frame_put(packed);
 }
 
-static bool
-is_same_domain(const struct core *core, const struct core_peer *peer)
-{
-	return strcmp(peer->hello->failure_domain,
-		   core->settings.failure_domain) == 0;
-}
-
-/*
- * Drops the packed document, after a change of the document.
- */
-static void
-drop_packed_document(struct core *core)
-{
-	for (int i = 0; i < 2; i++) {
-		if (core->packed_document[i] != NULL)
-			packed_frame_put(core->packed_document[i]);
-		core->packed_document[i] = NULL;
-	}
-}
-
-/*
- * Returns the packed document, packed once for all peers; NULL when there is
- * none.
- */
-static struct packed_frame *
-packed_document(struct core *core, bool with_text)
-{
-	Fleet__Frame frame = FLEET__FRAME__INIT;
-	Fleet__Document document = core_latest_document(core);
-	struct packed_frame **packed = &core->packed_document[with_text];
-
-	if (document.index == 0)
-		return NULL;
-	if (document.index != core->packed_index)
-		drop_packed_document(core);
-	core->packed_index = document.index;
-	if (*packed == NULL) {
-		if (!with_text)
-			document.text = (ProtobufCBinaryData){0};
-		frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
-		frame.document = &document;
-		*packed = channel_pack(&frame);
-	}
-	return *packed;
-}
-
-/*
- * Sends a peer the document with its text.
- */
-void
-core_send_document(struct core *core, const struct core_peer *peer)
-{
-	struct packed_frame *packed = packed_document(core, true);
-
-	if (packed == NULL)
-		return;
-	counter_add(core->texts_sent, 1);
-	channel_send_packed(peer->channel, packed);
-}
-
-/*
- * Sends a peer the current document.  Traffic between failure domains is
- * expensive, so the text is sent only to entries of this domain and to
- * instances without a log; instances with a log get it from the log.
- */
-static void
-send_known_document(struct core *core, const struct core_peer *peer)
-{
-	struct packed_frame *packed;
-
-	if (peer->is_control && peer->replica != 0)
-		return;
-	if (peer->is_control || is_same_domain(core, peer)) {
-		core_send_document(core, peer);
-		return;
-	}
-	packed = packed_document(core, false);
-	if (packed != NULL)
-		channel_send_packed(peer->channel, packed);
-}
-
-/*
- * Sends the newest document to all peers, unless they have it.
- */
-static void
-push_document(struct core *core)
-{
-	Fleet__Document document = core_latest_document(core);
-
-	if (document.index == core->sent_index)
-		return;
-	core->sent_index = document.index;
-	log_info("document",
-	    "instance=%s index=%" PRIu64 " version=%" PRIu64
-	    " bytes=%zu applied=%u",
-	    core->settings.instance, document.index, document.version,
-	    document.text.len, core->applied_count);
-	core->applied_count = 0;
-	for (guint i = 0; i < core->peers->len; i++) {
-		const struct core_peer *peer = core->peers->pdata[i];
-
-		if (peer->hello_received)
-			send_known_document(core, peer);
-	}
-}
-
-/*
- * Announces the current document to entries.  They fetch its text unless an
- * instance with a log has sent it, which usually has the wider link.  Control
- * instances have it from those too, and would pass it on in circles.
- */
-void
-core_relay_document(struct core *core)
-{
-	struct packed_frame *packed = packed_document(core, false);
-
-	if (packed != NULL)
-		send_to_peers(core, packed, false);
-}
-
 /*
  * Appends a departure to a batch.
  */
@@ -205,7 +85,7 @@
 		    " reason=\"of another group\"",
 		    core->settings.instance, core->kept.index,
 		    core->state.document_index);
-		drop_packed_document(core);
+		core_drop_packed_document(core);
 		core->sent_index = 0;
 		core->document_due = true;
 	}
@@ -222,9 +102,13 @@
 	if (core->kept.index != 0 && core->replica != NULL &&
 	    replica_has_caught_up(core->replica))
 		release_kept_document(core);
+	if (core->kept_evacuations.index != 0 && core->replica != NULL &&
+	    replica_has_caught_up(core->replica))
+		core_release_evacuations(core);
+	core_push_evacuations(core);
 	if (core->document_due) {
 		core->document_due = false;
-		push_document(core);
+		core_push_document(core);
 	}
 	if (core->departures_due.len == 0)
 		return;
@@ -233,7 +117,7 @@
 }
 
 /*
- * Sends a departure to entries only; see core_relay_document().
+ * Sends a departure to entries only; see core_relay_document() in core_text.c.
  */
 void
 core_relay_departure(
@@ -261,7 +145,8 @@
 	message.slots = target->slots;
 	if (target->warmup_end_us > now)
 		message.warm_in_ms =
-		    (uint32_t)((target->warmup_end_us - now) / US_PER_MS);
+		    (uint32_t)((target->warmup_end_us - now + US_PER_MS - 1) /
+			US_PER_MS);
 	frame.body_case = FLEET__FRAME__BODY_ANNOUNCEMENT;
 	frame.announcement = &message;
 	channel_batch_append(batch, &frame);
@@ -335,9 +220,11 @@
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Members message = FLEET__MEMBERS__INIT;
 	char *addresses[FLEET_CONTROLS_MAX];
+	protobuf_c_boolean voters[FLEET_CONTROLS_MAX] = {0};
 	size_t count = 0;
 
 	for (unsigned i = 0; i < core->info.member_count; i++) {
+		voters[count] = core_allowance_is_holder(core, i);
 		addresses[count++] = core->info.members[i].address;
 		message.voters += core->info.members[i].voter ? 1 : 0;
 	}
@@ -350,6 +237,10 @@
 		    MIN(core->reported_members->len, FLEET_CONTROLS_MAX - 1);
 	if (core->settings.data != NULL)
 		addresses[count++] = (char *)core->settings.link_address;
+	if (core->info.member_count > 0) {
+		message.n_voter = count;
+		message.voter = voters;
+	}
 	message.n_address = count;
 	message.address = addresses;
 	message.leader = core->info.leader;
@@ -396,8 +287,8 @@
 }
 
 /*
- * Returns the first part of the initial state.  Departures precede targets,
- * so that no peer uses a departed target.
+ * Returns the first part of the initial state.  Departures and evacuations
+ * precede targets, so that no peer uses a target that it must not use.
  */
 static struct packed_frame *
 pack_members_and_departures(struct core *core)
@@ -406,6 +297,7 @@
 	struct packed_frame *packed;
 
 	with_members_frame(core, batch_frame, &batch);
+	core_batch_evacuations(core, &batch);
 	roster_for_each_departure(core->roster, add_departure_to_batch, &batch);
 	packed = channel_pack_batch(&batch);
 	str_buf_free(&batch);
@@ -480,7 +372,7 @@
 			*rest = pack_targets_and_entries(
 			    core, peer->wants_all, peer->is_control);
 		channel_send_packed(peer->channel, first);
-		send_known_document(core, peer);
+		core_send_known_document(core, peer);
 		channel_send_packed(peer->channel, *rest);
 	}
 	for (int i = 0; i < 3; i++) {
@@ -542,7 +434,7 @@
 void
 core_push_close(struct core *core)
 {
-	drop_packed_document(core);
+	core_drop_packed_document(core);
 	str_buf_free(&core->departures_due);
 	str_buf_free(&core->updates);
 	str_buf_free(&core->control_updates);
--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -141,6 +141,9 @@
 		"Answers 503 of targets with a Retry-After (count)"},
 	    {&flow->refused_grants, "gypsummill_flow_refused_grants_total",
 		"Grants of targets that want nothing at the time (count)"},
+	    {&flow->cold_held_back, "gypsummill_flow_cold_held_back_total",
+		"Requests that the rate of a cold target kept from it at first "
+		"(count)"},
 	    {&flow->scanned, "gypsummill_flow_visits_total",
 		"Targets, entries and parts scanned by timers (count)"},
 	    {&flow->announcements_refused,
@@ -173,6 +176,11 @@
 	flow->controls_open =
 	    counter_register(COUNTER_GAUGE, "gypsummill_flow_controls_open",
 		"Connected control instances (count)", NULL);
+	flow->cold_targets =
+	    counter_register(COUNTER_GAUGE, "gypsummill_flow_cold_targets",
+		"Targets that get requests at the rate of their warm-up only "
+		"(count)",
+		NULL);
 }
 
 /*
@@ -198,6 +206,7 @@
 	/* Ask ids must differ from those used before a restart. */
 	flow->next_ask = flow->started_ms << 20;
 	register_counters(flow);
+	account_open(flow);
 	flow->route_caller_timeouts =
 	    g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	uv_update_time(loop);
@@ -212,6 +221,9 @@
 	targets_open(flow);
 	leaving_open(flow);
 	away_open(flow);
+	evacuation_open(flow);
+	document_open(flow);
+	allowance_open(flow);
 	probe_open(flow);
 	fleet_open(flow);
 	status = callers_open(flow);
@@ -277,6 +289,7 @@
 	uint64_t count = atomic_load(&flow->latency.count);
 
 	counter_render(out);
+	account_render_counts(flow, out);
 	str_buf_printf(out,
 	    "# HELP %s Duration of answered requests (seconds)\n"
 	    "# TYPE %s histogram\n",
@@ -314,10 +327,14 @@
 	fleet_close(flow);
 	leaving_close(flow);
 	away_close(flow);
+	evacuation_close(flow);
+	document_close(flow);
+	allowance_close(flow);
 	probe_close(flow);
 	minute_log_free(&flow->messages_log);
 	routes_put(flow->routes);
 	g_hash_table_destroy(flow->route_caller_timeouts);
+	account_counts_close(flow);
 }
 
 /*
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -25,6 +25,19 @@
 	const char *load_header;
 	/* "1" in the answers of a target that leaves */
 	const char *leaving_header;
+	/* The key of a client account, and its authentication scheme. */
+	const char *key_header;
+	const char *key_scheme;
+	/* The name of the account, for targets. */
+	const char *account_header;
+	/* a spelling that targets may read as account_header */
+	const char *account_header_alias;
+
+	/*
+	 * In the answers to probes: milliseconds until the end of the warm-up;
+	 * NULL: none.
+	 */
+	const char *warmup_header;
 	bool (*read_load)(struct str value, struct target_load *load);
 	enum status (*read_document)(struct str text, struct routes **routes);
 };
@@ -45,6 +58,8 @@
 	double probes_per_second; /* of one target, at most */
 	/* how long a target is kept without a sign of life */
 	uint64_t target_kept_ms;
+	/* window of the bound on allowances; 0: the default */
+	uint64_t quota_window_ms;
 };
 
 struct flow;
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -88,13 +88,19 @@
 /* flow_updates.c: frames from control instances */
 void updates_on_frame(
     struct flow *flow, struct control *control, const Fleet__Frame *frame);
-/* Fetches an announced document when it is due. */
-void updates_fetch_document(struct flow *flow, uint64_t now_us);
-/* Reports a document that was announced long ago and not received. */
-void updates_check_lateness(struct flow *flow, uint64_t now_us);
 void updates_drop_source(struct flow *flow, unsigned bit);
 void peer_entry_free(void *value);
 
+/* flow_document.c: documents, of which only the newest is parsed */
+void document_open(struct flow *flow);
+void document_close(struct flow *flow);
+void document_on_update(
+    struct flow *flow, struct control *control, const Fleet__Document *message);
+/* Fetches an announced document when it is due. */
+void document_fetch(struct flow *flow, uint64_t now_us);
+/* Reports a document that was announced long ago and not received. */
+void document_check_lateness(struct flow *flow, uint64_t now_us);
+
 /* flow_service.c: services, their parts and their schedulers */
 uint64_t rank_hash(uint64_t a, uint64_t b);
 void flow_service_free(void *value);
@@ -204,12 +210,45 @@
 void exchange_log_end(
     struct exchange *x, const char *outcome, int status, const char *reason);
 
+/* flow_account.c: client accounts and their keys */
+void account_open(struct flow *flow);
+/* Sets the account of a request; false after a 401. */
+bool account_authenticate(struct exchange *x);
+/* Whether a waiting request has to be refused since its key was withdrawn. */
+bool account_is_withdrawn(struct exchange *x);
+void account_refuse_withdrawn(struct exchange *x);
+/* The rank of a request: its account's, or its route's. */
+uint32_t account_rank(const struct exchange *x);
+
+/* flow_account_counts.c: requests by account */
+void account_counts_open(struct flow *flow);
+void account_counts_close(struct flow *flow);
+void account_count(struct flow *flow, const char *name);
+/* Forgets the accounts that are not in the document in force. */
+void account_counts_prune(struct flow *flow);
+void account_render_counts(const struct flow *flow, struct str_buf *out);
+
 /* flow_grant.c: answers of schedulers */
 void exchange_on_grant(
     struct exchange *x, const char *target, bool remote, uint64_t expected_us);
 void exchange_on_reject(
     struct exchange *x, uint64_t retry_after_us, enum placement_reason reason);
 
+/* Tells the scheduler that a grant is not used. */
+void exchange_return_grant(struct exchange *x, const char *target, bool remote);
+
+/* flow_allowance.c: allowances of client accounts */
+void allowance_open(struct flow *flow);
+void allowance_close(struct flow *flow);
+/* Draws a token if one is needed; false if the request was refused. */
+bool allowance_begin(struct exchange *x);
+/* Keeps a grant until the token is there; false if it can be used. */
+bool allowance_keep_grant(
+    struct exchange *x, const char *target, bool remote, uint64_t expected_us);
+void allowance_end(struct exchange *x);
+void allowance_on_result(struct flow *flow, const Fleet__DrawResult *message);
+void allowance_on_members(struct flow *flow, const Fleet__Members *m);
+
 /* flow_startup.c */
 uint64_t startup_remaining_us(const struct flow *flow);
 /* Parks a request during the startup; false if it need not wait. */
@@ -231,6 +270,11 @@
 void targets_sweep(struct flow *flow);
 /* Closes idle connections: after a pause their age is unknown. */
 void targets_close_idle(struct flow *flow);
+/*
+ * Checks the request of a connection that is about to be written, since the
+ * document may have changed; false if it was refused.
+ */
+bool target_confirm_request(struct upstream *up);
 /* Starts a send; false if no connection is available. */
 bool target_send(struct attempt *attempt, struct pool *pool);
 bool target_probe(struct pool *pool, const char *path);
@@ -287,6 +331,32 @@
 void away_on_added(struct pool *pool);
 void away_tick(struct flow *flow);
 
+/* flow_cold.c: targets in their warm-up */
+/* A document came into force. */
+void cold_on_document(struct flow *flow);
+void cold_on_service(struct service *service);
+/* Evaluates the answer to a probe. */
+void cold_on_probe(struct pool *pool, const struct head *head);
+void
+cold_on_report(void *ctx, struct roster_target *target, uint64_t before_us);
+void cold_on_added(struct pool *pool);
+/* The target was without requests, e.g. in an evacuation. */
+void cold_assume(struct pool *pool);
+void cold_tick(struct flow *flow);
+
+/* flow_evacuation.c: failure domains that get no requests */
+void evacuation_open(struct flow *flow);
+void evacuation_close(struct flow *flow);
+/* Replaces the set by a newer one of control. */
+void evacuation_on_update(struct flow *flow, const Fleet__Evacuations *message);
+bool
+evacuation_is_active(const struct flow *flow, uint32_t failure_domain_hash);
+
+/* flow_evacuation_targets.c */
+/* Called after each change of the set. */
+void evacuation_apply(struct flow *flow);
+void evacuation_on_added(struct pool *pool);
+
 /* flow_response.c: parsing of targets' responses */
 extern const http_parser_settings response_settings;
 /* A response is complete; stray is true if more bytes follow it. */
@@ -295,6 +365,8 @@
 
 /* flow_ask.c: asks sent to schedulers */
 void schedule_ask(struct exchange *x, bool repeat);
+/* Places a request on this entry's own view, without the scheduler. */
+void schedule_locally(struct exchange *x, bool repeat);
 void schedule_cancel(struct exchange *x);
 bool schedule_is_stale(const struct exchange *x);
 void schedule_complete(struct attempt *attempt, enum placement_outcome outcome);
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -44,8 +44,20 @@
 };
 
 struct exchange;
+struct exchange_allowance;
+struct flow_allowance;
 struct upstream;
 
+/* Why a request has no valid key. */
+enum key_reason {
+	KEY_MISSING,
+	KEY_UNKNOWN,
+	KEY_OTHER_SCHEME,
+	KEY_REPEATED, /* more than one header */
+	KEY_WITHDRAWN, /* by a document that came while the request waited */
+	KEY_REASONS
+};
+
 /* Connection of a caller. */
 struct caller {
 	uv_tcp_t tcp;
@@ -141,6 +153,10 @@
 	GSequenceIter *probe_iter;
 	uint64_t probe_due_us; /* position in the probe queue */
 	uint64_t probed_us; /* time of the last probe; 0: never */
+	/* when a probe's answer told the rest of the warm-up; 0: never */
+	uint64_t warmup_heard_us;
+	bool assumed_cold; /* until its next probe is answered */
+	bool evacuated; /* it gets no requests, probes or connections */
 	unsigned probe_failures;
 };
 
@@ -191,6 +207,7 @@
 	struct route *route;
 	/* of the caller's key, in routes; NULL: none */
 	const struct account *account;
+	struct exchange_allowance *allowance; /* NULL: has no limit */
 	struct service *service;
 	uint64_t arrival_us;
 	uint64_t prior_wait_ms; /* waited by the caller on earlier tries */
@@ -233,6 +250,7 @@
 struct service {
 	struct flow *flow;
 	char *name;
+	char *whole_name; /* of the service of which it is a part */
 	struct placement *placement;
 	GPtrArray *pools; /* struct pool of each target */
 	uint64_t name_hash;
@@ -244,6 +262,7 @@
 	bool busy; /* in flow->busy_services: it has calls */
 	uint64_t log_due_us; /* time of the next line on its placement */
 	uint64_t estimate_due_us; /* time of the next estimate to control */
+	uint64_t held_back; /* of the placement, as counted in the metrics */
 };
 
 /* Number of targets of a service and of the parts they are split into. */
@@ -295,6 +314,15 @@
 	uint32_t route;
 };
 
+/* The text of a document, kept while newer ones may follow at once. */
+struct read_text {
+	uint64_t index; /* 0: none */
+	uint64_t version;
+	struct str_buf text;
+	char from[ADDRESS_BYTES]; /* of the control instance that sent it */
+	uint64_t first_us; /* when the first one since the last parse came */
+};
+
 struct flow {
 	uv_loop_t *loop;
 	struct flow_settings settings;
@@ -306,15 +334,27 @@
 	/* State in force. */
 	struct routes *routes;
 	uint64_t document_index;
-	uint64_t named_index; /* index of the newest announced document */
+	/* index of the newest document announced or sent by anybody */
+	uint64_t named_index;
+	uint64_t parsed_index; /* of the last text, also an unreadable one */
+	struct read_text read_text;
+	uv_check_t text_check; /* active while a text is kept */
 	/* when a document newer than the one in force was first announced */
 	uint64_t named_us;
 	bool late_logged; /* the line on that document's lateness */
 	uint64_t fetch_due_us; /* time of the next fetch */
 	unsigned fetch_count; /* fetches of this document so far */
+	/* asked for a text that has not come; only compared */
+	const struct control *fetched_from;
+	uint64_t fetch_retry_us; /* when that text counts as lost */
 	struct roster *roster;
 	struct leavings *leavings; /* departures that control does not know */
 	struct aways *aways; /* targets that want nothing from this entry */
+	bool limits_warmup; /* the document names a rate for cold targets */
+	uint64_t cold_count_due_us; /* time of the next count of cold targets */
+	/* evacuated failure domains: hash -> name */
+	GHashTable *evacuated;
+	uint64_t evacuation_index; /* log index of the last change */
 	/* route id -> struct caller_timeouts */
 	GHashTable *route_caller_timeouts;
 	/* route id -> struct answer_sizes */
@@ -335,6 +375,7 @@
 	/* fleet_generation for which owners were computed */
 	unsigned owners_generation;
 	unsigned suspect_count; /* unresponsive entries */
+	struct flow_allowance *allowance;
 	GHashTable *controls; /* link address -> struct control */
 	uint64_t control_bits; /* bits in use */
 	uint64_t controls_expire_due_us; /* time of the next expiry scan */
@@ -392,11 +433,19 @@
 	struct counter *departures_asked;
 	struct counter *aways_heard;
 	struct counter *refused_grants;
+	struct counter *cold_targets;
+	struct counter *cold_held_back;
+	struct counter *evacuations;
 	struct counter *scanned;
 	struct counter *announcements_refused;
 	struct counter *loads_refused;
 	struct counter *messages_refused;
 	struct minute_log messages_log; /* by sender */
+	struct counter *keys_refused[KEY_REASONS];
+	/* account name -> struct account_requests */
+	GHashTable *account_requests;
+	/* of accounts that are no longer in the document */
+	uint64_t other_account_requests;
 	struct counter *log_dropped;
 	struct counter *documents;
 	struct counter *document_fetches;
--- a/src/flow/flow_upstream.c
+++ b/src/flow/flow_upstream.c
@@ -297,7 +297,8 @@
 	}
 	up->connected = true;
 	uv_read_start((uv_stream_t *)&up->tcp, on_alloc, on_read);
-	write_request(up);
+	if (up->attempt == NULL || target_confirm_request(up))
+		write_request(up);
 }
 
 /*
@@ -369,8 +370,8 @@
 {
 	if (up->closing)
 		return;
-	if (!up->keep_alive || up->pool == NULL || up->keep_alive_ms == 0 ||
-	    up->flow->stopping) {
+	if (!up->keep_alive || up->pool == NULL || up->pool->evacuated ||
+	    up->keep_alive_ms == 0 || up->flow->stopping) {
 		upstream_close(up);
 		return;
 	}
