The newest document is fetched though older texts keep coming

Each text that an entry parsed put the fetch of a newer one off by 200 ms. A nearby control instance that lags behind, with texts every 50 ms, so kept the entry from the newest one that another instance had announced. The fetch is now made 0.8 s after the last one, or after the entry fell behind, at the latest. unit/test_flow_texts failed before (60 older texts, no fetch) and passes, as does unit/test_flow.

--- a/src/flow/flow_document.c
+++ b/src/flow/flow_document.c
@@ -16,6 +16,12 @@
 	 */
 	FETCH_DELAY_MS = 200,
 	FETCH_RETRY_MS = 300, /* much longer than any round trip */
+	/*
+	 * Until an entry that gets texts, but not the newest, fetches that: its
+	 * nearby control instance lags behind.  Leaves a second of the time in which
+	 * a document must be in force.
+	 */
+	FETCH_BEHIND_MS = 800,
 	/* Half of the shortest time in which documents must be in force. */
 	DOCUMENT_LATE_MS = 1000,
 	/* A twentieth of that time: a text waits no longer for newer ones. */
@@ -85,6 +91,7 @@
 	from = next_document_source(flow, flow->fetch_count++);
 	if (from == NULL)
 		return;
+	flow->fetch_latest_us = now_us + FETCH_BEHIND_MS * US_PER_MS;
 	flow->fetched_from = from;
 	flow->fetch_retry_us = flow->fetch_due_us;
 	frame.body_case = FLEET__FRAME__BODY_FETCH;
@@ -96,7 +103,7 @@
 /*
  * Sets the time of the next fetch, when a document is announced and after each
  * one that was received.  Further announcements don't put it off, since they
- * may come faster than documents.  While a text that was fetched is on its way,
+ * may come faster than documents; older texts do for FETCH_BEHIND_MS.  While a text that was fetched is on its way,
  * no other one is fetched.  The first document is fetched at once: callers wait
  * for it.
  */
@@ -107,6 +114,12 @@
 	flow->fetch_due_us = flow_now_us(flow);
 	if (flow->routes != NULL)
 		flow->fetch_due_us += FETCH_DELAY_MS * US_PER_MS;
+	if (flow->named_index <= newest_read(flow) ||
+	    flow->fetch_latest_us == 0)
+		flow->fetch_latest_us =
+		    flow_now_us(flow) + FETCH_BEHIND_MS * US_PER_MS;
+	if (flow->fetch_due_us > flow->fetch_latest_us)
+		flow->fetch_due_us = flow->fetch_latest_us;
 	if (flow->fetched_from != NULL &&
 	    flow->fetch_due_us < flow->fetch_retry_us)
 		flow->fetch_due_us = flow->fetch_retry_us;
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -324,6 +324,8 @@
 	uint64_t named_us;
 	bool late_logged; /* the line on that document's lateness */
 	uint64_t fetch_due_us; /* time of the next fetch */
+	/* later texts put the next fetch off no further than this */
+	uint64_t fetch_latest_us;
 	unsigned fetch_count; /* fetches of this document so far */
 	/* asked for a text that has not come; only compared */
 	const struct control *fetched_from;
--- a/test/unit/test_flow_texts.c
+++ b/test/unit/test_flow_texts.c
@@ -14,7 +14,9 @@
 enum {
 	TEXTS = 10,
 	SETTLED_MS = 300, /* longer than a text waits for newer ones */
-	NEWEST = FAKE_DOCUMENT + 4
+	NEWEST = FAKE_DOCUMENT + 4,
+	OLDER_TEXTS = 60,
+	OLDER_GAP_MS = 50
 };
 
 /* The entry, as a control instance sees it. */
@@ -156,6 +158,35 @@
 	close_testbed(&testbed);
 }
 
+/*
+ * Guards against a nearby control instance that lags behind and whose texts put
+ * off the fetch of the newest one.
+ */
+static void
+newest_is_fetched_while_older_texts_arrive(void **state ATTR_UNUSED)
+{
+	struct testbed testbed = {
+	    .controls = {{.serves_document = true, .newest = 10000}}};
+	const struct flow *flow;
+	uint64_t index = 0;
+
+	open_testbed(&testbed, 2);
+	flow = testbed.fixture.flow;
+	fake_control_send_document(
+	    testbed.peers[1].channel, ++index, STR_LITERAL("text"));
+	while (flow->document_index == 0)
+		(void)uv_run(&testbed.fixture.loop, UV_RUN_ONCE);
+	fake_control_send_document(
+	    testbed.peers[0].channel, 10000, str_of("", 0));
+	while (index < OLDER_TEXTS && flow->document_index < 10000) {
+		fake_control_send_document(
+		    testbed.peers[1].channel, ++index, STR_LITERAL("text"));
+		flow_fixture_run(&testbed.fixture, OLDER_GAP_MS);
+	}
+	assert_int_equal(flow->document_index, 10000);
+	close_testbed(&testbed);
+}
+
 int
 main(void)
 {
@@ -163,6 +194,7 @@
 	    cmocka_unit_test(only_the_newest_text_of_a_turn_is_parsed),
 	    cmocka_unit_test(document_in_force_is_not_newer_than_the_newest),
 	    cmocka_unit_test(only_the_newest_document_is_fetched),
+	    cmocka_unit_test(newest_is_fetched_while_older_texts_arrive),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
