--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -95,7 +95,7 @@
 void document_open(struct flow *flow);
 void document_close(struct flow *flow);
 void document_on_update(
-    struct flow *flow, struct control *control, const Fleet__Document *message);
+    struct flow *flow, struct control *from, const Fleet__Document *m);
 /* Fetches an announced document when it is due. */
 void document_fetch(struct flow *flow, uint64_t now_us);
 /* Reports a document that was announced long ago and not received. */
