--- a/src/limit/allowance_bucket.c
+++ b/src/limit/allowance_bucket.c
@@ -114,7 +114,8 @@
 capacity(const struct allowance_table *table, const struct bucket *bucket)
 {
 	return fmax(
-	    bucket->limit.burst / table->shares, ALLOWANCE_CAPACITY_MIN);
+	    fmax(bucket->limit.burst, ALLOWANCE_CAPACITY_MIN) / table->shares,
+	    1);
 }
 
 static double
@@ -132,7 +133,7 @@
 	double full = capacity(table, bucket);
 	double with_live = full +
 	    share_rate(table, bucket) * seconds(table->token_us) +
-	    ALLOWANCE_EXCESS - bucket->live;
+	    ALLOWANCE_EXCESS / table->shares - bucket->live;
 
 	bucket->level = fmax(fmin(bucket->level, fmin(full, with_live)), 0);
 }
--- a/src/limit/allowance_bucket.h
+++ b/src/limit/allowance_bucket.h
@@ -27,16 +27,17 @@
 	ALLOWANCE_TOKEN_WINDOW_PART = 10,
 	ALLOWANCE_BUCKETS_MAX = 65536,
 	/*
-	 * Smallest capacity of a bucket.  With 1, an account without a burst
-	 * got 0.94 of its rate: a bucket is full before the next request comes.
+	 * Smallest sum of the capacities of all shares, but at least 1 each.
+	 * With 1 each an account without a burst got 0.94 of its rate: a bucket
+	 * is full before the next request comes.
 	 */
-	ALLOWANCE_CAPACITY_MIN = 2,
+	ALLOWANCE_CAPACITY_MIN = 10,
 	/*
-	 * Live tokens and level beyond the capacity and what accrues in the life
-	 * of a token.  With five voters 5 of the bound's 20; 10 more are the
-	 * capacities that are rounded up.
+	 * Live tokens and level of all shares beyond their capacity and what
+	 * accrues in the life of a token.  Both sums are within the 20 requests
+	 * that the bound allows to every account.
 	 */
-	ALLOWANCE_EXCESS = 1
+	ALLOWANCE_EXCESS = 5
 };
 
 /* The allowance of a whole account. */
--- a/test/functional/test_platform_settings.py
+++ b/test/functional/test_platform_settings.py
@@ -48,7 +48,8 @@
                 "heartbeat_ms": 86400000}
         most_bounds = {"grace_s": 86400, "retry_budget_ratio": 1000,
                        "retry_window_s": 86400, "retry_slack": 1000000000,
-                       "probe_per_s": 1000000, "ttl_max_s": 86400}
+                       "probe_per_s": 1000000, "ttl_max_s": 86400,
+                       "quota_window_s": 86400}
         for name, value in most_bounds.items():
             most["bounds." + name] = value
         for given in ((lambda value: value), (lambda value: value + 1),
--- a/test/unit/support_allowance.c
+++ b/test/unit/support_allowance.c
@@ -563,6 +563,7 @@
     {"faults, short window", 200, 100, 1000, 7, 30, 500, 40, 0, 0.2, true, 0,
 	0},
     {"bursts", 100, 500, 5000, 7, 141, 0, 30, 0, 0, false, 6000, 0},
+    {"bursts, no burst", 40, 0, 5000, 7, 141, 0, 30, 0, 0, false, 6000, 0},
     {"bursts, rejections", 100, 500, 5000, 7, 9, 0, 30, 0, 0.5, false, 6000, 0},
     {"bursts, faults", 100, 500, 5000, 7, 30, 900, 40, 0, 0.3, true, 5000, 0},
     {0},
