Targets that reset connections when they are full are paused, not failing

A reset by a full target counted as its failure, and requests that must not be repeated were sent to targets of which nothing was known. A reset before any byte of a response by a target that is known to be full is now outcome=reset_full: a pause as after a shed, no rise of the failure rate, a shed in Done. Where that was seen in the last ten minutes, requests that must not be repeated go only to targets with room by a fresh report; Grant.resets tells the other entries. Done.reset lets the scheduler decide when the entry does not know.

A service that refused nine in ten of at least 8 sends within 200 ms gets no repeats and second sends until one in four is accepted.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -141,6 +141,8 @@
 		"Answers 503 of targets with a Retry-After (count)"},
 	    {&flow->refused_grants, "gypsummill_flow_refused_grants_total",
 		"Grants of targets that want nothing at the time (count)"},
+	    {&flow->resets_full, "gypsummill_flow_resets_full_total",
+		"Sends whose connection a full target has reset (count)"},
 	    {&flow->cold_held_back, "gypsummill_flow_cold_held_back_total",
 		"Requests that the rate of a cold target kept from it at first "
 		"(count)"},
--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -245,7 +245,8 @@
 	done.service = x->service->name;
 	done.target = attempt->target;
 	done.route = x->route->id;
-	done.outcome = outcome;
+	done.outcome = outcome == OUTCOME_RESET_FULL ? OUTCOME_SHED : outcome;
+	done.reset = attempt->reset;
 	done.took_ms = fleet_clamp(took / US_PER_MS, FLEET_DURATION_MAX_MS);
 	done.has_load = attempt->has_load;
 	done.running = attempt->load.running;
--- a/src/flow/flow_estimate.c
+++ b/src/flow/flow_estimate.c
@@ -21,6 +21,9 @@
 {
 	struct placement_model model = {.route_count = 0};
 
+	if (grant->resets)
+		placement_note_resets(
+		    service->placement, flow_now_us(service->flow));
 	if (service->owner || grant->speed.len != sizeof(model.speed))
 		return;
 	if (grant->work_us > 0) {
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -179,6 +179,8 @@
 /* Ends all work of a request whose caller has left. */
 void exchange_abandon(struct exchange *x);
 void exchange_on_response(struct attempt *attempt);
+/* The target reset the connection before any byte of a response. */
+void exchange_on_reset(struct attempt *attempt, const char *reason);
 /* The connection to the target ended before a complete response. */
 void exchange_on_send_failed(struct attempt *attempt,
     enum placement_outcome outcome, const char *reason);
--- a/src/flow/flow_outcome.c
+++ b/src/flow/flow_outcome.c
@@ -14,6 +14,7 @@
     [OUTCOME_UNREACHABLE] = "unreached",
     [OUTCOME_TIMED_OUT] = "silent",
     [OUTCOME_ABANDONED] = "abandoned",
+    [OUTCOME_RESET_FULL] = "reset_full",
 };
 
 static void
@@ -231,6 +232,24 @@
 	exchange_retry(x, reason);
 }
 
+/*
+ * The target reset the connection before any byte of a response.  The request
+ * may have run, but if the target is known to be full this is no failure.
+ */
+void
+exchange_on_reset(struct attempt *attempt, const char *reason)
+{
+	struct exchange *x = attempt->exchange;
+	bool full = placement_is_full(x->service->placement, attempt->target,
+	    &x->requester, flow_now_us(x->flow));
+
+	attempt->reset = true;
+	if (full)
+		counter_add(x->flow->resets_full, 1);
+	exchange_on_send_failed(
+	    attempt, full ? OUTCOME_RESET_FULL : OUTCOME_FAILED, reason);
+}
+
 /*
  * Forwards the available part of a large response.  Only a successful response
  * with the proof header is streamed before it is complete.
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -78,6 +78,8 @@
 		grant.work_us = model.work_us[0];
 	grant.speed.data = model.speed;
 	grant.speed.len = sizeof(model.speed);
+	grant.resets =
+	    placement_has_resets(call->service->placement, flow_now_us(flow));
 	datagram.body_case = FLEET__DATAGRAM__BODY_GRANT;
 	datagram.grant = &grant;
 	datagram_send(flow, &call->from, &datagram);
@@ -342,6 +344,32 @@
 	g_hash_table_remove(flow->remote_calls, key);
 }
 
+/*
+ * Returns the outcome of a send whose target reset the connection: the entry
+ * knew that the target was full, or this scheduler knows it.
+ */
+static enum placement_outcome
+reset_outcome(const struct service *service, struct remote_call *call,
+    const Fleet__Done *done)
+{
+	bool full = done->outcome == OUTCOME_SHED ||
+	    placement_is_full(service->placement, done->target, call,
+		flow_now_us(service->flow));
+
+	if (!full)
+		return (enum placement_outcome)done->outcome;
+	/* The entry counts and logs what it knows itself. */
+	if (done->outcome != OUTCOME_SHED) {
+		counter_add(service->flow->resets_full, 1);
+		if (flow_may_log(service->flow))
+			log_info("reset_full",
+			    "instance=%s service=%s target=%s request=%" PRIu64,
+			    service->flow->settings.instance, service->name,
+			    done->target, done->request);
+	}
+	return OUTCOME_RESET_FULL;
+}
+
 /*
  * Another entry reports the end of a send that was granted here.
  */
@@ -360,7 +388,10 @@
 	    .slots = done->slots,
 	    .slowness = done->slowness,
 	};
+	enum placement_outcome outcome = (enum placement_outcome)done->outcome;
 
+	if (service != NULL && done->reset)
+		outcome = reset_outcome(service, call, done);
 	if (done->departed)
 		leaving_on_report(flow, done->target, done->started_ms);
 	if (service != NULL && done->away_ms > 0)
@@ -369,9 +400,8 @@
 		    flow_now_us(flow) + bounded_away_us(done->away_ms));
 	if (service != NULL)
 		placement_complete(service->placement, call, done->target,
-		    (enum placement_outcome)done->outcome,
-		    done->took_ms * US_PER_MS, done->has_load ? &load : NULL,
-		    flow_now_us(flow));
+		    outcome, done->took_ms * US_PER_MS,
+		    done->has_load ? &load : NULL, flow_now_us(flow));
 	if (done->outcome == OUTCOME_ANSWERED)
 		remove_answered_call(flow, key);
 	g_free(key);
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -157,6 +157,7 @@
 	uint64_t started_us;
 	bool sent; /* a part of the request was written */
 	bool remote; /* granted by another entry */
+	bool reset; /* the target reset the connection before an answer */
 	bool has_load;
 	struct target_load load;
 };
@@ -419,6 +420,7 @@
 	struct counter *departures_asked;
 	struct counter *aways_heard;
 	struct counter *refused_grants;
+	struct counter *resets_full;
 	struct counter *cold_targets;
 	struct counter *cold_held_back;
 	struct counter *evacuations;
--- a/src/flow/flow_upstream.c
+++ b/src/flow/flow_upstream.c
@@ -145,6 +145,25 @@
 		exchange_on_send_failed(attempt, outcome, reason);
 }
 
+/*
+ * The target reset a connection.  Targets of some services do that when they
+ * are full, before any byte of a response.
+ */
+static void
+on_reset(struct upstream *up, const char *reason)
+{
+	struct attempt *attempt = up->attempt;
+
+	if (attempt == NULL || !attempt->sent || up->in_response ||
+	    up->body.len > 0) {
+		upstream_fail(up, OUTCOME_FAILED, reason);
+		return;
+	}
+	up->attempt = NULL;
+	upstream_close(up);
+	exchange_on_reset(attempt, reason);
+}
+
 static void
 on_alloc(uv_handle_t *handle, size_t suggested ATTR_UNUSED, uv_buf_t *buf)
 {
@@ -170,9 +189,12 @@
 			return;
 		}
 	}
-	upstream_fail(up, OUTCOME_FAILED,
-	    error == UV_EOF ? "the target closed the connection"
-			    : uv_strerror((int)error));
+	if (error == UV_ECONNRESET)
+		on_reset(up, uv_strerror((int)error));
+	else
+		upstream_fail(up, OUTCOME_FAILED,
+		    error == UV_EOF ? "the target closed the connection"
+				    : uv_strerror((int)error));
 }
 
 static void
@@ -213,7 +235,9 @@
 	mem_free(write);
 	up->writing = false;
 	drop_request(up);
-	if (status != 0 && !up->closing)
+	if (status == UV_ECONNRESET && !up->closing)
+		on_reset(up, uv_strerror(status));
+	else if (status != 0 && !up->closing)
 		upstream_fail(up, OUTCOME_FAILED, uv_strerror(status));
 }
 
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -189,7 +189,8 @@
 }
 
 /*
- * Submits a request.  A repeat is rejected at once if the budget is exhausted.
+ * Submits a request.  A repeat is rejected at once if the budget is exhausted,
+ * or if nearly all targets refuse requests.
  * Returns true if the request waits.
  */
 bool
@@ -212,6 +213,10 @@
 		placement_reject(p, call, REJECT_NO_BUDGET, now_us);
 		return false;
 	}
+	if (request->repeat && refusal_window_refuses(&p->refusals, now_us)) {
+		placement_reject(p, call, REJECT_NO_ROOM, now_us);
+		return false;
+	}
 	placement_enqueue(p, call);
 	if (p->waiting->pdata[0] == call)
 		placement_grant_or_queue(p, call, now_us);
@@ -270,6 +275,7 @@
 		send->target = NULL;
 		placement_release_slot(p, t, now_us);
 	}
+	placement_record_refusal(p, outcome, now_us);
 	if (t != NULL) {
 		placement_record_outcome(t, outcome, now_us);
 		if (load != NULL)
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -49,7 +49,12 @@
 	OUTCOME_SHED, /* the target refused to run the request */
 	OUTCOME_UNREACHABLE, /* no connection; nothing was sent */
 	OUTCOME_TIMED_OUT, /* sent, but not answered in time */
-	OUTCOME_ABANDONED /* the caller left, or another answer was used */
+	OUTCOME_ABANDONED, /* the caller left, or another answer was used */
+	/*
+	 * The target reset the connection while it was known to be full.  Only
+	 * within an instance: to others it is sent as OUTCOME_SHED.
+	 */
+	OUTCOME_RESET_FULL
 };
 
 enum placement_reason {
@@ -156,6 +161,18 @@
  */
 void placement_on_probe(struct placement *placement, const char *target,
     const struct target_load *load, uint64_t now_us) ATTR_NONNULL(1, 2);
+/*
+ * Whether a target is known to be full, apart from the sends of a request (user,
+ * which may be unknown).
+ */
+bool placement_is_full(const struct placement *placement, const char *target,
+    void *user, uint64_t now_us) ATTR_NONNULL(1, 2);
+/* Whether the service's targets are known to reset connections when full. */
+bool placement_has_resets(
+    const struct placement *placement, uint64_t now_us) ATTR_NONNULL_ALL;
+/* Another instance knows that. */
+void placement_note_resets(
+    struct placement *placement, uint64_t now_us) ATTR_NONNULL_ALL;
 /* Whether there are no calls; then no tick is necessary. */
 bool placement_is_idle(const struct placement *placement) ATTR_NONNULL_ALL;
 /* Retries queued requests; to be called every few milliseconds. */
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "placement/occupancy_curve.h"
 #include "placement/placement.h"
+#include "placement/refusal_window.h"
 #include "placement/service_time.h"
 #include "placement/speed_period.h"
 #include "placement/warmup_budget.h"
@@ -20,6 +21,11 @@
 	DOWN_INITIAL_US = 400 * 1000, /* several probe intervals */
 	DOWN_MAX_US = 4 * 1000 * 1000,
 	SHED_PAUSE_US = 30 * 1000, /* a third of the shortest request */
+	/*
+	 * How long a service is known for targets that reset connections; each
+	 * reset shows it again.
+	 */
+	RESETS_REMEMBERED_US = 600 * 1000 * 1000,
 	CALL_EXPIRE_US = 500 * 1000, /* after its deadline */
 	RETRY_AFTER_MIN_US = 50 * 1000,
 	/*
@@ -60,6 +66,8 @@
 	unsigned low_count_probes;
 	uint64_t low_count_since_us;
 	double slowness; /* reported; 1 is usual */
+	unsigned reported_requests; /* running and waiting */
+	unsigned most_waiting; /* ever reported */
 	/* Time that a request here since its start has spent at each level. */
 	struct occupancy_exposure exposure;
 	uint64_t exposed_us; /* time of the last update */
@@ -119,6 +127,9 @@
 	struct speed_period speed_period;
 	double warmup_per_s; /* requests that a cold target tolerates; 0: all */
 	bool grants_cold; /* it is the scheduler */
+	struct refusal_window refusals;
+	/* until then its targets are known to reset connections when full */
+	uint64_t resets_until_us;
 	uint64_t held_back; /* requests kept from a cold target by its rate */
 	struct random random;
 	GHashTable *targets; /* id -> struct target */
@@ -191,6 +202,12 @@
 void placement_count_held_back(
     struct placement *p, struct call *call, uint64_t now_us);
 
+/* placement_full.c: targets that reset connections when they are full */
+bool target_room_is_known(const struct placement *p, const struct target *t,
+    const struct placement_request *request, uint64_t now_us);
+void placement_record_refusal(
+    struct placement *p, enum placement_outcome outcome, uint64_t now_us);
+
 /* placement.c */
 /* Removes a call and releases the slots of its sends. */
 void
--- a/src/placement/placement_feedback.c
+++ b/src/placement/placement_feedback.c
@@ -30,6 +30,9 @@
 
 	if (load->slots > 0)
 		t->slots = load->slots;
+	t->reported_requests = load->running + load->waiting;
+	if (load->waiting > t->most_waiting)
+		t->most_waiting = load->waiting;
 	if (t->reported_us != 0 &&
 	    (slowness > t->slowness * speed_change_ratio ||
 		slowness * speed_change_ratio < t->slowness))
@@ -156,6 +159,9 @@
 		target_record_outcome(t, 0.5, now_us);
 		t->shed_until_us = now_us + SHED_PAUSE_US;
 		break;
+	case OUTCOME_RESET_FULL:
+		t->shed_until_us = now_us + SHED_PAUSE_US;
+		break;
 	case OUTCOME_UNREACHABLE:
 		target_record_outcome(t, 1, now_us);
 		target_mark_down(t, now_us);
--- a/src/placement/placement_hedge.c
+++ b/src/placement/placement_hedge.c
@@ -68,7 +68,8 @@
 			return;
 	}
 	best = placement_best_target(p, call, now_us, &finish);
-	if (best == NULL || now_us + (uint64_t)finish > r->objective_us ||
+	if (best == NULL || refusal_window_refuses(&p->refusals, now_us) ||
+	    now_us + (uint64_t)finish > r->objective_us ||
 	    !repeat_budget_allows(&p->budget, hedge_budget_share, now_us))
 		return;
 	placement_grant(p, call, best, finish, now_us);
--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -359,6 +359,7 @@
 
 		if (!target_takes_requests(p, t, now_us) ||
 		    !target_has_room(p, t, now_us) || is_excluded(call, t) ||
+		    !target_room_is_known(p, t, &call->request, now_us) ||
 		    target_is_away(t, call->request.requester, now_us))
 			continue;
 		f = target_finish_time(p, t, call, now_us);
@@ -415,6 +416,7 @@
 
 		if (!target_takes_requests(p, t, now_us) ||
 		    !target_has_room(p, t, now_us) || is_excluded(call, t) ||
+		    !target_room_is_known(p, t, &call->request, now_us) ||
 		    target_is_away(t, call->request.requester, now_us))
 			continue;
 		finish = target_finish_time(p, t, call, now_us) +
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -2824,7 +2824,7 @@
     fleet__ask__field_indices_by_name, 2, fleet__ask__number_ranges,
     (ProtobufCMessageInit)fleet__ask__init, NULL, NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__grant__field_descriptors[6] = {
+static const ProtobufCFieldDescriptor fleet__grant__field_descriptors[7] = {
     {
 	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
 	0, /* quantifier_offset */
@@ -2862,20 +2862,27 @@
 	offsetof(Fleet__Grant, speed), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"resets", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Grant, resets), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__grant__field_indices_by_name[] = {
     2, /* field[2] = expected_ms */
     3, /* field[3] = parts */
     0, /* field[0] = request */
+    6, /* field[6] = resets */
     5, /* field[5] = speed */
     1, /* field[1] = target */
     4, /* field[4] = work_us */
 };
 static const ProtobufCIntRange fleet__grant__number_ranges[1 + 1] = {
-    {1, 0}, {0, 6}};
+    {1, 0}, {0, 7}};
 const ProtobufCMessageDescriptor fleet__grant__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Grant", "Grant",
-    "Fleet__Grant", "fleet", sizeof(Fleet__Grant), 6,
+    "Fleet__Grant", "fleet", sizeof(Fleet__Grant), 7,
     fleet__grant__field_descriptors, fleet__grant__field_indices_by_name, 1,
     fleet__grant__number_ranges, (ProtobufCMessageInit)fleet__grant__init, NULL,
     NULL, NULL /* reserved[123] */
@@ -2954,7 +2961,7 @@
     fleet__cancel__number_ranges, (ProtobufCMessageInit)fleet__cancel__init,
     NULL, NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__done__field_descriptors[14] = {
+static const ProtobufCFieldDescriptor fleet__done__field_descriptors[15] = {
     {
 	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
 	0, /* quantifier_offset */
@@ -3041,6 +3048,12 @@
 	offsetof(Fleet__Done, away_ms), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"reset", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Done, reset), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__done__field_indices_by_name[] = {
     13, /* field[13] = away_ms */
@@ -3048,6 +3061,7 @@
     6, /* field[6] = has_load */
     4, /* field[4] = outcome */
     0, /* field[0] = request */
+    14, /* field[14] = reset */
     3, /* field[3] = route */
     7, /* field[7] = running */
     1, /* field[1] = service */
@@ -3059,10 +3073,10 @@
     8, /* field[8] = waiting */
 };
 static const ProtobufCIntRange fleet__done__number_ranges[1 + 1] = {
-    {1, 0}, {0, 14}};
+    {1, 0}, {0, 15}};
 const ProtobufCMessageDescriptor fleet__done__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Done", "Done", "Fleet__Done",
-    "fleet", sizeof(Fleet__Done), 14, fleet__done__field_descriptors,
+    "fleet", sizeof(Fleet__Done), 15, fleet__done__field_descriptors,
     fleet__done__field_indices_by_name, 1, fleet__done__number_ranges,
     (ProtobufCMessageInit)fleet__done__init, NULL, NULL,
     NULL /* reserved[123] */
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -656,10 +656,14 @@
    */
   uint32_t work_us;
   ProtobufCBinaryData speed;
+  /*
+   * the service's targets reset connections when full
+   */
+  protobuf_c_boolean resets;
 };
 #define FLEET__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__grant__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, {0,NULL}, 0 }
 
 
 struct  Fleet__Reject
@@ -720,10 +724,14 @@
    * how long the sender has to back off from the target
    */
   uint32_t away_ms;
+  /*
+   * the target reset the connection before an answer
+   */
+  protobuf_c_boolean reset;
 };
 #define FLEET__DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__done__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/benchmark/bench_cold.c
+++ b/test/benchmark/bench_cold.c
@@ -23,7 +23,7 @@
 	ATTEMPTS_MAX = 2,
 	SLOTS = 4,
 	PLACES = 8, /* slots and waiting places of a target */
-	DOMAINS = 2,
+	DOMAINS = 4,
 	STEP_MS = 1,
 	SECONDS = 60,
 	COLD_MS = 8000,
