--- a/src/flow/flow_cold.c
+++ b/src/flow/flow_cold.c
@@ -93,6 +93,8 @@
 		if (!pool->assumed_cold)
 			set_end(pool, target->warmup_end_us, "report");
 	}
+	if (!flow->limits_warmup)
+		counter_set(flow->cold_targets, 0);
 }
 
 /*
