Prefer a cold target for one request a second, not for all of its rate

One request a second keeps a joining target from being left out. What more its rate allows it gets when the warm ones are busy.

--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -44,6 +44,8 @@
 	OVERDUE_FACTOR = 3,
 	/* How long a target shows a lower occupancy; several requests. */
 	EXPLORER_TURN_US = 1000 * 1000,
+	/* At least as often, a cold target gets a request. */
+	COLD_DUE_US = 1000 * 1000,
 	/* Shorter than any target keeps an idle connection open. */
 	CONNECTION_REUSE_S = 6
 };
--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -321,8 +321,10 @@
 
 /*
  * Returns whether a first send goes to a cold target although another one is
- * faster, since a target that only got what the others can't take would stay
- * without requests until they are busy.  It has to be in time there.
+ * faster: a target that only got what the others can't take would stay without
+ * requests until they are busy.  One request in COLD_DUE_US is enough for that.
+ * Where many targets start at once, all that their rates allow would be half of
+ * the load, at half the speed.  The request has to be in time there.
  */
 static bool
 is_due_cold_target(const struct placement *p, const struct target *t,
@@ -331,6 +333,7 @@
 	const struct placement_request *r = &call->request;
 
 	return target_is_cold(p, t, now_us) && call->send_count == 0 &&
+	    (t->granted_us == 0 || now_us - t->granted_us >= COLD_DUE_US) &&
 	    (!r->large || t->failure_domain == r->failure_domain) &&
 	    now_us + (uint64_t)(finish_us + failure_cost(t, call, now_us)) <=
 	    r->objective_us;
