Entry: input is not parsed while its answers are not read

Callers that sent requests ahead and read no answers took over 1 GB of an entry with memory_mb 32: a whole read was parsed at once, answered requests were freed only at the end of the loop iteration, and answers piled up.

Of a connection at most 16 requests are pending; what follows is kept unparsed and reading stops, also while its unread answers exceed a bound. One that has sent more ahead then runs one request at a time, since 120 such connections filled the queue of a service. When all connections hold more than a quarter of the memory, those that hold most and move least are closed, of the address that holds most first; a silent connection makes way for a new one.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -208,6 +208,7 @@
 		return status;
 	schedule_open(flow);
 	memory_open(flow);
+	limits_open(flow);
 	ahead_open(flow);
 	targets_open(flow);
 	leaving_open(flow);
@@ -308,6 +309,7 @@
 		uv_close((uv_handle_t *)&flow->listener, NULL);
 	uv_close((uv_handle_t *)&flow->sweep, NULL);
 	ahead_close(flow);
+	limits_close(flow);
 	schedule_close(flow);
 	datagram_close(flow);
 	targets_close(flow);
--- a/src/flow/flow_caller.c
+++ b/src/flow/flow_caller.c
@@ -14,13 +14,6 @@
 	RESERVED_DESCRIPTORS = 700
 };
 
-struct write {
-	uv_write_t request;
-	struct caller *caller;
-	struct str_buf bytes;
-	size_t charged;
-};
-
 static void
 on_closed(uv_handle_t *handle)
 {
@@ -51,6 +44,8 @@
 		return;
 	caller->closing = true;
 	ahead_forget(caller);
+	limit_forget(caller);
+	limit_release(caller);
 	caller_drop_partial_request(caller);
 	while ((x = g_queue_pop_head(&caller->exchanges)) != NULL)
 		exchange_abandon(x);
@@ -87,64 +82,6 @@
 	    uv_now(flow->loop) - caller->active_ms);
 }
 
-static void
-write_free(struct write *write)
-{
-	str_buf_free(&write->bytes);
-	memory_track(write->caller->flow, MEMORY_ANSWERS, &write->charged, 0);
-	mem_free(write);
-}
-
-static void
-on_written(uv_write_t *request, int status)
-{
-	struct write *write = (struct write *)request;
-	struct caller *caller = write->caller;
-
-	write_free(write);
-	caller->writes--;
-	if (caller->closing)
-		return;
-	if (status != 0) {
-		caller_log_cut(caller, "connection_lost", uv_strerror(status));
-		caller_close(caller);
-		return;
-	}
-	caller->active_ms = uv_now(caller->flow->loop);
-	caller_flush(caller);
-}
-
-/*
- * Writes data, immediately as far as the socket accepts it.
- */
-void
-caller_write(struct caller *caller, struct str bytes)
-{
-	uv_buf_t buf = uv_buf_init((char *)bytes.data, (unsigned)bytes.len);
-	struct write *write;
-	int n = caller->writes == 0
-	    ? uv_try_write((uv_stream_t *)&caller->tcp, &buf, 1)
-	    : 0;
-
-	delivery_write(&caller->delivery, bytes.len);
-	if (n > 0)
-		bytes = str_of(bytes.data + n, bytes.len - (size_t)n);
-	if (bytes.len == 0)
-		return;
-	write = mem_calloc(1, sizeof(*write));
-	write->caller = caller;
-	str_buf_reserve(&write->bytes, bytes.len + 1);
-	str_buf_append(&write->bytes, bytes);
-	memory_track(caller->flow, MEMORY_ANSWERS, &write->charged,
-	    write->bytes.capacity);
-	buf = uv_buf_init(write->bytes.data, (unsigned)bytes.len);
-	if (uv_write(&write->request, (uv_stream_t *)&caller->tcp, &buf, 1,
-		on_written) != 0)
-		write_free(write);
-	else
-		caller->writes++;
-}
-
 static void
 on_alloc(uv_handle_t *handle, size_t suggested ATTR_UNUSED, uv_buf_t *buf)
 {
@@ -175,8 +112,12 @@
 caller_resume_reading(struct caller *caller)
 {
 	if (!caller->paused || caller->closing || caller->awaits_memory ||
-	    caller->exchanges.length >=
-		(memory_pipeline_max(caller->flow) + 1) / 2)
+	    caller->parsing ||
+	    caller->exchanges.length >= (limit_ahead_max(caller) + 1) / 2 ||
+	    !connection_budget_may_resume(
+		&caller->flow->connections, caller->unread))
+		return;
+	if (!caller->no_more_requests && limit_queue_turn(caller))
 		return;
 	if (tcp_peer_has_ended(&caller->tcp))
 		caller->no_more_requests = true;
@@ -194,7 +135,7 @@
 		bool last;
 
 		if (x->out.len > 0) {
-			caller_write(caller, str_buf_view(&x->out));
+			caller_write_output(caller, &x->out);
 			str_buf_free(&x->out);
 			memory_track_answer(x);
 			caller->active_ms = uv_now(caller->flow->loop);
@@ -293,10 +234,11 @@
 	/* The input may have arrived while the loop was held up. */
 	uv_update_time(caller->flow->loop);
 	caller->active_ms = uv_now(caller->flow->loop);
+	caller->turn_requests = 0;
 	caller_parse(caller, buf->base, (size_t)n);
 	if (caller->closing)
 		return;
-	if (caller->exchanges.length >= memory_pipeline_max(caller->flow) &&
+	if (caller->exchanges.length >= limit_ahead_max(caller) &&
 	    !caller->paused) {
 		caller->paused = true;
 		uv_read_stop(stream);
@@ -309,6 +251,7 @@
 {
 	struct flow *flow = listener->data;
 	struct caller *caller;
+	int peer_len = sizeof(caller->peer);
 
 	if (status != 0) {
 		log_warn("accept_failed", "instance=%s reason=\"%s\"",
@@ -320,18 +263,23 @@
 	uv_tcp_init(flow->loop, &caller->tcp);
 	caller->tcp.data = caller;
 	caller->link.data = caller;
-	caller->active_ms = uv_now(flow->loop);
+	caller->active_ms = caller->opened_ms = uv_now(flow->loop);
 	http_parser_init(&caller->parser, HTTP_REQUEST);
 	caller->parser.data = caller;
 	g_queue_init(&caller->exchanges);
 	g_queue_push_tail_link(&flow->callers, &caller->link);
-	if (uv_accept(listener, (uv_stream_t *)&caller->tcp) != 0 ||
-	    (flow->callers.length + RESERVED_DESCRIPTORS >
-		    flow->settings.descriptors &&
-		!callers_yield_lingering(flow))) {
+	if (uv_accept(listener, (uv_stream_t *)&caller->tcp) != 0) {
 		caller_close(caller);
 		return;
 	}
+	(void)uv_tcp_getpeername(
+	    &caller->tcp, (struct sockaddr *)&caller->peer, &peer_len);
+	if (flow->callers.length + RESERVED_DESCRIPTORS >
+		flow->settings.descriptors &&
+	    !callers_yield_lingering(flow) && !limits_yield_silent(flow)) {
+		limit_refuse_connection(caller);
+		return;
+	}
 	/*
 	 * No user timeout: the kernel applies it to callers that read slowly,
 	 * too, although their hosts acknowledge all along.
@@ -367,14 +315,16 @@
 	const struct routes *routes = flow->routes;
 	uint64_t idle_ms = now_ms - caller->active_ms;
 	bool idle = caller->exchanges.length == 0 && caller->reading == NULL &&
-	    caller->head_started_ms == 0 && caller->writes == 0;
+	    caller->held.len == 0 && caller->head_started_ms == 0 &&
+	    caller->writes == 0;
 
 	if (caller->lingering) {
 		caller_sweep_lingering(caller, now_ms);
 		return;
 	}
 	ahead_sweep(caller);
-	if (caller->paused && tcp_peer_has_ended(&caller->tcp)) {
+	if (caller->paused && caller->turn_link.data == NULL &&
+	    tcp_peer_has_ended(&caller->tcp)) {
 		/* libuv reports no close while it doesn't read. */
 		caller->no_more_requests = true;
 		caller_read(caller);
@@ -451,6 +401,7 @@
 	if (uv_timer_get_repeat(timer) == SWEEP_MS)
 		record_loop_lag(flow);
 	callers_sweep(flow);
+	limits_sweep(flow);
 	memory_sweep(flow);
 	stop_tick(flow);
 	targets_sweep(flow);
@@ -475,6 +426,8 @@
 	if (address_parse(flow->settings.caller_address, &at))
 		error = uv_tcp_bind(
 		    &flow->listener, (const struct sockaddr *)&at, 0);
+	if (error == 0)
+		limits_set_socket(flow, &flow->listener);
 	if (error == 0)
 		error = uv_listen(
 		    (uv_stream_t *)&flow->listener, SOMAXCONN, on_connection);
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -81,6 +81,7 @@
 
 	if (--x->handles > 0)
 		return;
+	x->flow->closing_exchanges--;
 	for (unsigned i = 0; i < x->attempt_count; i++)
 		mem_free(x->attempts[i].target);
 	exchange_drop_request(x);
@@ -124,6 +125,7 @@
 	startup_unpark(x);
 	schedule_cancel(x);
 	exchange_end_attempts(x, OUTCOME_ABANDONED);
+	x->flow->closing_exchanges++;
 	uv_close((uv_handle_t *)&x->timer, on_handle_closed);
 	uv_close((uv_handle_t *)&x->ask_timer, on_handle_closed);
 }
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -106,7 +106,6 @@
 enum status callers_open(struct flow *flow);
 void callers_sweep(struct flow *flow);
 void caller_flush(struct caller *caller);
-void caller_write(struct caller *caller, struct str bytes);
 void caller_close(struct caller *caller);
 /* Reads on if nothing keeps the caller waiting. */
 void caller_resume_reading(struct caller *caller);
@@ -117,6 +116,29 @@
 void caller_read(struct caller *caller);
 void caller_drop_partial_request(struct caller *caller);
 
+/* flow_limit.c: bounds for callers' connections */
+void limits_open(struct flow *flow);
+void limits_close(struct flow *flow);
+void limits_sweep(struct flow *flow);
+void limits_set_socket(const struct flow *flow, uv_tcp_t *listener);
+/* How many requests of a connection may be pending before it is not read on. */
+unsigned limit_ahead_max(const struct caller *caller);
+/* Whether the next request of a connection waits before it is parsed. */
+bool limit_must_hold(const struct caller *caller);
+void limit_hold(struct caller *caller, struct str input);
+void limit_forget(struct caller *caller);
+bool limit_queue_turn(struct caller *caller);
+/* Closes connections soon if all hold too much; after a change of one. */
+void limit_check(struct caller *caller);
+void limit_release(struct caller *caller);
+bool limits_yield_silent(struct flow *flow);
+void limit_refuse_connection(struct caller *caller);
+
+/* flow_write.c: output */
+void caller_write(struct caller *caller, struct str bytes);
+/* The same, without a copy of most of the buffer, which may be taken over. */
+void caller_write_output(struct caller *caller, struct str_buf *out);
+
 /* flow_linger.c: the end of a caller's connection after its last answer */
 void caller_linger(struct caller *caller);
 void caller_sweep_lingering(struct caller *caller, uint64_t now_ms);
--- a/src/flow/flow_linger.c
+++ b/src/flow/flow_linger.c
@@ -26,6 +26,7 @@
 	if (caller->lingering)
 		return;
 	caller->lingering = true;
+	limit_forget(caller);
 	linger_start(&caller->linger_wait, uv_now(caller->flow->loop));
 	if (caller->paused)
 		caller_read(caller);
--- a/src/flow/flow_memory.c
+++ b/src/flow/flow_memory.c
@@ -11,6 +11,7 @@
 	WAIT_FRACTION = 4, /* of the caller's timeout */
 	RETRY_AFTER_US = 300 * 1000,
 	WAITING_READ_BYTES = 8 << 10,
+	HEAD_READ_BYTES = 16 << 10, /* several heads; the rest is kept */
 	OUTPUT_MAX_BYTES = 512 << 10, /* not yet read by the caller */
 	TIGHT_OUTPUT_MAX_BYTES = 64 << 10, /* if memory is short */
 };
@@ -98,9 +99,10 @@
 size_t
 memory_read_bytes(const struct caller *caller)
 {
-	return caller->flow->memory_waiters.length > 0 && !caller->in_body
-	    ? WAITING_READ_BYTES
-	    : READ_BYTES;
+	if (caller->in_body)
+		return READ_BYTES;
+	return caller->flow->memory_waiters.length > 0 ? WAITING_READ_BYTES
+						       : HEAD_READ_BYTES;
 }
 
 /*
--- a/src/flow/flow_outcome.c
+++ b/src/flow/flow_outcome.c
@@ -89,8 +89,10 @@
 
 	str_buf_clear(&x->out);
 	answer_target_head(x, up, true, &x->out);
-	if (x->method != HTTP_HEAD)
+	if (x->method != HTTP_HEAD) {
+		str_buf_reserve(&x->out, x->out.len + up->body.len + 1);
 		str_buf_append(&x->out, str_buf_view(&up->body));
+	}
 	x->ended = true;
 	if (success)
 		ahead_record_answer(x, x->out.len);
--- a/src/flow/flow_read.c
+++ b/src/flow/flow_read.c
@@ -200,6 +200,8 @@
 		caller->no_more_requests = true;
 		x->close_after = true;
 	}
+	caller->served = true;
+	caller->turn_requests++;
 	g_queue_push_tail(&caller->exchanges, x);
 	exchange_begin(x);
 	if (caller->no_more_requests || caller->closing)
@@ -234,11 +236,17 @@
 void
 caller_parse(struct caller *caller, const char *data, size_t len)
 {
+	caller->parsing = true;
 	while (len > 0 && !caller->closing && !caller->no_more_requests) {
 		const struct routes *routes = caller->flow->routes;
-		ssize_t piece = request_scan(&caller->scan, data, len);
+		ssize_t piece;
 		size_t used;
 
+		if (caller->reading == NULL && limit_must_hold(caller)) {
+			limit_hold(caller, str_of(data, len));
+			break;
+		}
+		piece = request_scan(&caller->scan, data, len);
 		if (piece < 0) {
 			(void)caller_fail(caller, 400,
 			    caller->in_body ? "malformed chunk"
@@ -259,4 +267,5 @@
 		data += used;
 		len -= used;
 	}
+	caller->parsing = false;
 }
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -9,6 +9,7 @@
 #include <uv.h>
 
 #include "base/clock.h"
+#include "base/connection_budget.h"
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "base/linger.h"
@@ -74,6 +75,20 @@
 	struct delivery delivery; /* of its answers */
 	bool sends_ahead; /* a request came before earlier answers arrived */
 	GList ahead_link; /* in flow->ahead_waiters while its data is set */
+	struct sockaddr_in peer;
+	uint64_t opened_ms;
+	bool served; /* a whole request has arrived */
+	bool parsing; /* caller_parse() is on the stack */
+	struct str_buf held; /* input that is not parsed yet */
+	size_t held_charged;
+	size_t unread; /* bytes of answers that the socket has not taken */
+	size_t queued; /* the same when last checked */
+	unsigned still_checks; /* checks since the caller last took something */
+	/* it has sent more than PIPELINE_MAX requests ahead, not all parsed */
+	bool beyond_pipeline;
+	unsigned turn_requests; /* parsed since its turn began */
+	GList turn_link; /* in flow->turns while its data is set */
+	struct connection_use use;
 };
 
 /* Whose response it is. */
@@ -361,6 +376,11 @@
 	GQueue memory_waiters; /* struct caller, oldest request first */
 	GQueue ahead_waiters; /* struct caller with requests that wait */
 	uv_timer_t ahead_timer; /* runs while there are any */
+	struct connection_budget connections;
+	GQueue turns; /* struct caller that go on in the next iteration */
+	uv_idle_t turn; /* runs while there are any */
+	uv_timer_t limit_timer; /* runs while all hold too much */
+	unsigned closing_exchanges; /* ended ones whose timers are closing */
 	GPtrArray *idle_blocks; /* of bodies */
 	size_t idle_charged;
 	uv_timer_t sweep;
@@ -406,6 +426,8 @@
 	struct counter *memory_bytes[MEMORY_USES];
 	struct counter *memory_refused;
 	struct counter *memory_waits;
+	struct counter *limited[CONNECTION_LIMITS];
+	struct counter *input_pauses;
 	struct histogram latency; /* microseconds, answered requests */
 };
 
--- a/src/limit/memory_budget.c
+++ b/src/limit/memory_budget.c
@@ -15,6 +15,7 @@
     [MEMORY_REQUEST_HEADS] = "request_heads",
     [MEMORY_RESPONSES] = "responses",
     [MEMORY_ANSWERS] = "answers",
+    [MEMORY_INPUT] = "input",
     [MEMORY_IDLE] = "idle",
 };
 
--- a/src/limit/memory_budget.h
+++ b/src/limit/memory_budget.h
@@ -17,6 +17,7 @@
 	MEMORY_REQUEST_HEADS, /* written to targets */
 	MEMORY_RESPONSES, /* of targets, not complete yet */
 	MEMORY_ANSWERS, /* not yet taken by callers */
+	MEMORY_INPUT, /* of callers, not yet parsed */
 	MEMORY_IDLE, /* kept for later bodies, freed when room is needed */
 	MEMORY_USES
 };
