Small HTTP servers and own link: bounds for input, answers and connections

The servers for ready, control, lookup and metrics answered requests whose answers nobody read, and kept bodies and unfinished frames without a bound for the process; the number of connections was not bound by max_fds.

A connection is not read on while its unread answers exceed a bound. All connections of the process share one bound each for the HTTP servers and the own link, and the number of connections follows from max_fds. At a bound the connections that hold most and move least are closed, with a counter and a limited log line. An HTTP request has 30 s.

--- a/src/net/api.c
+++ b/src/net/api.c
@@ -8,14 +8,15 @@
 #include "net/address.h"
 
 enum {
-	CONNECTIONS_MAX = 1024, /* a quarter of 4,100 file descriptors */
 	IDLE_TIMEOUT_MS = 30 * 1000, /* callers poll every 1.5 s at most */
+	REQUEST_TIMEOUT_MS = 30 * 1000, /* of a head and body, to their end */
 	LINGER_POLL_MS = 50
 };
 
 struct write {
 	uv_write_t request;
 	struct connection *connection;
+	size_t allocated;
 	char bytes[];
 };
 
@@ -26,7 +27,7 @@
 
 	if (--c->open_handles > 0)
 		return;
-	c->server->connections--;
+	api_limit_remove_connection(c);
 	if (c->previous != NULL)
 		c->previous->next = c->next;
 	else
@@ -54,6 +55,7 @@
 			api_exchange_free(c->exchange);
 		c->exchange = NULL;
 	}
+	api_limit_update(c);
 	uv_close((uv_handle_t *)&c->tcp, on_handle_closed);
 	uv_close((uv_handle_t *)&c->timer, on_handle_closed);
 }
@@ -134,7 +136,7 @@
 {
 	struct connection *c = handle->data;
 
-	*buf = uv_buf_init(c->input, sizeof(c->input));
+	*buf = uv_buf_init(c->server->input, sizeof(c->server->input));
 }
 
 static void
@@ -157,8 +159,17 @@
 		return;
 	if (n > 0)
 		api_parse_input(c, buf->base, (size_t)n);
-	if (!c->closing && !c->lingering)
-		uv_timer_again(&c->timer);
+	if (c->closing || c->lingering)
+		return;
+	api_limit_update(c);
+	if (c->closing)
+		return;
+	if (c->exchange != NULL && !c->paused &&
+	    uv_now(c->server->loop) - c->request_ms > REQUEST_TIMEOUT_MS) {
+		api_limit_close(c, CONNECTION_LIMIT_TIME);
+		return;
+	}
+	uv_timer_again(&c->timer);
 }
 
 /*
@@ -185,8 +196,8 @@
  * Closes the connection whose caller has had the last answer for longest.
  * Returns false if there is none.
  */
-static bool
-yield_connection(struct api_server *server)
+bool
+api_yield_connection(struct api_server *server)
 {
 	struct connection *first = NULL;
 
@@ -209,6 +220,8 @@
 {
 	struct api_server *server = listener->data;
 	struct connection *c;
+	int peer_len = sizeof(c->peer);
+	bool accepted;
 
 	if (status != 0) {
 		log_warn("accept_failed", "what=api reason=\"%s\"",
@@ -221,16 +234,22 @@
 	if (c->next != NULL)
 		c->next->previous = c;
 	server->first = c;
-	server->connections++;
 	uv_tcp_init(server->loop, &c->tcp);
 	uv_timer_init(server->loop, &c->timer);
 	c->open_handles = 2;
 	c->tcp.data = c->timer.data = c;
 	http_parser_init(&c->parser, HTTP_REQUEST);
 	c->parser.data = c;
-	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0 ||
-	    (server->connections > CONNECTIONS_MAX &&
-		!yield_connection(server))) {
+	c->opened_ms = uv_now(server->loop);
+	accepted = uv_accept(listener, (uv_stream_t *)&c->tcp) == 0;
+	if (accepted)
+		(void)uv_tcp_getpeername(
+		    &c->tcp, (struct sockaddr *)&c->peer, &peer_len);
+	if (!api_limit_add_connection(c)) {
+		api_limit_close(c, CONNECTION_LIMIT_COUNT);
+		return;
+	}
+	if (!accepted) {
 		api_connection_close(c);
 		return;
 	}
@@ -247,6 +266,7 @@
 static void
 on_listen_failed(uv_handle_t *handle)
 {
+	api_limit_remove_server(handle->data);
 	mem_free(handle->data);
 }
 
@@ -266,11 +286,14 @@
 	server->body_max_bytes = body_max_bytes;
 	server->handler = handler;
 	server->ctx = ctx;
+	api_limit_add_server(server);
 	uv_tcp_init(loop, &server->tcp);
 	server->tcp.data = server;
 	if (address_parse(address, &at))
 		error =
 		    uv_tcp_bind(&server->tcp, (const struct sockaddr *)&at, 0);
+	if (error == 0)
+		api_limit_set_socket(&server->tcp);
 	if (error == 0)
 		error = uv_listen(
 		    (uv_stream_t *)&server->tcp, SOMAXCONN, on_connection);
@@ -287,10 +310,14 @@
 on_written(uv_write_t *request, int status)
 {
 	struct write *write = (struct write *)request;
+	struct connection *c = write->connection;
 
-	if (status != 0)
-		api_connection_close(write->connection);
+	api_limit_free(c, write->allocated);
 	mem_free(write);
+	if (status != 0)
+		api_connection_close(c);
+	else
+		api_unblock(c);
 }
 
 /*
@@ -313,6 +340,10 @@
 		api_exchange_free(e);
 		return;
 	}
+	if (!api_limit_has_room(c, body.len)) {
+		status = 503;
+		body = STR_LITERAL("{\"error\":\"no memory for the answer\"}");
+	}
 	close_after = !e->keep_alive || c->server->closing;
 	len = snprintf(head, sizeof(head),
 	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
@@ -321,20 +352,23 @@
 	    body.len, close_after ? "Connection: close\r\n" : "");
 	write = mem_alloc(sizeof(*write) + (size_t)len + body.len);
 	write->connection = c;
+	write->allocated = sizeof(*write) + (size_t)len + body.len;
 	memcpy(write->bytes, head, (size_t)len);
 	if (body.len > 0)
 		memcpy(write->bytes + len, body.data, body.len);
 	api_exchange_free(e);
+	c->exchange = NULL;
+	api_limit_allocate(c, write->allocated);
 	buf = uv_buf_init(write->bytes, (unsigned)((size_t)len + body.len));
-	if (uv_write(&write->request, (uv_stream_t *)&c->tcp, &buf, 1,
+	if (c->closing ||
+	    uv_write(&write->request, (uv_stream_t *)&c->tcp, &buf, 1,
 		on_written) != 0) {
+		api_limit_free(c, write->allocated);
 		mem_free(write);
-		c->exchange = NULL;
 		api_connection_close(c);
 		return;
 	}
 	if (close_after) {
-		c->exchange = NULL;
 		c->paused = false;
 		api_connection_linger(c);
 		return;
--- a/src/net/api_internal.h
+++ b/src/net/api_internal.h
@@ -6,7 +6,9 @@
 
 #include <http_parser.h>
 
+#include "base/connection_budget.h"
 #include "base/linger.h"
+#include "net/address.h"
 #include "net/api.h"
 
 enum {
@@ -20,8 +22,9 @@
 	api_handler *handler;
 	void *ctx;
 	struct connection *first;
-	unsigned connections;
+	struct api_server *next; /* that shares the bounds */
 	bool closing;
+	char input[API_READ_BYTES]; /* of the connection that is read */
 };
 
 struct connection {
@@ -43,7 +46,14 @@
 	uv_shutdown_t shutdown;
 	char *pipelined; /* input received after the current request */
 	size_t pipelined_len;
-	char input[API_READ_BYTES];
+	bool blocked; /* the next request waits until answers are read */
+	bool served; /* a whole request has arrived */
+	struct sockaddr_in peer;
+	uint64_t opened_ms;
+	uint64_t request_ms; /* start of the request being received */
+	size_t unread; /* bytes of buffers for its answers */
+	size_t queued; /* bytes that the socket has not taken, when checked */
+	struct connection_use use;
 };
 
 struct exchange {
@@ -74,6 +84,35 @@
 /* Starts or resumes reading. */
 void api_connection_read(struct connection *connection) ATTR_NONNULL_ALL;
 
+/*
+ * Closes the connection whose caller has had the last answer for longest; false
+ * if there is none.
+ */
+bool api_yield_connection(struct api_server *server) ATTR_NONNULL_ALL;
+
+/* api_limit.c: bounds shared by all servers of the process. */
+void api_limit_add_server(struct api_server *server) ATTR_NONNULL_ALL;
+void api_limit_remove_server(const struct api_server *server) ATTR_NONNULL_ALL;
+void api_limit_set_socket(uv_tcp_t *listener) ATTR_NONNULL_ALL;
+bool api_limit_add_connection(struct connection *connection) ATTR_NONNULL_ALL;
+void
+api_limit_remove_connection(struct connection *connection) ATTR_NONNULL_ALL;
+/* Logs and counts a connection that is closed at a limit, and closes it. */
+void api_limit_close(struct connection *connection,
+    enum connection_limit limit) ATTR_NONNULL_ALL;
+/* Records what a connection holds now; this may close it or others. */
+void api_limit_update(struct connection *connection) ATTR_NONNULL_ALL;
+/* A buffer for answers was allocated or freed. */
+void api_limit_allocate(
+    struct connection *connection, size_t bytes) ATTR_NONNULL_ALL;
+void
+api_limit_free(struct connection *connection, size_t bytes) ATTR_NONNULL_ALL;
+bool api_limit_has_room(
+    struct connection *connection, size_t bytes) ATTR_NONNULL_ALL;
+/* Whether the next request waits until answers are read. */
+bool api_limit_must_wait(const struct connection *connection) ATTR_NONNULL_ALL;
+bool api_limit_may_resume(const struct connection *connection) ATTR_NONNULL_ALL;
+
 /* api_parse.c: requests. */
 /*
  * Parses input and dispatches its requests.  The input after a request that is
@@ -83,6 +122,8 @@
     size_t len) ATTR_NONNULL_ALL;
 /* Resumes parsing with the input saved during the last request. */
 void api_resume(struct connection *connection) ATTR_NONNULL_ALL;
+/* Does so if only unread answers have kept the next request waiting. */
+void api_unblock(struct connection *connection) ATTR_NONNULL_ALL;
 void api_exchange_free(struct exchange *exchange) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/net/api_parse.c
+++ b/src/net/api_parse.c
@@ -9,7 +9,7 @@
 
 enum {
 	/* Input received while a request is being processed. */
-	PIPELINED_MAX_BYTES = 64 << 10,
+	PIPELINED_MAX_BYTES = 16 << 10,
 	HEADER_MAX_BYTES = 8 << 10 /* request target and headers */
 };
 
@@ -27,6 +27,7 @@
 {
 	struct connection *c = parser->data;
 
+	c->request_ms = uv_now(c->server->loop);
 	c->exchange = mem_calloc(1, sizeof(*c->exchange));
 	c->exchange->connection = c;
 	return 0;
@@ -102,6 +103,7 @@
 {
 	struct connection *c = parser->data;
 
+	c->served = true;
 	c->exchange->keep_alive = http_should_keep_alive(parser) != 0;
 	/* No other protocol is offered: what follows is the next request. */
 	parser->upgrade = 0;
@@ -138,13 +140,13 @@
 }
 
 /*
- * Saves input that arrives while a request is being processed.  From
- * PIPELINED_MAX_BYTES on no more is read until the request is answered.
+ * Saves input that arrives while a request is being processed or answers wait
+ * to be read.  From PIPELINED_MAX_BYTES on no more is read until then.
  */
 static void
 save_pipelined(struct connection *c, const char *data, size_t len)
 {
-	if (c->pipelined_len + len >= PIPELINED_MAX_BYTES)
+	if (c->blocked || c->pipelined_len + len >= PIPELINED_MAX_BYTES)
 		uv_read_stop((uv_stream_t *)&c->tcp);
 	c->pipelined = mem_resize(c->pipelined, c->pipelined_len + len);
 	memcpy(c->pipelined + c->pipelined_len, data, len);
@@ -160,17 +162,20 @@
 parse(struct connection *c, const char *data, size_t len)
 {
 	c->parsing = true;
-	while (len > 0 && !c->paused && !c->closing && !c->lingering) {
+	while (len > 0 && !c->paused && !c->closing && !c->lingering &&
+	    !c->blocked) {
 		size_t used = http_parser_execute(
 		    &c->parser, &parser_settings, data, len);
 
 		data += used;
 		len -= used;
-		if (c->paused)
+		if (c->paused) {
 			dispatch_request(c);
-		else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+			c->blocked = api_limit_must_wait(c);
+		} else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) {
 			/* Earlier answers may still be on their way. */
 			api_connection_linger(c);
+		}
 	}
 	c->parsing = false;
 	if (len > 0 && !c->closing && !c->lingering)
@@ -184,7 +189,7 @@
 void
 api_parse_input(struct connection *c, const char *data, size_t len)
 {
-	if (c->paused)
+	if (c->paused || c->blocked)
 		save_pipelined(c, data, len);
 	else
 		parse(c, data, len);
@@ -206,9 +211,28 @@
 	http_parser_pause(&c->parser, 0);
 	if (c->parsing)
 		return;
+	c->blocked = api_limit_must_wait(c);
+	if (c->blocked) {
+		uv_read_stop((uv_stream_t *)&c->tcp);
+		return;
+	}
 	c->pipelined = NULL;
 	c->pipelined_len = 0;
 	api_connection_read(c);
 	parse(c, pipelined, len);
 	mem_free(pipelined);
 }
+
+/*
+ * Resumes parsing when enough of the answers has been read.
+ */
+void
+api_unblock(struct connection *c)
+{
+	if (!c->blocked || c->closing || c->lingering || c->parsing ||
+	    !api_limit_may_resume(c))
+		return;
+	c->blocked = false;
+	if (!c->paused)
+		api_resume(c);
+}
--- a/src/net/channel.c
+++ b/src/net/channel.c
@@ -7,8 +7,7 @@
 
 #include "base/logger.h"
 #include "base/memory.h"
-#include "base/refcount.h"
-#include "net/address.h"
+#include "net/channel_internal.h"
 #include "wire/codec.h"
 
 #define HEADER_BYTES ((size_t)4)
@@ -39,36 +38,12 @@
 	RECONNECT_DELAY_MAX_MS = 150
 };
 
-struct channel {
-	uv_loop_t *loop;
-	struct channel_callbacks callbacks;
-	char address[ADDRESS_BYTES]; /* empty for an accepted channel */
-	uv_tcp_t *tcp; /* NULL between connection attempts */
-	uv_timer_t timer; /* ping and peer time-out, or the next attempt */
-	bool open;
-	bool closing;
-	uint64_t last_received_ms;
-	uint64_t last_sent_ms;
-	unsigned reconnect_delay_ms;
-	unsigned connect_timeouts; /* successive attempts that timed out */
-	uint8_t *in;
-	size_t in_len;
-	size_t in_capacity;
-	void *user;
-};
-
 struct channel_listener {
 	uv_tcp_t tcp;
 	uv_loop_t *loop;
 	struct channel_callbacks callbacks;
 };
 
-struct packed_frame {
-	struct refcount ref;
-	size_t len;
-	uint8_t bytes[];
-};
-
 struct write {
 	uv_write_t request;
 	struct packed_frame *packed;
@@ -106,6 +81,8 @@
 	channel->tcp = NULL;
 	channel->open = false;
 	channel->in_len = 0;
+	channel->paused = false;
+	channel_limit_remove(channel);
 	if (tcp == NULL)
 		return;
 	tcp->data = NULL;
@@ -116,8 +93,8 @@
  * Closes the connection and reports the reason to the owner.  A dialled
  * channel schedules a reconnect, an accepted one is closed.
  */
-static void
-disconnect(struct channel *channel, const char *reason)
+void
+channel_disconnect(struct channel *channel, const char *reason)
 {
 	bool was_open = channel->open;
 
@@ -157,7 +134,7 @@
 	const uv_tcp_t *tcp = channel->tcp;
 
 	if (frame == NULL) {
-		disconnect(channel, "frame unreadable");
+		channel_disconnect(channel, "frame unreadable");
 		return false;
 	}
 	if (frame->body_case != FLEET__FRAME__BODY_PING)
@@ -182,14 +159,14 @@
 	for (size_t i = 0; i < HEADER_BYTES && i < len; i++)
 		raw_len = raw_len << 8 | data[i];
 	if (len < HEADER_BYTES || raw_len > FRAME_MAX_BYTES) {
-		disconnect(channel, "deflated batch too long");
+		channel_disconnect(channel, "deflated batch too long");
 		return false;
 	}
 	raw = mem_alloc(raw_len);
 	if (uncompress(raw, &raw_len, data + HEADER_BYTES,
 		len - HEADER_BYTES) != Z_OK) {
 		mem_free(raw);
-		disconnect(channel, "deflated batch unreadable");
+		channel_disconnect(channel, "deflated batch unreadable");
 		return false;
 	}
 	open = process_batch(channel, raw, raw_len, true, &used);
@@ -209,14 +186,14 @@
 {
 	size_t at = 0;
 
-	while (len - at >= HEADER_BYTES) {
+	while (len - at >= HEADER_BYTES && !channel->paused) {
 		const uint8_t *p = data + at;
 		bool deflated = (p[0] & DEFLATED_BIT) != 0;
 		size_t body = (size_t)(p[0] & ~DEFLATED_BIT) << 24 |
 		    (size_t)p[1] << 16 | (size_t)p[2] << 8 | p[3];
 
 		if (body > FRAME_MAX_BYTES || (deflated && inflated)) {
-			disconnect(channel,
+			channel_disconnect(channel,
 			    body > FRAME_MAX_BYTES ? "frame too long"
 						   : "nested deflated batch");
 			return false;
@@ -228,6 +205,11 @@
 			? !process_deflated(channel, p + HEADER_BYTES, body)
 			: !process_frame(channel, p + HEADER_BYTES, body))
 			return false;
+		channel->paused = channel_limit_must_pause(channel);
+	}
+	if (inflated && channel->paused && at < len) {
+		channel_disconnect(channel, "peer reads too slowly");
+		return false;
 	}
 	*used = at;
 	return true;
@@ -244,11 +226,33 @@
 
 	if (!process_batch(channel, channel->in, channel->in_len, false, &used))
 		return false;
+	channel->served = channel->served || used > 0;
 	memmove(channel->in, channel->in + used, channel->in_len - used);
 	channel->in_len -= used;
+	if (channel->in_len == 0 && channel->in_capacity > READ_BYTES) {
+		/* Of a large frame, which are rare. */
+		mem_free(channel->in);
+		channel->in = NULL;
+		channel->in_capacity = 0;
+		channel_limit_input(channel);
+	}
 	return true;
 }
 
+/*
+ * Processes input, and stops reading if the peer does not read what it gets for
+ * it.
+ */
+static void
+process_all(struct channel *channel)
+{
+	if (!process_input(channel))
+		return;
+	if (channel->paused)
+		uv_read_stop((uv_stream_t *)channel->tcp);
+	channel_limit_enforce(channel);
+}
+
 static void
 on_alloc(uv_handle_t *handle, size_t suggested ATTR_UNUSED, uv_buf_t *buf)
 {
@@ -263,6 +267,7 @@
 		    ? READ_BYTES / 2
 		    : channel->in_len * 2;
 		channel->in = mem_resize(channel->in, channel->in_capacity);
+		channel_limit_input(channel);
 	}
 	*buf = uv_buf_init((char *)channel->in + channel->in_len,
 	    (unsigned)(channel->in_capacity - channel->in_len));
@@ -276,21 +281,29 @@
 	if (channel == NULL || n == 0)
 		return;
 	if (n < 0) {
-		disconnect(channel, uv_strerror((int)n));
+		channel_disconnect(channel, uv_strerror((int)n));
 		return;
 	}
 	channel->last_received_ms = uv_now(channel->loop);
 	channel->in_len += (size_t)n;
-	(void)process_input(channel);
+	process_all(channel);
 }
 
 static void
 on_written(uv_write_t *request, int status ATTR_UNUSED)
 {
 	struct write *write = (struct write *)request;
+	struct channel *channel = request->handle->data;
 
 	packed_frame_put(write->packed);
 	mem_free(write);
+	if (channel == NULL || !channel->paused ||
+	    !channel_limit_may_resume(channel))
+		return;
+	channel->paused = false;
+	channel->last_received_ms = uv_now(channel->loop);
+	uv_read_start((uv_stream_t *)channel->tcp, on_alloc, on_read);
+	process_all(channel);
 }
 
 /*
@@ -320,7 +333,7 @@
 	/* A refused connection also shows that the host is up. */
 	channel->connect_timeouts = 0;
 	if (status != 0)
-		disconnect(channel, uv_strerror(status));
+		channel_disconnect(channel, uv_strerror(status));
 	else
 		open_channel(channel);
 }
@@ -365,7 +378,7 @@
 	if (uv_tcp_connect(request, channel->tcp, (struct sockaddr *)&to,
 		on_connected) != 0) {
 		mem_free(request);
-		disconnect(channel, "connect failed");
+		channel_disconnect(channel, "connect failed");
 	}
 }
 
@@ -387,13 +400,16 @@
 	}
 	if (!channel->open) {
 		channel->connect_timeouts++;
-		disconnect(channel, "connect timed out");
+		channel_disconnect(channel, "connect timed out");
 		return;
 	}
-	if (now - channel->last_received_ms >= PEER_TIMEOUT_MS) {
-		disconnect(channel, "peer is silent");
+	/* One that is not read on may be slow; its host has to take output. */
+	if (!channel->paused &&
+	    now - channel->last_received_ms >= PEER_TIMEOUT_MS) {
+		channel_disconnect(channel, "peer is silent");
 		return;
 	}
+	channel_limit_enforce(channel);
 	if (now - channel->last_sent_ms < PING_MS / 2)
 		return;
 	frame.body_case = FLEET__FRAME__BODY_PING;
@@ -435,6 +451,7 @@
 {
 	struct channel_listener *listener = server->data;
 	struct channel *channel;
+	int peer_len = sizeof(channel->peer);
 
 	if (status != 0) {
 		log_warn("accept_failed", "what=channel reason=\"%s\"",
@@ -449,6 +466,10 @@
 		channel_close(channel);
 		return;
 	}
+	(void)uv_tcp_getpeername(
+	    channel->tcp, (struct sockaddr *)&channel->peer, &peer_len);
+	if (!channel_limit_add(channel))
+		return;
 	open_channel(channel);
 }
 
@@ -471,6 +492,8 @@
 	if (address_parse(address, &at))
 		error = uv_tcp_bind(
 		    &listener->tcp, (const struct sockaddr *)&at, 0);
+	if (error == 0)
+		channel_limit_set_socket(&listener->tcp);
 	if (error == 0)
 		error = uv_listen(
 		    (uv_stream_t *)&listener->tcp, SOMAXCONN, on_connection);
@@ -528,6 +551,7 @@
 		memcpy(packed->bytes, batch, len);
 		packed->len = len;
 	}
+	channel_limit_packed(packed->len, false);
 	return mem_resize(packed, sizeof(*packed) + packed->len);
 }
 
@@ -552,8 +576,10 @@
 void
 packed_frame_put(struct packed_frame *packed)
 {
-	if (refcount_put(&packed->ref))
-		mem_free(packed);
+	if (!refcount_put(&packed->ref))
+		return;
+	channel_limit_packed(packed->len, true);
+	mem_free(packed);
 }
 
 /*
@@ -571,7 +597,7 @@
 	if (uv_stream_get_write_queue_size((uv_stream_t *)channel->tcp) +
 		packed->len >
 	    QUEUE_MAX_BYTES) {
-		disconnect(channel, "peer reads too slowly");
+		channel_disconnect(channel, "peer reads too slowly");
 		return;
 	}
 	write = mem_calloc(1, sizeof(*write));
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -197,6 +197,26 @@
             self.check_answer(attempt, path, once, status, body, fields)
             time.sleep(rng.random() * 0.02)
 
+    def run_unread_caller(self):
+        """Sends requests ahead to entries and control and reads nothing."""
+        request = (b"GET /safe/unread HTTP/1.1\r\nHost: h.example\r\n"
+                   b"X-Attempt-Id: unread\r\nX-Request-Deadline: 1500\r\n\r\n")
+        number = 0
+        self.sent["unread"] = False
+        while not self.stopped:
+            number += 1
+            one = self.bed.instances[number % INSTANCES]
+            try:
+                with socket.create_connection(
+                        (one.ip, self.bed.port + (0, 2)[number // 4 % 2]),
+                        1) as caller:
+                    caller.settimeout(0.3)
+                    for _ in range(40):
+                        caller.sendall(request * 100)
+            except OSError:
+                pass
+            time.sleep(0.2)
+
     def check_answer(self, attempt, path, once, status, body, fields):
         with self.lock:
             self.status_counts[status] = self.status_counts.get(status, 0) + 1
@@ -357,6 +377,7 @@
             threads = [threading.Thread(target=self.run_caller, args=(i,))
                        for i in range(CALLERS)]
             threads.append(threading.Thread(target=self.edit_configs))
+            threads.append(threading.Thread(target=self.run_unread_caller))
             threads.append(
                 threading.Thread(target=self.inject_instance_faults))
             threads.append(threading.Thread(target=self.inject_target_faults))
