--- a/src/routing/accounts.c
+++ b/src/routing/accounts.c
@@ -301,3 +301,44 @@
 {
 	return g_hash_table_size(accounts->names);
 }
+
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+	const struct account *const *x = a;
+	const struct account *const *y = b;
+
+	return strcmp((*x)->name, (*y)->name);
+}
+
+/*
+ * Returns the accounts, sorted by name.
+ */
+GPtrArray *
+accounts_list(const struct accounts *accounts)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, accounts->names);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(list, value);
+	g_ptr_array_sort(list, compare_names);
+	return list;
+}
+
+/*
+ * Calls a function for each key, in the order of the document.
+ */
+void
+accounts_for_each_key(const struct accounts *accounts,
+    void (*visit)(void *ctx, const struct account *account, struct str key),
+    void *ctx)
+{
+	for (uint32_t i = 0; i < accounts->key_count; i++) {
+		const struct account_key *key = &accounts->keys[i];
+
+		visit(ctx, key->account, key_text(accounts, key));
+	}
+}
--- a/src/routing/accounts.h
+++ b/src/routing/accounts.h
@@ -6,6 +6,8 @@
 #ifndef ROUTING_ACCOUNTS_H
 #define ROUTING_ACCOUNTS_H
 
+#include <glib.h>
+
 #include "base/attr.h"
 #include "base/status.h"
 #include "base/str.h"
@@ -41,6 +43,12 @@
 const struct account *accounts_find_name(
     const struct accounts *accounts, const char *name) ATTR_NONNULL_ALL;
 unsigned accounts_count(const struct accounts *accounts) ATTR_NONNULL_ALL;
+/* The accounts by name; the caller frees the list, not its elements. */
+GPtrArray *accounts_list(const struct accounts *accounts) ATTR_NONNULL_ALL;
+/* Calls visit for each key, which must not be shown to anybody. */
+void accounts_for_each_key(const struct accounts *accounts,
+    void (*visit)(void *ctx, const struct account *account, struct str key),
+    void *ctx) ATTR_NONNULL(1, 2);
 
 /* Whether a text has 1 to max characters, all of them visible ASCII. */
 bool account_text_is_valid(struct str text, size_t max);
--- a/src/routing/routes.c
+++ b/src/routing/routes.c
@@ -283,6 +283,40 @@
 	return NULL;
 }
 
+static gint
+compare_places(gconstpointer a, gconstpointer b)
+{
+	const struct route *const *x = a;
+	const struct route *const *y = b;
+	int order = g_ascii_strcasecmp((*x)->host, (*y)->host);
+
+	return order != 0 ? order : str_compare((*x)->prefix, (*y)->prefix);
+}
+
+/*
+ * Returns all routes, sorted by host and prefix.
+ */
+GPtrArray *
+routes_list(const struct routes *routes)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter hosts;
+	gpointer host;
+
+	g_hash_table_iter_init(&hosts, routes->hosts);
+	while (g_hash_table_iter_next(&hosts, NULL, &host)) {
+		GHashTableIter iter;
+		gpointer route;
+
+		g_hash_table_iter_init(
+		    &iter, ((const struct route_host *)host)->routes);
+		while (g_hash_table_iter_next(&iter, NULL, &route))
+			g_ptr_array_add(list, route);
+	}
+	g_ptr_array_sort(list, compare_places);
+	return list;
+}
+
 /*
  * Returns the service of the next request by smooth weighted round robin; NULL
  * if no destination has a weight.
--- a/src/routing/routes.h
+++ b/src/routing/routes.h
@@ -95,6 +95,11 @@
 /* The route with the longest prefix of the path on a host, or NULL. */
 struct route *routes_find(const struct routes *routes, struct str host,
     struct str path) ATTR_NONNULL_ALL;
+/*
+ * The routes by host, without regard to case, and prefix; the caller frees the
+ * list, not its elements.
+ */
+GPtrArray *routes_list(const struct routes *routes) ATTR_NONNULL_ALL;
 /* The service of the next request, by smooth weighted round robin. */
 const struct route_service *
 route_next_destination(struct route *route) ATTR_NONNULL_ALL;
