gypsummillctl config check: check a config with control's own parser

A broken config was found only by sending it to control, and one that control accepts but that serves nobody only by its callers. Exit codes: 0 good, 1 warnings, 2 errors, 3 can't be read.

The parser knows the provider's names and is in platform/, which src/ctl may not include. So the check is a program there, gypsummill-config-check, that gypsummillctl executes.

--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -5,6 +5,7 @@
 #include "ctl/ctl_apply.h"
 #include "ctl/ctl_burn.h"
 #include "ctl/ctl_client.h"
+#include "ctl/ctl_config.h"
 #include "ctl/ctl_document.h"
 #include "ctl/ctl_group.h"
 
@@ -34,6 +35,8 @@
 static const struct ctl_command commands[] = {
     {"check", "FILE", 1, 1, false, ctl_check,
 	"validate a document without a control group"},
+    {"config", "check FILE", 2, 2, false, ctl_config,
+	"check a config of gypsummill-core; config check --help"},
     {"diff", "FILE", 1, 1, true, ctl_diff,
 	"show what applying a document would change"},
     {"apply", "FILE", 1, 1, true, ctl_apply,
@@ -128,7 +131,8 @@
 	    "\nExit codes: 0 done; 1 differs, conflict or not found; 64 "
 	    "usage;\n65 invalid document; 66 unreadable file; 69 control "
 	    "unavailable;\n73 file can't be written; 77 denied; 78 "
-	    "settings.\n");
+	    "settings.\nOf config check: 0 good; 1 warnings; 2 errors; 3 "
+	    "unreadable; 64 usage.\n");
 }
 
 /*
--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -2,10 +2,12 @@
  * gypsummillctl: validates and applies the document, explains refused calls and
  * manages the running system.
  */
+#include <string.h>
 #include <unistd.h>
 
 #include "base/settings.h"
 #include "ctl/ctl_command.h"
+#include "ctl/ctl_config.h"
 
 enum {
 	TIMEOUT_MAX_MS = 600000,
@@ -138,6 +140,9 @@
 	const struct ctl_command *command;
 	struct ctl ctl = {.settings = &settings, .out = stdout};
 
+	/* Its options are those of another program. */
+	if (argc > 1 && strcmp(argv[1], "config") == 0)
+		return ctl_config(&ctl, argv + 2);
 	ctl_command_append_help(&summary);
 	description.summary = summary.data;
 	settings_parse(&description, &argc, &argv);
--- a/src/routing/routes_check.c
+++ b/src/routing/routes_check.c
@@ -62,20 +62,6 @@
 		    routes_head_bytes(route), routes->limits.max_header_bytes);
 }
 
-/*
- * Returns whether a route has the service at an earlier destination.
- */
-static bool
-is_repeated(const struct route *route, unsigned index)
-{
-	for (unsigned i = 0; i < index; i++) {
-		if (route->destinations[i].service ==
-		    route->destinations[index].service)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Checks the weights of a route's services.  A single service gets all requests
  * whatever its weight is.
@@ -83,15 +69,18 @@
 static void
 check_weights(const struct route *route, GPtrArray *report)
 {
+	GHashTable *seen = g_hash_table_new(NULL, NULL);
 	double sum = 0;
 
 	for (unsigned i = 0; i < route->destination_count; i++) {
 		sum += route->destinations[i].weight;
-		if (is_repeated(route, i))
+		if (!g_hash_table_add(
+			seen, (gpointer)route->destinations[i].service))
 			ADD_ROUTE(report, REPORT_WARNING, route,
 			    "service \"%s\" stands twice; the weights add up",
 			    route->destinations[i].service->name);
 	}
+	g_hash_table_destroy(seen);
 	if (!isfinite(sum))
 		ADD_ROUTE(report, REPORT_ERROR, route,
 		    "the sum of the weights is not finite");
@@ -130,28 +119,29 @@
 }
 
 /*
- * Returns whether a route sends requests to a service.
+ * Returns the services that routes send requests to.
  */
-static bool
-sends_to(const struct route *route, const struct route_service *service)
+static GHashTable *
+used_services(const GPtrArray *routes)
 {
-	for (unsigned i = 0; i < route->destination_count; i++) {
-		if (route->destinations[i].service == service &&
-		    (route->destinations[i].weight > 0 ||
-			route->destination_count == 1))
-			return true;
+	GHashTable *used = g_hash_table_new(NULL, NULL);
+
+	for (guint i = 0; i < routes->len; i++) {
+		const struct route *route = routes->pdata[i];
+
+		for (unsigned k = 0; k < route->destination_count; k++) {
+			if (route->destinations[k].weight > 0 ||
+			    route->destination_count == 1)
+				g_hash_table_add(used,
+				    (gpointer)route->destinations[k].service);
+		}
 	}
-	return false;
+	return used;
 }
 
 static void
-check_service(const struct route_service *service, const GPtrArray *routes,
-    GPtrArray *report)
+check_service(const struct route_service *service, bool used, GPtrArray *report)
 {
-	bool used = false;
-
-	for (guint i = 0; !used && i < routes->len; i++)
-		used = sends_to(routes->pdata[i], service);
 	if (!used)
 		report_add(report, REPORT_WARNING, REPORT_SERVICE, NULL,
 		    service->name, "no route sends it a request");
@@ -176,6 +166,7 @@
     const struct routes *routes, const GPtrArray *list, GPtrArray *report)
 {
 	GPtrArray *services = g_ptr_array_new();
+	GHashTable *used = used_services(list);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -184,7 +175,9 @@
 		g_ptr_array_add(services, value);
 	g_ptr_array_sort(services, compare_services);
 	for (guint i = 0; i < services->len; i++)
-		check_service(services->pdata[i], list, report);
+		check_service(services->pdata[i],
+		    g_hash_table_contains(used, services->pdata[i]), report);
+	g_hash_table_destroy(used);
 	g_ptr_array_unref(services);
 }
 
