--- a/src/routing/routes_check.c
+++ b/src/routing/routes_check.c
@@ -69,16 +69,25 @@
 static void
 check_weights(const struct route *route, GPtrArray *report)
 {
+	/* service -> whether it was reported */
 	GHashTable *seen = g_hash_table_new(NULL, NULL);
 	double sum = 0;
 
 	for (unsigned i = 0; i < route->destination_count; i++) {
+		const struct route_service *service =
+		    route->destinations[i].service;
+		gpointer reported = GINT_TO_POINTER(FALSE);
+		bool again = g_hash_table_lookup_extended(
+		    seen, service, NULL, &reported);
+
 		sum += route->destinations[i].weight;
-		if (!g_hash_table_add(
-			seen, (gpointer)route->destinations[i].service))
+		g_hash_table_insert(
+		    seen, (gpointer)service, GINT_TO_POINTER(again));
+		if (again && !GPOINTER_TO_INT(reported))
 			ADD_ROUTE(report, REPORT_WARNING, route,
-			    "service \"%s\" stands twice; the weights add up",
-			    route->destinations[i].service->name);
+			    "service \"%s\" stands more than once; the weights "
+			    "add up",
+			    service->name);
 	}
 	g_hash_table_destroy(seen);
 	if (!isfinite(sum))
--- a/test/unit/test_routes_check.c
+++ b/test/unit/test_routes_check.c
@@ -163,6 +163,20 @@
 	}
 }
 
+/* One line for a service, however often it stands in the split. */
+static void
+repeated_service_is_told_once(void **state ATTR_UNUSED)
+{
+	struct routes *routes = make_routes();
+	struct route from = make_route("/");
+	struct route *route = add_route(routes, &from, 1);
+
+	for (unsigned i = 0; i < 3; i++)
+		assert_int_equal(
+		    routes_add_destination(routes, route, "svc", 1), STATUS_OK);
+	check_one(routes, &unknown, REPORT_WARNING, "more than once");
+}
+
 static void
 contradicting_limits_are_found(void **state ATTR_UNUSED)
 {
@@ -332,6 +346,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(unmatched_places_are_found),
 	    cmocka_unit_test(weights_of_nothing_are_found),
+	    cmocka_unit_test(repeated_service_is_told_once),
 	    cmocka_unit_test(contradicting_limits_are_found),
 	    cmocka_unit_test(contradicting_accounts_are_found),
 	    cmocka_unit_test(differences_are_complete),
