Holders of a share grant soon after a restart

A holder writes down the index of the list with which it grants, and does not wait after a restart while that list is in effect. A message proves touch at the start of the process, since its sockets are not older. Buckets of a holder that does not wait fill from the start of the process. Nothing is granted until the log has caught up. A first member beyond the number of shares waits when it moves up; it did not.

unit/test_core_allowance, unit/test_replica_rules, the other tests of core, replica and allowances, and functional/test_platform_allowance pass.

--- a/src/core/core_allowance.c
+++ b/src/core/core_allowance.c
@@ -55,8 +55,9 @@
 	    counter_register(COUNTER_GAUGE, "gypsummill_core_allowance_buckets",
 		"Accounts with a bucket at this instance (count)", NULL);
 	a->shares = 2 * core->settings.losses + 1;
+	a->started_us = clock_boot_us();
 	a->table = allowance_table_new(
-	    a->shares, window_ms * US_PER_MS, clock_boot_us());
+	    a->shares, window_ms * US_PER_MS, a->started_us);
 }
 
 /*
@@ -65,6 +66,7 @@
 void
 core_allowance_close(struct core *core)
 {
+	core_share_close(core);
 	allowance_table_free(core->allowance.table);
 	core->allowance.table = NULL;
 }
@@ -86,6 +88,7 @@
 	a->held_since_us = 0;
 	a->granting = false;
 	a->wait_us = first ? 0 : SUCCESSION_MS * US_PER_MS;
+	a->share_index = core_share_read(core);
 }
 
 /*
@@ -128,9 +131,27 @@
 	    now_us - core->info.touch_us <= TOUCH_MS * US_PER_MS;
 }
 
+/*
+ * Returns whether the share is the one that the file tells of: the list of
+ * members has not changed since, so that nobody else can have held it.
+ */
+static bool
+has_kept_share(const struct core *core)
+{
+	const struct core_allowance *a = &core->allowance;
+
+	return a->share_index != 0 &&
+	    core->info.members_index <= a->share_index &&
+	    core->info.last_index >= a->share_index &&
+	    core->info.members_committed;
+}
+
 /*
  * Follows the list of members, and sweeps the buckets.  A list that is not
- * committed yet may end a share but not begin one.
+ * committed yet may end a share but not begin one.  After a start the log may
+ * lack a later list until it has caught up with the leader.  Buckets of a holder that
+ * need not wait fill from the start of the process: it has granted nothing
+ * before, and nobody else has granted from its share.
  */
 void
 core_allowance_tick(struct core *core, uint64_t now_us)
@@ -141,20 +162,27 @@
 	if (!held) {
 		a->held_since_us = 0;
 		/* A later share succeeds somebody. */
-		if (a->granting)
+		if (a->granting ||
+		    (core->info.member_count > 0 &&
+			core->info.members_committed))
 			a->wait_us = SUCCESSION_MS * US_PER_MS;
-	} else if (a->held_since_us == 0 && core->info.members_committed) {
+	} else if (a->held_since_us == 0 && core->info.members_committed &&
+	    replica_has_caught_up(core->replica)) {
 		a->held_since_us = now_us;
 	}
+	if (a->held_since_us != 0 && !a->granting && has_kept_share(core))
+		a->wait_us = 0;
 	held = a->held_since_us != 0 && now_us - a->held_since_us >= a->wait_us;
 	if (held != a->granting) {
 		a->granting = held;
-		allowance_table_reset(a->table, now_us);
+		if (a->wait_us > 0)
+			allowance_table_reset(a->table, now_us);
 		log_info("allowance_share",
 		    "instance=%s holder=%d shares=%u waited_ms=%" PRIu64,
 		    core->settings.instance, held, a->shares,
 		    a->wait_us / US_PER_MS);
 	}
+	core_share_tick(core, now_us);
 	if (now_us < a->next_sweep_us)
 		return;
 	a->next_sweep_us = now_us + SWEEP_MS * US_PER_MS;
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -71,11 +71,19 @@
 /* What this instance holds as a voter of the allowances of accounts. */
 struct core_allowance {
 	struct allowance_table *table;
+	uint64_t started_us; /* of the process, at the latest */
 	unsigned shares; /* 2 f + 1, as of the start */
 	uint64_t replica_id; /* for which the following holds */
 	uint64_t held_since_us; /* a share is held; 0: it is not */
 	uint64_t wait_us; /* from then until it is granted from */
 	bool granting;
+	/*
+	 * As the file says: the share was held, and granted from, with the list
+	 * of members in effect at this index.  0: nothing is known.
+	 */
+	uint64_t share_index;
+	struct core_share_write *write; /* under way; NULL: none */
+	uint64_t next_write_us;
 	uint64_t next_sweep_us;
 	struct counter *granted;
 	struct counter *refused;
@@ -273,6 +281,13 @@
 /* A replica was opened. */
 void core_allowance_on_opened(struct core *core);
 void core_allowance_tick(struct core *core, uint64_t now_us);
+/* core_share.c: the file that says which share this replica has held */
+/* Returns the index in the file; 0 unless it is this replica's. */
+uint64_t core_share_read(const struct core *core);
+/* Writes a newer index on another thread, if there is one. */
+void core_share_tick(struct core *core, uint64_t now_us);
+/* Waits until a write that is under way has ended. */
+void core_share_close(struct core *core);
 /* Whether member number i of info.members holds a share. */
 bool core_allowance_is_holder(const struct core *core, unsigned i);
 void core_on_draw(
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -249,6 +249,7 @@
 		return status;
 	config.id = core->replica_id;
 	config.seed = random_replica_id();
+	config.started_us = core->allowance.started_us;
 	core_path(core, core_log_folder, path);
 	status = storage_folder_open(path, core->replica_id, &core->storage);
 	if (status == STATUS_OK)
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -467,6 +467,7 @@
 	    .member_count = replica->members.count,
 	    .members_committed =
 		replica->members_index <= replica->commit_index,
+	    .members_index = replica->members_index,
 	    .touch_us = replica->touch_us,
 	};
 	for (unsigned i = 0; i < replica->members.count; i++)
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -38,6 +38,8 @@
 	uint64_t snapshot_entries; /* log entries between snapshots */
 	uint64_t append_max_bytes; /* of entries in one message */
 	uint64_t seed;
+	/* of the process, at the latest; 0: its messages may be older */
+	uint64_t started_us;
 };
 
 struct replica_storage; /* replica/storage.h */
@@ -68,6 +70,8 @@
 	unsigned member_count;
 	/* false: a change is under way, which may not come to pass */
 	bool members_committed;
+	/* of the log: at which this list is known to be in effect */
+	uint64_t members_index;
 	/*
 	 * When it was last in touch with a leader, or led with a majority: by
 	 * messages that were not held up on their way.  0: never since it was
--- a/src/replica/replica_append.c
+++ b/src/replica/replica_append.c
@@ -18,7 +18,8 @@
 
 /*
  * Records a leader's message as proof of touch, unless it was held up on its
- * way: this replica may have been replaced meanwhile.
+ * way: this replica may have been replaced meanwhile.  Any message was sent
+ * after this process started, since its sockets are not older.
  */
 void
 append_record_touch(struct replica *r, const Replica__Message *m)
@@ -46,6 +47,8 @@
 	if (r->now_us - d->since_us >= TOUCH_AFTER_MS * US_PER_MS &&
 	    delay - least <= (int64_t)(TOUCH_DELAY_MAX_MS * US_PER_MS))
 		r->touch_us = r->now_us;
+	else if (r->touch_us < r->config.started_us)
+		r->touch_us = r->config.started_us;
 }
 
 /*
--- a/test/unit/test_core_allowance.c
+++ b/test/unit/test_core_allowance.c
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -192,6 +193,108 @@
 	core_fixture_close(&fixture);
 }
 
+/*
+ * As if the process had been restarted: nothing is kept but the files.
+ */
+static void
+restart(struct core *core, uint64_t now_us)
+{
+	core_allowance_on_opened(core);
+	core_allowance_tick(core, now_us);
+}
+
+/*
+ * Guards against a voter that waits after each restart of all processes as if
+ * it succeeded another one, and against one that does not wait although the
+ * list of members has changed, is not known, or its file is torn.
+ */
+static void
+a_holder_grants_at_once_after_a_restart(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct core *core;
+	char path[CORE_PATH_BYTES];
+	uint64_t now;
+	uint64_t last;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	core_fixture_edit(&fixture, 0, 1, "text");
+	core_fixture_run(&fixture, 200);
+	core = fixture.core;
+	uv_timer_stop(&core->timer);
+	now = clock_boot_us();
+	core->replica_id |= UINT64_C(1) << 47;
+	core->info.members[0].id = core->replica_id;
+	core->info.members_index = 1;
+	last = core->info.last_index;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	core_allowance_tick(core, now + 4000 * US_PER_MS);
+	assert_true(core->allowance.granting);
+	core_fixture_run(&fixture, 200);
+	assert_int_equal(core->allowance.share_index, 1);
+	now += 5 * US_PER_S;
+	restart(core, now);
+	assert_true(core->allowance.granting);
+	/* The log was cut: what is committed may name another holder. */
+	core->info.last_index = 0;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	core->info.last_index = last;
+	core->info.members_committed = false;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	core->info.members_committed = true;
+	core->info.members_index = 2;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	core->info.members_index = 1;
+	core->replica_id++;
+	core->info.members[0].id++;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	core->replica_id--;
+	core->info.members[0].id--;
+	restart(core, now);
+	assert_true(core->allowance.granting);
+	core_path(core, "share", path);
+	assert_int_equal(truncate(path, 20), 0);
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	core_fixture_close(&fixture);
+}
+
+/*
+ * Guards against a first member beyond the number of shares that grants at once
+ * when it moves up: the voter that it replaces may still grant.
+ */
+static void
+a_first_member_that_moves_up_waits(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct core *core;
+	uint64_t now;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	core_fixture_edit(&fixture, 0, 1, "text");
+	core = fixture.core;
+	uv_timer_stop(&core->timer);
+	now = clock_boot_us();
+	core->info.members[1] = core->info.members[0];
+	core->info.members[0].id = 7;
+	core->info.member_count = 2;
+	restart(core, now);
+	core->info.members[0] = core->info.members[1];
+	core->info.member_count = 1;
+	core_allowance_tick(core, now + US_PER_S);
+	assert_false(core->allowance.granting);
+	core_allowance_tick(core, now + 5 * US_PER_S);
+	assert_true(core->allowance.granting);
+	core_fixture_close(&fixture);
+}
+
 static void
 an_instance_without_a_log_never_grants(void **state ATTR_UNUSED)
 {
@@ -213,6 +316,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_voter_grants_while_its_group_has_a_leader),
 	    cmocka_unit_test(a_new_holder_waits),
+	    cmocka_unit_test(a_holder_grants_at_once_after_a_restart),
+	    cmocka_unit_test(a_first_member_that_moves_up_waits),
 	    cmocka_unit_test(an_instance_without_a_log_never_grants),
 	};
 
--- a/test/unit/test_replica_rules.c
+++ b/test/unit/test_replica_rules.c
@@ -535,6 +535,33 @@
 	testbed_free(testbed);
 }
 
+/*
+ * Guards against a restarted holder that may not grant in the first second of a
+ * new leader, and against one that was frozen after its start and takes what it
+ * reads then for touch.
+ */
+static void
+the_first_heartbeat_is_as_new_as_the_process(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	struct replica *r = testbed_get(testbed, 2);
+	struct replica_info info;
+	uint64_t now;
+
+	testbed_run(testbed, 2 * US_PER_S);
+	now = testbed->now_us;
+	r->touch_us = 0;
+	r->leader_delay.term = 0;
+	r->config.started_us = now - US_PER_S;
+	receive_heartbeat(testbed, r, now, now);
+	replica_describe(r, &info);
+	assert_true(info.touch_us == now - US_PER_S);
+	receive_heartbeat(testbed, r, now, now + 20 * US_PER_S);
+	replica_describe(r, &info);
+	assert_true(info.touch_us == now - US_PER_S);
+	testbed_free(testbed);
+}
+
 int
 main(void)
 {
@@ -555,6 +582,7 @@
 	    cmocka_unit_test(failed_append_is_neither_refused_nor_accepted),
 	    cmocka_unit_test(uncommitted_commands_are_bounded),
 	    cmocka_unit_test(held_up_heartbeats_are_no_touch),
+	    cmocka_unit_test(the_first_heartbeat_is_as_new_as_the_process),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
