Second sends take part in the order of accounts

A request on a target that becomes slow is sent to a second one if that has room. An account above its share held all slots, and the second send was only tried at the next probe, so the others' requests ended late.

Second sends that found no room are made before the waiting requests of accounts that have used more, and not before one that goes first. Without accounts nothing changes.

--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -107,6 +107,7 @@
 	/* slot time that its account will have used when it begins */
 	double share_start_us;
 	guint position; /* in the queue before it is ordered by share */
+	bool hedge_due; /* late, and no target had room for a second send */
 };
 
 /*
@@ -257,6 +258,8 @@
  */
 void placement_reassess_sends(
     struct placement *p, struct target *t, uint64_t now_us);
+/* Second sends that go before the first waiting call, by rank and share. */
+void placement_hedge_before_queue(struct placement *p, uint64_t now_us);
 
 /*
  * placement_feedback.c: what answers and load reports teach, for targets that
--- a/src/placement/placement_hedge.c
+++ b/src/placement/placement_hedge.c
@@ -46,6 +46,25 @@
 	return target_likely_time(p, t, left, now_us);
 }
 
+/*
+ * Returns whether a waiting request goes before a second send: one of a more
+ * urgent rank, or of the same rank and an account that has used no more.
+ */
+static bool
+is_behind_queue(
+    const struct placement *p, const struct call *call, uint64_t now_us)
+{
+	const struct call *first;
+
+	if (!account_share_is_active(&p->shares) || p->waiting->len == 0)
+		return false;
+	first = p->waiting->pdata[0];
+	if (first->request.rank != call->request.rank)
+		return first->request.rank < call->request.rank;
+	return account_share_used(&p->shares, first->request.account, now_us) <=
+	    account_share_used(&p->shares, call->request.account, now_us);
+}
+
 /*
  * Hedges a call: sends it to a second target if all its sends are expected to
  * miss the objective and the second target is expected to meet it.
@@ -60,6 +79,7 @@
 	if (!r->idempotent || call->waiting || call->send_count == 0 ||
 	    call->send_count > r->sends_left || call->send_count == SENDS_MAX)
 		return;
+	call->hedge_due = false;
 	for (unsigned i = 0; i < call->send_count; i++) {
 		double left =
 		    expected_remaining(p, call, &call->sends[i], now_us);
@@ -67,7 +87,13 @@
 		if (left < 1e12 && now_us + (uint64_t)left <= r->objective_us)
 			return;
 	}
+	if (is_behind_queue(p, call, now_us)) {
+		call->hedge_due = true;
+		return;
+	}
 	best = placement_best_target(p, call, now_us, &finish);
+	call->hedge_due = account_share_is_active(&p->shares) &&
+	    (best == NULL || now_us + (uint64_t)finish > r->objective_us);
 	if (best == NULL || refusal_window_refuses(&p->refusals, now_us) ||
 	    now_us + (uint64_t)finish > r->objective_us ||
 	    !repeat_budget_allows(&p->budget, hedge_budget_share, now_us))
@@ -126,3 +152,30 @@
 	}
 	g_ptr_array_free(list, TRUE);
 }
+
+/*
+ * Makes the second sends that found no room when they were due, while they go
+ * before the first waiting call.  Otherwise an account that fills all slots
+ * would keep the others from leaving a target that becomes slow.
+ */
+void
+placement_hedge_before_queue(struct placement *p, uint64_t now_us)
+{
+	GPtrArray *list = g_ptr_array_new();
+
+	for (GList *l = p->call_order.head; l != NULL; l = l->next) {
+		struct call *call = l->data;
+
+		if (call->hedge_due && !is_behind_queue(p, call, now_us))
+			g_ptr_array_add(list, call->request.user);
+	}
+	/* A grant callback may end calls, so each one is looked up again. */
+	for (guint i = 0; i < list->len; i++) {
+		struct call *call =
+		    g_hash_table_lookup(p->calls, list->pdata[i]);
+
+		if (call != NULL)
+			hedge_if_late(p, call, now_us);
+	}
+	g_ptr_array_free(list, TRUE);
+}
--- a/src/placement/placement_queue.c
+++ b/src/placement/placement_queue.c
@@ -330,8 +330,10 @@
 	p->dispatching = true;
 	p->round++;
 	p->cache = (struct dispatch_cache){0};
-	if (account_share_is_active(&p->shares))
+	if (account_share_is_active(&p->shares)) {
 		placement_order_by_share(p, now_us);
+		placement_hedge_before_queue(p, now_us);
+	}
 	for (guint i = 0; i < p->waiting->len;)
 		i = dispatch_call(p, i, now_us);
 	p->cache.usable = false;
