A key that moved while a request waited: the new account's request

A request whose key had moved to another account while it waited went out with the name of the old one, against its allowance. It is now one of the new account: if either has a limit, the grant and the token go back and it asks and draws again; on a connection that was just made it is answered with 503 and Retry-After, since it has no token. 401 would be wrong, since the document in force holds the key.

The new test fails without the change ("Account: a" in the request). flow_allowance.c reads x->account only while a draw begins, and the account is in routes that the request holds: no stale pointer after a key was withdrawn on a public route. unit/test_flow_account also passes under valgrind.

--- a/src/flow/flow_account.c
+++ b/src/flow/flow_account.c
@@ -87,24 +87,43 @@
 	return false;
 }
 
+/*
+ * Makes a request one of the account that holds its key now.
+ */
+static void
+move_to(struct exchange *x, const struct account *account)
+{
+	if (strcmp(account->name, x->account->name) == 0)
+		return;
+	if (x->account_routes != NULL)
+		routes_put(x->account_routes);
+	x->account_routes = routes_get(x->flow->routes);
+	x->account = account;
+}
+
 /*
  * Returns whether a request that is about to be sent or rejected has to be
  * refused since the document in force no longer holds its key.  A request that
  * a target may have run ends as it otherwise would; one on a public route
- * continues without an account.
+ * continues without an account, and one whose key has moved with that one's.
  */
 bool
 account_is_withdrawn(struct exchange *x)
 {
 	const struct routes *in_force = x->flow->routes;
+	const struct account *account;
 	struct str key;
 
 	if (x->account == NULL || x->ended || x->routes == in_force ||
 	    in_force->accounts == NULL || exchange_may_have_run(x))
 		return false;
-	if (read_key(x, &key) == KEY_REASONS &&
-	    accounts_find(in_force->accounts, key) != NULL)
+	account = read_key(x, &key) == KEY_REASONS
+	    ? accounts_find(in_force->accounts, key)
+	    : NULL;
+	if (account != NULL) {
+		move_to(x, account);
 		return false;
+	}
 	if (x->route->public)
 		x->account = NULL;
 	return !x->route->public;
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -89,6 +89,7 @@
 	str_buf_free(&x->fallback);
 	memory_track(x->flow, MEMORY_ANSWERS, &x->answer_charged, 0);
 	routes_put(x->routes);
+	routes_put(x->account_routes);
 	mem_free(x);
 }
 
--- a/src/flow/flow_grant.c
+++ b/src/flow/flow_grant.c
@@ -187,6 +187,7 @@
 {
 	struct flow *flow = x->flow;
 	struct pool *pool = g_hash_table_lookup(flow->pools, target);
+	const struct account *account = x->account;
 	struct attempt *attempt;
 	uint64_t away_us;
 
@@ -203,6 +204,14 @@
 		account_refuse_withdrawn(x);
 		return;
 	}
+	if (x->account != account && x->account != NULL &&
+	    (x->allowance != NULL || x->account->rate_per_s > 0)) {
+		/* The token, if any, is of the account that had the key. */
+		return_grant(x, target, remote);
+		allowance_end(x);
+		schedule_ask(x, x->ask_repeat);
+		return;
+	}
 	if (pool != NULL && pool->evacuated) {
 		refuse_evacuated(x, target, remote);
 		return;
--- a/src/flow/flow_target.c
+++ b/src/flow/flow_target.c
@@ -11,7 +11,8 @@
 	/* Two round trips between regions, less than most objectives. */
 	CONNECT_TIMEOUT_MS = 150,
 	CONNECTIONS_MIN = 4, /* for any number of entries */
-	PROBE_TIMEOUT_MS = 250 /* half of SPEED_CHANGE_US */
+	PROBE_TIMEOUT_MS = 250, /* half of SPEED_CHANGE_US */
+	MOVED_RETRY_US = 50 * 1000 /* the next try draws for the account */
 };
 
 /*
@@ -123,6 +124,13 @@
 		account_refuse_withdrawn(x);
 		return false;
 	}
+	if (x->account != account && x->account != NULL &&
+	    x->account->rate_per_s > 0) {
+		/* It has no token of the account that holds the key now. */
+		exchange_refuse(x, 503, MOVED_RETRY_US,
+		    "the key belongs to another account now");
+		return false;
+	}
 	if (x->account != account) {
 		str_buf_clear(&up->request);
 		build_request_head(up->attempt, &up->request);
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -206,8 +206,9 @@
 	uint64_t streamed_bytes; /* of the answer's body, so far */
 	struct routes *routes;
 	struct route *route;
-	/* of the caller's key, in routes; NULL: none */
+	/* of the caller's key, in routes or account_routes; NULL: none */
 	const struct account *account;
+	struct routes *account_routes; /* its key has moved; NULL: it has not */
 	struct exchange_allowance *allowance; /* NULL: has no limit */
 	struct service *service;
 	uint64_t arrival_us;
--- a/test/unit/test_flow_account.c
+++ b/test/unit/test_flow_account.c
@@ -160,6 +160,55 @@
 	}
 }
 
+/*
+ * Guards against a request that goes out with the name of the account that had
+ * its key before, or without a token of the one that has it now.
+ */
+static void
+a_moved_key_is_the_new_accounts(void **state ATTR_UNUSED)
+{
+	for (int i = 0; i < 4; i++) {
+		const bool limited = i >= 2;
+		struct account b = {
+		    .name = (char *)"b", .rate_per_s = limited ? 1 : 0};
+		const struct account *account;
+		const struct str_buf *request;
+		struct withdrawal w;
+
+		open_withdrawal(&w, false);
+		assert_int_equal(
+		    accounts_add(w.next->accounts, &b, &account), STATUS_OK);
+		assert_int_equal(accounts_add_key(w.next->accounts, account,
+				     STR_LITERAL("k1")),
+		    STATUS_OK);
+		if (i % 2 == 0)
+			put_in_force(&w);
+		exchange_on_grant(w.x, "t1", false, 0);
+		if (i == 2) {
+			/* No voter is known. */
+			assert_int_equal(w.x->attempt_count, 0);
+			assert_memory_equal(w.x->out.data, "HTTP/1.1 503 ", 13);
+		} else if (i % 2 == 1) {
+			put_in_force(&w);
+		}
+		if (!limited) {
+			struct upstream *up = w.x->attempts[0].upstream;
+
+			assert_true(target_confirm_request(up));
+			request = &up->request;
+			assert_null(strstr(request->data, "Account: a"));
+			assert_non_null(strstr(request->data, "Account: b"));
+		}
+		flow_fixture_run(&w.fixture, 50);
+		if (i == 3) {
+			assert_false(w.x->attempts[0].sent);
+			assert_memory_equal(w.x->out.data, "HTTP/1.1 503 ", 13);
+		}
+		assert_string_equal(w.x->account->name, "b");
+		close_withdrawal(&w);
+	}
+}
+
 /*
  * On a public route the request goes on, without the account's name.
  */
@@ -297,6 +346,7 @@
 	    cmocka_unit_test(withdrawn_before_the_rejection),
 	    cmocka_unit_test(a_sent_request_ends_as_without_the_withdrawal),
 	    cmocka_unit_test(a_key_that_stays_is_not_refused),
+	    cmocka_unit_test(a_moved_key_is_the_new_accounts),
 	    cmocka_unit_test(a_public_route_needs_no_key),
 	    cmocka_unit_test(refusals_are_counted_by_reason),
 	    cmocka_unit_test(requests_are_counted_for_the_largest_accounts),
