Tests of control: an address of its own for each process

unit/test_core_evacuation failed once beside the other core tests: the restart in set_is_sent_to_entries_and_kept_across_a_restart found its port taken (core_open returned STATUS_IO), since all fixtures search the same range of 127.0.7.9.

--- a/test/unit/support_core.c
+++ b/test/unit/support_core.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -66,12 +67,15 @@
 }
 
 /*
- * Opens the instance on a free port, or on that of its last run.
+ * Opens the instance on a free port of an address that no other test uses at
+ * the same time, or on that of its last run: another test that opened the port
+ * meanwhile would fail the restart.
  */
 void
 core_fixture_open(struct core_fixture *fixture, const char *seed)
 {
 	enum status status = STATUS_IO;
+	unsigned pid = (unsigned)getpid();
 
 	if (fixture->address[0] != '\0') {
 		assert_int_equal(open_at(fixture, seed), STATUS_OK);
@@ -80,7 +84,7 @@
 	for (unsigned port = PORT_FIRST;
 	     status != STATUS_OK && port < PORT_LAST; port++) {
 		snprintf(fixture->address, sizeof(fixture->address),
-		    "127.0.7.9:%u", port);
+		    "127.%u.%u.9:%u", 64 + (pid >> 8) % 128, pid % 256, port);
 		status = open_at(fixture, seed);
 	}
 	assert_int_equal(status, STATUS_OK);
