Second sends against the slowest answers, within a share

A request on a target that is stuck ended late although others were idle: the second send was made only when the objective would be missed.

With hedge_share (0 to 0.2, off by default) the scheduler also makes one when the request has taken longer than nine in ten do at that occupancy, the second target would answer clearly sooner, and the service has idle room. The credit is a share of the answers; a new scheduler begins without any.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -146,6 +146,14 @@
 	    {&flow->cold_held_back, "gypsummill_flow_cold_held_back_total",
 		"Requests that the rate of a cold target kept from it at first "
 		"(count)"},
+	    {&flow->hedges[HEDGE_MADE], "gypsummill_flow_hedges_total",
+		"Second sends against slow answers (count)"},
+	    {&flow->hedges[HEDGE_WON], "gypsummill_flow_hedges_won_total",
+		"Second sends answered before the first (count)"},
+	    {&flow->hedges[HEDGE_LOST], "gypsummill_flow_hedges_lost_total",
+		"Second sends answered after the first (count)"},
+	    {&flow->hedges[HEDGE_FAILED], "gypsummill_flow_hedges_failed_total",
+		"Second sends ended without an answer (count)"},
 	    {&flow->scanned, "gypsummill_flow_visits_total",
 		"Targets, entries and parts scanned by timers (count)"},
 	    {&flow->announcements_refused,
@@ -245,6 +253,7 @@
 	flow->settings.seed_count = settings->seed_count;
 	flow->settings.repeats.ratio = settings->repeats.ratio;
 	flow->settings.repeats.slack = settings->repeats.slack;
+	flow->settings.hedge_share = settings->hedge_share;
 	fleet_invalidate_schedulers(flow);
 	flow->settings.probes_per_second = settings->probes_per_second;
 	flow->settings.target_kept_ms = settings->target_kept_ms;
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -60,6 +60,8 @@
 	uint64_t target_kept_ms;
 	/* window of the bound on allowances; 0: the default */
 	uint64_t quota_window_ms;
+	/* second sends against slow answers, as a part of the requests */
+	double hedge_share;
 };
 
 struct flow;
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -78,6 +78,8 @@
 		limits.slack *= (1 - SCHEDULER_SLACK) / parts /
 		    (fleet_other_entry_count(flow) + 1);
 	placement_set_limits(service->placement, &limits);
+	placement_set_hedge_share(
+	    service->placement, flow->settings.hedge_share);
 }
 
 /*
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -333,6 +333,10 @@
 void away_on_added(struct pool *pool);
 void away_tick(struct flow *flow);
 
+/* flow_hedge.c: second sends against slow answers */
+void hedge_on_event(
+    void *ctx, void *user, const char *target, enum hedge_outcome outcome);
+
 /* flow_cold.c: targets in their warm-up */
 /* A document came into force. */
 void cold_on_document(struct flow *flow);
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -200,6 +200,7 @@
 	    .ctx = service,
 	    .grant = on_grant,
 	    .reject = on_reject,
+	    .hedge = hedge_on_event,
 	};
 
 	return placement_new(&callbacks, &flow->settings.repeats,
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -439,6 +439,7 @@
 	struct counter *resets_full;
 	struct counter *cold_targets;
 	struct counter *cold_held_back;
+	struct counter *hedges[HEDGE_OUTCOMES];
 	struct counter *evacuations;
 	struct counter *scanned;
 	struct counter *announcements_refused;
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -181,6 +181,7 @@
 placement_remove_call(struct placement *p, struct call *call, uint64_t now_us)
 {
 	placement_dequeue(p, call);
+	placement_end_hedges(p, call);
 	for (unsigned i = 0; i < call->send_count; i++) {
 		if (call->sends[i].target == NULL)
 			continue;
@@ -278,6 +279,7 @@
 		if (outcome == OUTCOME_ANSWERED)
 			placement_record_service_time(
 			    p, call, send, took_us, now_us);
+		placement_record_hedge(p, call, send, outcome, took_us, now_us);
 		send->target = NULL;
 		placement_settle_send(p, call, send, now_us);
 		placement_release_slot(p, t, now_us);
@@ -398,6 +400,8 @@
 	    .repeats = p->budget.repeat_sum,
 	    .requests = p->budget.request_sum,
 	    .held_back = p->held_back,
+	    .hedges = {p->hedge_counts[HEDGE_MADE], p->hedge_counts[HEDGE_WON],
+		p->hedge_counts[HEDGE_LOST], p->hedge_counts[HEDGE_FAILED]},
 	    .mean_slowness = p->mean_slowness,
 	    .occupancy = p->occupancy,
 	};
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -84,6 +84,15 @@
 	void *user;
 };
 
+/* Of a second send against a slow answer. */
+enum hedge_outcome {
+	HEDGE_MADE,
+	HEDGE_WON, /* answered before the first send */
+	HEDGE_LOST,
+	HEDGE_FAILED, /* ended without an answer of either send */
+	HEDGE_OUTCOMES
+};
+
 struct placement_callbacks {
 	void *ctx;
 	/*
@@ -94,6 +103,9 @@
 	    void *ctx, void *user, const char *target, uint64_t expected_us);
 	void (*reject)(void *ctx, void *user, uint64_t retry_after_us,
 	    enum placement_reason reason);
+	/* A second send was made against a slow answer, or ended; may be NULL. */
+	void (*hedge)(void *ctx, void *user, const char *target,
+	    enum hedge_outcome outcome);
 };
 
 struct placement;
@@ -104,6 +116,12 @@
 /* Changes the repeat limits; the counts are kept. */
 void placement_set_limits(struct placement *placement,
     const struct repeat_limits *limits) ATTR_NONNULL_ALL;
+/*
+ * Share of the requests that are sent a second time when their answer is slower
+ * than nine in ten; 0: none.
+ */
+void placement_set_hedge_share(
+    struct placement *placement, double share) ATTR_NONNULL_ALL;
 /* Marks this placement as the successor of another instance's. */
 void placement_take_over(
     struct placement *placement, uint64_t now_us) ATTR_NONNULL_ALL;
@@ -216,6 +234,8 @@
 	uint64_t requests;
 	/* requests kept from a cold target by its rate */
 	uint64_t held_back;
+	/* second sends against slow answers, by outcome */
+	uint64_t hedges[HEDGE_OUTCOMES];
 	double mean_slowness;
 	/* speed of a request by its target's occupancy, and its samples */
 	struct occupancy_curve occupancy;
--- a/src/placement/placement_cold.c
+++ b/src/placement/placement_cold.c
@@ -94,6 +94,8 @@
 {
 	if (scheduler && !p->grants_cold)
 		empty_buckets(p, now_us);
+	if (scheduler != p->grants_cold)
+		hedge_budget_empty(&p->hedges);
 	p->grants_cold = scheduler;
 }
 
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -8,6 +8,8 @@
 
 #include "base/random.h"
 #include "placement/account_share.h"
+#include "placement/hedge_budget.h"
+#include "placement/latency_quantile.h"
 #include "placement/occupancy_curve.h"
 #include "placement/placement.h"
 #include "placement/refusal_window.h"
@@ -93,6 +95,8 @@
 	struct occupancy_exposure exposure;
 	bool overdue; /* already counted as a failure of the target */
 	double charged_us; /* to its account, until it ends */
+	unsigned level; /* occupancy of its target when it was granted */
+	bool hedge; /* a second send against a slow answer */
 };
 
 struct call {
@@ -140,6 +144,9 @@
 	bool grants_cold; /* it is the scheduler */
 	struct refusal_window refusals;
 	struct account_share_table shares;
+	struct hedge_budget hedges;
+	struct latency_quantile latency;
+	uint64_t hedge_counts[HEDGE_OUTCOMES];
 	/* until then its targets are known to reset connections when full */
 	uint64_t resets_until_us;
 	uint64_t held_back; /* requests kept from a cold target by its rate */
@@ -258,9 +265,19 @@
  */
 void placement_reassess_sends(
     struct placement *p, struct target *t, uint64_t now_us);
+double placement_expected_remaining(const struct placement *p,
+    const struct call *call, const struct send *send, uint64_t now_us);
 /* Second sends that go before the first waiting call, by rank and share. */
 void placement_hedge_before_queue(struct placement *p, uint64_t now_us);
 
+/* placement_hedge_share.c: second sends against the slowest answers */
+void placement_hedge_if_slow(
+    struct placement *p, struct call *call, uint64_t now_us);
+void placement_end_hedges(struct placement *p, struct call *call);
+void placement_record_hedge(struct placement *p, struct call *call,
+    struct send *ended, enum placement_outcome outcome, uint64_t took_us,
+    uint64_t now_us);
+
 /*
  * placement_feedback.c: what answers and load reports teach, for targets that
  * slow down, fail, or whose completion messages are lost.
--- a/src/placement/placement_hedge.c
+++ b/src/placement/placement_hedge.c
@@ -30,8 +30,8 @@
  * Returns the expected time in microseconds until a send is answered; INFINITY
  * if its target is gone, down or does not answer probes.
  */
-static double
-expected_remaining(const struct placement *p, const struct call *call,
+double
+placement_expected_remaining(const struct placement *p, const struct call *call,
     const struct send *send, uint64_t now_us)
 {
 	double work = service_time_estimate(&p->work, call->request.route);
@@ -81,8 +81,8 @@
 		return;
 	call->hedge_due = false;
 	for (unsigned i = 0; i < call->send_count; i++) {
-		double left =
-		    expected_remaining(p, call, &call->sends[i], now_us);
+		double left = placement_expected_remaining(
+		    p, call, &call->sends[i], now_us);
 
 		if (left < 1e12 && now_us + (uint64_t)left <= r->objective_us)
 			return;
@@ -147,8 +147,14 @@
 		struct call *call =
 		    g_hash_table_lookup(p->calls, list->pdata[i]);
 
+		if (call == NULL)
+			continue;
+		hedge_if_late(p, call, now_us);
+		call = p->hedges.share > 0
+		    ? g_hash_table_lookup(p->calls, list->pdata[i])
+		    : NULL;
 		if (call != NULL)
-			hedge_if_late(p, call, now_us);
+			placement_hedge_if_slow(p, call, now_us);
 	}
 	g_ptr_array_free(list, TRUE);
 }
--- a/src/placement/placement_queue.c
+++ b/src/placement/placement_queue.c
@@ -206,14 +206,19 @@
 placement_grant(struct placement *p, struct call *call, struct target *t,
     double finish_us, uint64_t now_us)
 {
+	bool hedge;
+
 	if (call->request.repeat || call->send_count > 0)
 		repeat_budget_repeat(&p->budget, now_us);
 	placement_dequeue(p, call);
 	target_advance(p, t, target_slowness(p, t, now_us), now_us);
+	hedge = call->sends[call->send_count].hedge;
 	call->sends[call->send_count++] = (struct send){
 	    .target = t,
 	    .granted_us = now_us,
 	    .exposure = t->exposure,
+	    .level = occupancy_level(t->in_flight + 1, t->slots),
+	    .hedge = hedge,
 	};
 	t->in_flight++;
 	placement_charge_send(
--- a/test/fuzz/fuzz_settings.c
+++ b/test/fuzz/fuzz_settings.c
@@ -25,7 +25,7 @@
     "limits.max_fds=4100\nlimits.link_mbps=1000.0\nheartbeat_ms=1500\n"
     "fault_tolerance.machines=1\n"
     "bounds=grace_s=6,retry_budget_ratio=0.2,retry_window_s=10,"
-    "retry_slack=62,ttl_max_s=5,probe_per_s=60\n",
+    "retry_slack=62,ttl_max_s=5,probe_per_s=60,hedge_share=0.05\n",
     "limits.cores=1e300\nlimits.memory_mb=inf\nlimits.max_fds=-1\n"
     "heartbeat_ms=nan\nbounds=grace_s=4294967296,,=,a=b=c\nseeds=,:,\n",
     "=\n\nnode\n=x\nip=::1\nseeds=1.2.3.4:99999,1.2.3.4:0\n"
@@ -49,6 +49,8 @@
 		s->lookup_ttl_max_s <= 86400 &&
 		s->target_kept_ms <= UINT64_C(40) * 86400000,
 	    "times are at most a day");
+	INVARIANT(s->hedge_share >= 0 && s->hedge_share <= 0.2,
+	    "the hedge share is within its bounds");
 	INVARIANT(isfinite(s->retry_budget_ratio) &&
 		isfinite(s->retry_budget_slack) &&
 		isfinite(s->probes_per_second),
