Replica: repeat a refused pre-vote after a few heartbeats

After a loss of power of all, replicas start within half a second of each other and refuse votes for one election timeout.

A pre-vote round is now repeated after one to three heartbeat intervals. Pre-votes change no term and are refused while a leader is active.

--- a/src/replica/replica_election.c
+++ b/src/replica/replica_election.c
@@ -71,12 +71,17 @@
 
 /*
  * Starts a pre-vote round: terms stay unchanged until a majority would grant
- * its vote (Ongaro 2014, section 9.6).
+ * its vote (Ongaro 2014, section 9.6).  The next round follows after one to
+ * three heartbeat intervals: after a restart of all, the first rounds are
+ * refused by replicas that started later, and pre-votes disturb no leader.
  */
 void
 election_campaign(struct replica *r)
 {
-	election_reset_timer(r);
+	uint64_t interval = r->config.heartbeat_us;
+
+	r->election_due_us =
+	    r->now_us + interval + random_below(&r->random, 2 * interval + 1);
 	if (!members_is_voter(r) || r->bootstrapping)
 		return;
 	r->role = REPLICA_PRE_CANDIDATE;
