Allowances: a holder keeps its share when others join or leave

A holder that restarts need not wait for 4 s if its share was not held by anybody else meanwhile. Any later list of members made it wait.

Voters are now listed before learners in the order of their promotion. A promotion can no longer displace a voter, so that one of the first voters stays one of them until it is removed, and a removed one joins again under another id.

--- a/src/core/core_allowance.c
+++ b/src/core/core_allowance.c
@@ -132,17 +132,17 @@
 }
 
 /*
- * Returns whether the share is the one that the file tells of: the list of
- * members has not changed since, so that nobody else can have held it.
+ * Returns whether the share is the one that the file tells of.  Voters are
+ * listed in the order of their promotion, and a voter that was removed joins
+ * again under another id: one of the first voters stays one of them until it is
+ * removed, whatever else has changed in the list.
  */
 static bool
 has_kept_share(const struct core *core)
 {
 	const struct core_allowance *a = &core->allowance;
 
-	return a->share_index != 0 &&
-	    core->info.members_index <= a->share_index &&
-	    core->info.last_index >= a->share_index &&
+	return a->share_index != 0 && core->info.last_index >= a->share_index &&
 	    core->info.members_committed;
 }
 
--- a/src/replica/replica_members.c
+++ b/src/replica/replica_members.c
@@ -230,13 +230,15 @@
 }
 
 /*
- * Makes a learner a voter and binds it to the disk of its replies.
- * STATUS_BUSY until it has stored all committed entries.
+ * Makes a learner a voter and binds it to the disk of its replies.  Voters are
+ * listed before learners, in the order of their promotion, so that the first
+ * ones stay the first ones until they are removed.  STATUS_BUSY until it has
+ * stored all committed entries.
  */
 enum status
 replica_promote(struct replica *r, uint64_t id, uint64_t *index)
 {
-	struct members members = r->members;
+	struct members members = {0};
 	enum status status = check_membership_change(r);
 	const struct peer *peer = members_peer(r, id);
 
@@ -253,11 +255,18 @@
 		    "learner %llu holds %llu of %llu entries",
 		    (unsigned long long)id, (unsigned long long)peer->match,
 		    (unsigned long long)r->commit_index);
-	for (unsigned i = 0; i < members.count; i++) {
-		if (members.list[i].info.id == id) {
-			members.list[i].info.voter = true;
-			members.list[i].disk = peer->disk;
-		}
+	for (unsigned i = 0; i < r->members.count; i++) {
+		if (r->members.list[i].info.voter)
+			members.list[members.count++] = r->members.list[i];
+	}
+	members.list[members.count] = *members_find(&r->members, id);
+	members.list[members.count].info.voter = true;
+	members.list[members.count++].disk = peer->disk;
+	for (unsigned i = 0; i < r->members.count; i++) {
+		const struct member *member = &r->members.list[i];
+
+		if (!member->info.voter && member->info.id != id)
+			members.list[members.count++] = *member;
 	}
 	return append_members(r, &members, index);
 }
--- a/test/unit/test_replica_rules.c
+++ b/test/unit/test_replica_rules.c
@@ -242,6 +242,83 @@
 	testbed_free(testbed);
 }
 
+/*
+ * After a restart of all, pre-votes are refused by replicas that started later.
+ * Guards against a group without a leader for up to two further election
+ * timeouts after the votes would be granted.
+ */
+static void
+refused_pre_votes_are_repeated_soon(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(5, 1000);
+
+	for (unsigned round = 0; round < 20; round++) {
+		uint64_t granted_us;
+		bool elected = false;
+
+		for (unsigned id = 1; id <= 5; id++)
+			testbed_close(testbed, id);
+		testbed_drop_messages(testbed);
+		for (unsigned id = 1; id <= 5; id++)
+			testbed_open(testbed, id);
+		granted_us = testbed->now_us + ELECTION_US;
+		/* Two ask just before the others grant votes. */
+		for (unsigned id = 1; id <= 5; id++)
+			testbed_get(testbed, id)->election_due_us =
+			    id == 1 + round % 5 || id == 1 + (round + 1) % 5
+			    ? granted_us - 10 * US_PER_MS
+			    : granted_us + ELECTION_US;
+		testbed_run(testbed, ELECTION_US);
+		while (!elected &&
+		    testbed->now_us < granted_us + 4 * (uint64_t)HEARTBEAT_US) {
+			testbed_run(testbed, 10 * (uint64_t)US_PER_MS);
+			for (unsigned id = 1; id <= 5; id++)
+				elected = elected ||
+				    testbed_get(testbed, id)->role ==
+					REPLICA_LEADER;
+		}
+		assert_true(elected);
+		testbed_run(testbed, ELECTION_US);
+	}
+	testbed_free(testbed);
+}
+
+/*
+ * Voters are listed in the order of their promotion.  Guards against a voter
+ * that stops being among the first ones, which hold the shares of allowances,
+ * when a learner that joined before it is promoted.
+ */
+static void
+promotions_keep_the_order_of_voters(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	const struct replica_member learners[] = {{.id = 4}, {.id = 5}};
+	struct replica *r = testbed_get(testbed, 1);
+	uint64_t index;
+
+	for (unsigned i = 0; i < 2; i++) {
+		assert_int_equal(
+		    replica_add_learner(r, &learners[i], &index), STATUS_OK);
+		testbed_open(testbed, 4 + i);
+		testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	}
+	assert_int_equal(replica_promote(r, 5, &index), STATUS_OK);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	assert_int_equal(replica_promote(r, 4, &index), STATUS_OK);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	for (unsigned id = 1; id <= 5; id++) {
+		static const uint64_t expected[] = {1, 2, 3, 5, 4};
+		const struct members *members =
+		    &testbed_get(testbed, id)->members;
+
+		assert_int_equal(members->count, 5);
+		for (unsigned i = 0; i < 5; i++)
+			assert_true(members->list[i].info.id == expected[i] &&
+			    members->list[i].info.voter);
+	}
+	testbed_free(testbed);
+}
+
 /*
  * A leader that is removed steps down once its removal is committed, and the
  * others elect a new one.
@@ -572,6 +649,8 @@
 	    cmocka_unit_test(votes_of_learners_do_not_count),
 	    cmocka_unit_test(leader_without_quorum_steps_down),
 	    cmocka_unit_test(membership_changes_are_serialized),
+	    cmocka_unit_test(refused_pre_votes_are_repeated_soon),
+	    cmocka_unit_test(promotions_keep_the_order_of_voters),
 	    cmocka_unit_test(removed_leader_steps_down),
 	    cmocka_unit_test(removal_is_not_reported_before_it_is_committed),
 	    cmocka_unit_test(snapshot_holds_members_at_its_index),
