Allowances: a holder grants before a leader is elected

After a loss of power, entries are ready 0.2 to 0.5 s after their start, but no voter granted until a leader was elected, 0.6 to 0.9 s after most replicas had started. Requests of accounts with limits got 503 meanwhile.

A holder now also grants while a majority of the voters says that it has no later list of members, in its replies to pre-votes; docs/design/allowances.md has the argument. The first pre-vote goes out one to three heartbeat intervals after a start.

--- a/src/core/core_allowance.c
+++ b/src/core/core_allowance.c
@@ -119,16 +119,16 @@
 }
 
 /*
- * Returns whether this instance may grant now.  Evaluated for each draw: this
- * process may have been frozen since the last tick.
+ * Returns whether the file tells that this replica has held its share with the
+ * latest list of members, which is committed for this reason alone.
  */
 static bool
-may_grant(const struct core *core, uint64_t now_us)
+has_held_with_list(const struct core *core)
 {
 	const struct core_allowance *a = &core->allowance;
 
-	return a->granting && is_own_holder(core) && core->info.touch_us != 0 &&
-	    now_us - core->info.touch_us <= TOUCH_MS * US_PER_MS;
+	return a->share_index != 0 && core->info.last_index >= a->share_index &&
+	    core->info.members_index <= a->share_index;
 }
 
 /*
@@ -143,13 +143,57 @@
 	const struct core_allowance *a = &core->allowance;
 
 	return a->share_index != 0 && core->info.last_index >= a->share_index &&
-	    core->info.members_committed;
+	    (core->info.members_committed || has_held_with_list(core));
+}
+
+/*
+ * Returns the last time at which nobody else can have held the share, in
+ * microseconds; 0: not known.  A successor waits for longer than TOUCH_MS from
+ * its list on.  That list is committed by the leader, or by a majority that has
+ * a later list than ours.
+ */
+static uint64_t
+last_touch_us(const struct core *core)
+{
+	uint64_t touch_us = core->info.touch_us;
+
+	if (has_held_with_list(core) && core->info.list_us > touch_us)
+		touch_us = core->info.list_us;
+	return touch_us;
+}
+
+/*
+ * Returns whether this instance may grant now.  Evaluated for each draw: this
+ * process may have been frozen since the last tick.
+ */
+static bool
+may_grant(const struct core *core, uint64_t now_us)
+{
+	uint64_t touch_us = last_touch_us(core);
+
+	return core->allowance.granting && is_own_holder(core) &&
+	    touch_us != 0 && now_us - touch_us <= TOUCH_MS * US_PER_MS;
+}
+
+/*
+ * Returns whether the list of members that names this replica as a holder is
+ * in effect: it is committed, and the log has caught up with the leader, or a
+ * majority has no later one.
+ */
+static bool
+is_list_in_effect(const struct core *core)
+{
+	if (core->info.members_committed &&
+	    replica_has_caught_up(core->replica))
+		return true;
+	return has_held_with_list(core) && core->info.list_us != 0;
 }
 
 /*
  * Follows the list of members, and sweeps the buckets.  A list that is not
  * committed yet may end a share but not begin one.  After a start the log may
- * lack a later list until it has caught up with the leader.  Buckets of a holder that
+ * lack a later list until it has caught up with the leader, or a majority has
+ * said that it knows none.  Buckets of a holder that
  * need not wait fill from the start of the process: it has granted nothing
  * before, and nobody else has granted from its share.
  */
@@ -166,8 +210,7 @@
 		    (core->info.member_count > 0 &&
 			core->info.members_committed))
 			a->wait_us = SUCCESSION_MS * US_PER_MS;
-	} else if (a->held_since_us == 0 && core->info.members_committed &&
-	    replica_has_caught_up(core->replica)) {
+	} else if (a->held_since_us == 0 && is_list_in_effect(core)) {
 		a->held_since_us = now_us;
 	}
 	if (a->held_since_us != 0 && !a->granting && has_kept_share(core))
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -450,6 +450,16 @@
 		replica->applied_term == replica->term);
 }
 
+/*
+ * Returns when a pre-vote was sent after which a peer had no later list of
+ * members, in microseconds by our clock; for election_quorum_value().
+ */
+static uint64_t
+list_us(const struct peer *peer)
+{
+	return peer->list_us;
+}
+
 /*
  * Fills in the replica's status for operators.
  */
@@ -469,6 +479,9 @@
 		replica->members_index <= replica->commit_index,
 	    .members_index = replica->members_index,
 	    .touch_us = replica->touch_us,
+	    .list_us = replica->members.count > 0
+		? election_quorum_value(replica, list_us, replica->now_us)
+		: 0,
 	};
 	for (unsigned i = 0; i < replica->members.count; i++)
 		info->members[i] = replica->members.list[i].info;
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -78,6 +78,12 @@
 	 * opened.
 	 */
 	uint64_t touch_us;
+	/*
+	 * A majority of the members' voters had no later list of members at
+	 * this time; 0: not known.  Without a leader it says as much as touch
+	 * with one, if the list is known to be committed.
+	 */
+	uint64_t list_us;
 };
 
 struct replica;
--- a/src/replica/replica.pb-c.c
+++ b/src/replica/replica.pb-c.c
@@ -428,7 +428,7 @@
     (ProtobufCMessageInit)replica__snapshot__init, NULL, NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor replica__message__field_descriptors[15] =
+static const ProtobufCFieldDescriptor replica__message__field_descriptors[16] =
     {
 	{
 	    "kind", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
@@ -523,6 +523,12 @@
 	    NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "list_end", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Replica__Message, list_end), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned replica__message__field_indices_by_name[] = {
     13, /* field[13] = chunk */
@@ -533,6 +539,7 @@
     9, /* field[9] = hint */
     4, /* field[4] = index */
     0, /* field[0] = kind */
+    15, /* field[15] = list_end */
     5, /* field[5] = log_term */
     11, /* field[11] = offset */
     8, /* field[8] = reject */
@@ -542,10 +549,10 @@
     12, /* field[12] = total */
 };
 static const ProtobufCIntRange replica__message__number_ranges[1 + 1] = {
-    {1, 0}, {0, 15}};
+    {1, 0}, {0, 16}};
 const ProtobufCMessageDescriptor replica__message__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "replica.Message", "Message",
-    "Replica__Message", "replica", sizeof(Replica__Message), 15,
+    "Replica__Message", "replica", sizeof(Replica__Message), 16,
     replica__message__field_descriptors,
     replica__message__field_indices_by_name, 1, replica__message__number_ranges,
     (ProtobufCMessageInit)replica__message__init, NULL, NULL,
--- a/src/replica/replica.pb-c.h
+++ b/src/replica/replica.pb-c.h
@@ -131,7 +131,7 @@
   uint64_t log_term;
   uint64_t commit;
   /*
-   * leader's clock; echoed in replies
+   * sender's clock; echoed in replies
    */
   uint64_t sent_us;
   protobuf_c_boolean reject;
@@ -151,10 +151,14 @@
   uint64_t total;
   ProtobufCBinaryData chunk;
   Replica__Group *group;
+  /*
+   * in pre-vote replies: 1 + index of the latest list of members
+   */
+  uint64_t list_end;
 };
 #define REPLICA__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&replica__message__descriptor) \
-    , REPLICA__KIND__KIND_NONE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, {0,NULL}, NULL }
+    , REPLICA__KIND__KIND_NONE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, {0,NULL}, NULL, 0 }
 
 
 /* Replica__Entry methods */
--- a/src/replica/replica_defs.h
+++ b/src/replica/replica_defs.h
@@ -91,6 +91,8 @@
 	unsigned in_flight; /* unanswered appends since the last heartbeat */
 	uint64_t last_reply_us; /* arrival of its last reply */
 	uint64_t acked_sent_us; /* our clock; newest message that it answered */
+	/* our clock; newest pre-vote after which it had no later list */
+	uint64_t list_us;
 	struct image *image;
 	size_t offset;
 };
@@ -185,6 +187,7 @@
 
 /* replica_election.c */
 void election_reset_timer(struct replica *r);
+void election_retry_soon(struct replica *r);
 void
 election_become_follower(struct replica *r, uint64_t term, uint64_t leader);
 void election_campaign(struct replica *r);
--- a/src/replica/replica_election.c
+++ b/src/replica/replica_election.c
@@ -15,6 +15,19 @@
 	    r->now_us + timeout + random_below(&r->random, timeout + 1);
 }
 
+/*
+ * Sets the time of the next pre-vote: one to three heartbeat intervals from
+ * now.
+ */
+void
+election_retry_soon(struct replica *r)
+{
+	uint64_t interval = r->config.heartbeat_us;
+
+	r->election_due_us =
+	    r->now_us + interval + random_below(&r->random, 2 * interval + 1);
+}
+
 /*
  * Returns whether a leader's message arrived within the minimum election
  * timeout, or may have arrived before a restart of this replica.  Votes are
@@ -65,23 +78,21 @@
 		m.term = term;
 		m.index = log_last_index(&r->log);
 		m.log_term = log_last_term(&r->log);
+		m.sent_us = r->now_us;
 		message_send(r, r->peers[i].id, &m, false);
 	}
 }
 
 /*
  * Starts a pre-vote round: terms stay unchanged until a majority would grant
- * its vote (Ongaro 2014, section 9.6).  The next round follows after one to
- * three heartbeat intervals: after a restart of all, the first rounds are
- * refused by replicas that started later, and pre-votes disturb no leader.
+ * its vote (Ongaro 2014, section 9.6).  The next round follows soon: after a
+ * restart of all, the first rounds are refused by replicas that started later,
+ * and pre-votes disturb no leader.
  */
 void
 election_campaign(struct replica *r)
 {
-	uint64_t interval = r->config.heartbeat_us;
-
-	r->election_due_us =
-	    r->now_us + interval + random_below(&r->random, 2 * interval + 1);
+	election_retry_soon(r);
 	if (!members_is_voter(r) || r->bootstrapping)
 		return;
 	r->role = REPLICA_PRE_CANDIDATE;
@@ -252,6 +263,9 @@
 			     : REPLICA__KIND__KIND_PRE_VOTE_REPLY;
 	reply.reject = !grant;
 	reply.term = grant ? m->term : r->term;
+	reply.sent_us = m->sent_us;
+	if (!is_vote)
+		reply.list_end = r->members_index + 1;
 	if (grant && is_vote) {
 		election_become_follower(r, r->term, 0);
 		if (r->vote == 0) {
@@ -263,6 +277,22 @@
 	message_send(r, from, &reply, false);
 }
 
+/*
+ * Records that a voter has no list of members after ours, in a reply to a
+ * message that we sent at sent_us.  Its log is durable, so it is in no majority
+ * that has committed a later one before that time.
+ */
+static void
+record_list(struct replica *r, struct peer *peer, const Replica__Message *m)
+{
+	if (m->list_end == 0 || m->list_end - 1 > r->members_index)
+		return;
+	if (m->sent_us <= peer->list_us || m->sent_us > r->now_us)
+		return;
+	peer->list_us = m->sent_us;
+	replica_mark_changed(r);
+}
+
 /*
  * Records the reply to a request for a vote or pre-vote.
  */
@@ -273,6 +303,8 @@
 	bool is_vote = m->kind == REPLICA__KIND__KIND_VOTE_REPLY;
 	uint64_t term = is_vote ? r->term : r->term + 1;
 
+	if (peer != NULL && peer->voter && peer->disk == m->from_disk)
+		record_list(r, peer, m);
 	if (r->role != (is_vote ? REPLICA_CANDIDATE : REPLICA_PRE_CANDIDATE))
 		return;
 	if (peer == NULL || !peer->voter || peer->disk != m->from_disk ||
--- a/src/replica/replica_members.c
+++ b/src/replica/replica_members.c
@@ -87,6 +87,7 @@
 	if (member->info.voter && !peer.voter)
 		peer.last_reply_us = r->now_us;
 	peer.voter = member->info.voter;
+	peer.list_us = 0;
 	if (member->disk != 0)
 		peer.disk = member->disk;
 	return peer;
--- a/src/replica/replica_message.c
+++ b/src/replica/replica_message.c
@@ -64,6 +64,8 @@
 		return "commit";
 	if (m->hint > REPLICA_NUMBER_MAX)
 		return "hint";
+	if (m->list_end > REPLICA_NUMBER_MAX)
+		return "list_end";
 	if (m->offset > SNAPSHOT_MAX_BYTES)
 		return "offset";
 	if (m->total > SNAPSHOT_MAX_BYTES)
--- a/src/replica/replica_open.c
+++ b/src/replica/replica_open.c
@@ -150,7 +150,8 @@
 		return status;
 	}
 	members_reload(r);
-	election_reset_timer(r);
+	/* The first pre-votes ask for the lists of members (list_us). */
+	election_retry_soon(r);
 	if (r->bootstrapping)
 		group_tick(r);
 	if (members_is_voter(r) && members_quorum(r) == 1 && r->peer_count == 0)
--- a/test/unit/test_core_allowance.c
+++ b/test/unit/test_core_allowance.c
@@ -249,9 +249,20 @@
 	restart(core, now);
 	assert_false(core->allowance.granting);
 	core->info.last_index = last;
+	/* Without a leader a majority must say that it has no later list. */
 	core->info.members_committed = false;
+	core->info.list_us = 0;
 	restart(core, now);
 	assert_false(core->allowance.granting);
+	core->info.list_us = now;
+	restart(core, now);
+	assert_true(core->allowance.granting);
+	/* It says nothing of an own later list that is not committed. */
+	core->info.members_index = 2;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	core->info.members_index = 1;
+	core->info.list_us = 0;
 	core->info.members_committed = true;
 	/* A learner joined while the process was down. */
 	core->info.members_index = 2;
--- a/test/unit/test_replica_rules.c
+++ b/test/unit/test_replica_rules.c
@@ -283,6 +283,60 @@
 	testbed_free(testbed);
 }
 
+static uint64_t
+list_us(struct testbed *testbed, unsigned id)
+{
+	struct replica_info info;
+
+	replica_describe(testbed_get(testbed, id), &info);
+	return info.list_us;
+}
+
+/*
+ * After a restart without a leader a replica learns from a majority that there
+ * is no later list of members.  Guards against a majority that is missing, that
+ * knows a later list, or that has lost its log.
+ */
+static void
+a_later_list_is_ruled_out_by_a_majority(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	const struct replica_member learner = {.id = 4};
+	uint64_t index;
+
+	testbed_isolate(testbed, 3, true);
+	assert_int_equal(
+	    replica_add_learner(testbed_get(testbed, 1), &learner, &index),
+	    STATUS_OK);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	testbed_isolate(testbed, 3, false);
+	for (unsigned id = 1; id <= 3; id++)
+		testbed_close(testbed, id);
+	testbed_drop_messages(testbed);
+	testbed_open(testbed, 3);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	assert_true(list_us(testbed, 3) == 0);
+	/* The other one has a later list than this one. */
+	testbed_close(testbed, 3);
+	testbed_open(testbed, 3);
+	testbed_open(testbed, 2);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	assert_true(list_us(testbed, 3) == 0);
+	assert_true(list_us(testbed, 2) != 0);
+	assert_true(list_us(testbed, 2) <= testbed->now_us);
+	assert_int_equal(testbed_get(testbed, 2)->role, REPLICA_PRE_CANDIDATE);
+	/* It comes back without its log. */
+	testbed_close(testbed, 2);
+	fs_free(testbed->replicas[1].fs);
+	testbed->replicas[1].fs = NULL;
+	testbed_close(testbed, 3);
+	testbed_open(testbed, 2);
+	testbed_open(testbed, 3);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	assert_true(list_us(testbed, 3) == 0);
+	testbed_free(testbed);
+}
+
 /*
  * Voters are listed in the order of their promotion.  Guards against a voter
  * that stops being among the first ones, which hold the shares of allowances,
@@ -650,6 +704,7 @@
 	    cmocka_unit_test(leader_without_quorum_steps_down),
 	    cmocka_unit_test(membership_changes_are_serialized),
 	    cmocka_unit_test(refused_pre_votes_are_repeated_soon),
+	    cmocka_unit_test(a_later_list_is_ruled_out_by_a_majority),
 	    cmocka_unit_test(promotions_keep_the_order_of_voters),
 	    cmocka_unit_test(removed_leader_steps_down),
 	    cmocka_unit_test(removal_is_not_reported_before_it_is_committed),
