Allowances: a share file counts only for its number of shares

A holder that restarts no longer waits if the committed list still names it among the first voters. That holds the share without interruption only while the number of shares stays the same. Sequence: 5 voters with losses 2 hold a share each; losses is lowered to 1, and the fourth and fifth hold none; the first is cut off and removed; the fourth moves up, finds its file valid, and grants at once, while the first one grants for up to 3 s more: 4 of 3 shares.

The file now has the number of shares. One without it does not count, so a replica that joined later waits 4 s once after an update.

--- a/src/core/core_share.c
+++ b/src/core/core_share.c
@@ -27,24 +27,30 @@
 	struct core *core; /* NULL: it was closed */
 	uint64_t replica_id;
 	uint64_t index;
+	unsigned shares;
 	bool failed;
 	char folder[CORE_PATH_BYTES];
 };
 
 /*
- * Formats the file: replica id, index, and a digest of both.
+ * Formats the file: replica id, index, number of shares, and a digest of them.
+ * With fewer shares the replica may have held none since, and have a
+ * predecessor when it holds one again.
  */
 static void
-format(char *out, size_t size, uint64_t replica_id, uint64_t index)
+format(char *out, size_t size, uint64_t replica_id, uint64_t index,
+    unsigned shares)
 {
-	const uint64_t numbers[] = {replica_id, index};
+	const uint64_t numbers[] = {replica_id, index, shares};
 
-	snprintf(out, size, "%" PRIu64 " %" PRIu64 " %" PRIu64 "\n", replica_id,
-	    index, (uint64_t)XXH3_64bits(numbers, sizeof(numbers)));
+	snprintf(out, size, "%" PRIu64 " %" PRIu64 " %u %" PRIu64 "\n",
+	    replica_id, index, shares,
+	    (uint64_t)XXH3_64bits(numbers, sizeof(numbers)));
 }
 
 /*
- * Reads the index at which this replica held a share.
+ * Reads the index at which this replica held one of as many shares as there are
+ * now; 0 if it did not, or the file is missing or torn.
  */
 uint64_t
 core_share_read(const struct core *core)
@@ -71,7 +77,8 @@
 	(void)str_split(&rest, ' ', &word);
 	if (!str_to_u64(word, &index))
 		return 0;
-	format(expected, sizeof(expected), core->replica_id, index);
+	format(expected, sizeof(expected), core->replica_id, index,
+	    core->allowance.shares);
 	return strcmp(text, expected) == 0 ? index : 0;
 }
 
@@ -90,7 +97,7 @@
 	bool good;
 	int fd;
 
-	format(text, sizeof(text), w->replica_id, w->index);
+	format(text, sizeof(text), w->replica_id, w->index, w->shares);
 	len = strlen(text);
 	snprintf(
 	    temporary, sizeof(temporary), "%s/%s.new", w->folder, share_file);
@@ -146,6 +153,7 @@
 	    .core = core,
 	    .replica_id = core->replica_id,
 	    .index = index,
+	    .shares = a->shares,
 	};
 	snprintf(w->folder, sizeof(w->folder), "%s", core->settings.data);
 	w->work.data = w;
--- a/test/unit/test_core_allowance.c
+++ b/test/unit/test_core_allowance.c
@@ -293,6 +293,55 @@
 	core_fixture_close(&fixture);
 }
 
+/*
+ * Guards against a voter that held one of more shares before `losses` was
+ * lowered, and grants at once when it moves up: the voter that it replaces may
+ * still grant.
+ */
+static void
+a_file_counts_only_for_its_number_of_shares(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct core *core;
+	uint64_t now;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	core_fixture_edit(&fixture, 0, 1, "text");
+	core_fixture_run(&fixture, 200);
+	core = fixture.core;
+	uv_timer_stop(&core->timer);
+	now = clock_boot_us();
+	core->replica_id |= UINT64_C(1) << 47;
+	core->info.members[0] = (struct replica_member){.id = 7, .voter = true};
+	core->info.members[1] =
+	    (struct replica_member){.id = core->replica_id, .voter = true};
+	core->info.member_count = 2;
+	core->info.members_index = 1;
+	core->allowance.shares = 3;
+	restart(core, now);
+	core_allowance_tick(core, now + 4000 * US_PER_MS);
+	assert_true(core->allowance.granting);
+	core_fixture_run_until(&fixture, is_share_written, core);
+	now += 5 * US_PER_S;
+	restart(core, now);
+	assert_true(core->allowance.granting);
+	core->allowance.shares = 1;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	/* The holder of the only share is removed. */
+	core->info.members[0] = core->info.members[1];
+	core->info.member_count = 1;
+	core->info.members_index = 2;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	core_allowance_tick(core, now + 3900 * US_PER_MS);
+	assert_false(core->allowance.granting);
+	core_allowance_tick(core, now + 4000 * US_PER_MS);
+	assert_true(core->allowance.granting);
+	core_fixture_close(&fixture);
+}
+
 /*
  * Guards against a first member beyond the number of shares that grants at once
  * when it moves up: the voter that it replaces may still grant.
@@ -345,6 +394,7 @@
 	    cmocka_unit_test(a_voter_grants_while_its_group_has_a_leader),
 	    cmocka_unit_test(a_new_holder_waits),
 	    cmocka_unit_test(a_holder_grants_at_once_after_a_restart),
+	    cmocka_unit_test(a_file_counts_only_for_its_number_of_shares),
 	    cmocka_unit_test(a_first_member_that_moves_up_waits),
 	    cmocka_unit_test(an_instance_without_a_log_never_grants),
 	};
