Replica: replies to pre-votes from before a reboot name no time

A reply to a pre-vote echoes the time of the question by the sender's clock, which starts anew with a reboot. Sequence: a replica sends pre-votes soon after a boot; its machine loses power; it starts again after a shorter uptime; a peer that was frozen answers the old question and then stores a later list of members. The echoed time may then lie after the peer's reply, and the holder grants longer than its 3 s.

Each process now adds a random number to the times in its pre-votes.

The schedules check that list_us is never after the commit of a later list.

--- a/src/replica/replica.pb-c.h
+++ b/src/replica/replica.pb-c.h
@@ -131,7 +131,7 @@
   uint64_t log_term;
   uint64_t commit;
   /*
-   * sender's clock; echoed in replies
+   * sender's clock, or a number for it; echoed in replies
    */
   uint64_t sent_us;
   protobuf_c_boolean reject;
--- a/src/replica/replica_defs.h
+++ b/src/replica/replica_defs.h
@@ -120,6 +120,11 @@
 	struct random random;
 	enum replica_role role;
 	uint64_t now_us;
+	/*
+	 * Added to the time in pre-votes, at random: a reply to one from before
+	 * a reboot, whose clock was another one, names no time of ours.
+	 */
+	uint64_t question_base_us;
 
 	uint64_t term;
 	uint64_t vote;
--- a/src/replica/replica_election.c
+++ b/src/replica/replica_election.c
@@ -78,7 +78,7 @@
 		m.term = term;
 		m.index = log_last_index(&r->log);
 		m.log_term = log_last_term(&r->log);
-		m.sent_us = r->now_us;
+		m.sent_us = r->question_base_us + r->now_us;
 		message_send(r, r->peers[i].id, &m, false);
 	}
 }
@@ -279,17 +279,19 @@
 
 /*
  * Records that a voter has no list of members after ours, in a reply to a
- * message that we sent at sent_us.  Its log is durable, so it is in no majority
- * that has committed a later one before that time.
+ * pre-vote of this process.  Its log is durable, so it is in no majority that
+ * had committed a later one when the pre-vote was sent.
  */
 static void
 record_list(struct replica *r, struct peer *peer, const Replica__Message *m)
 {
+	uint64_t sent_us = m->sent_us - r->question_base_us;
+
 	if (m->list_end == 0 || m->list_end - 1 > r->members_index)
 		return;
-	if (m->sent_us <= peer->list_us || m->sent_us > r->now_us)
+	if (sent_us <= peer->list_us || sent_us > r->now_us)
 		return;
-	peer->list_us = m->sent_us;
+	peer->list_us = sent_us;
 	replica_mark_changed(r);
 }
 
--- a/src/replica/replica_open.c
+++ b/src/replica/replica_open.c
@@ -144,6 +144,7 @@
 	r->now_us = now_us;
 	r->leader_contact_us = now_us;
 	random_seed(&r->random, config->seed ^ config->id << 32);
+	r->question_base_us = random_next(&r->random);
 	status = load_storage(r, bootstrap, bootstrap_count);
 	if (status != STATUS_OK) {
 		replica_close(r);
--- a/test/unit/support_replica_check.c
+++ b/test/unit/support_replica_check.c
@@ -378,6 +378,97 @@
 	}
 }
 
+/*
+ * Returns whether a list of members in a replica's log is committed, as seen
+ * by any node.  A snapshot holds only committed ones.
+ */
+static bool
+is_list_committed(struct group *g, const struct replica *r)
+{
+	uint64_t term;
+
+	if (r->members_index <= r->snapshot_index ||
+	    r->members_index <= r->commit_index)
+		return true;
+	return r->members_index <= g->last_list &&
+	    log_term_at(&r->log, r->members_index, &term) &&
+	    term ==
+	    *group_slot(
+		&g->list_terms, &g->list_terms_capacity, r->members_index);
+}
+
+/*
+ * Records the first time at which a node knows that its list of members is
+ * committed.
+ */
+static void
+record_list(struct group *g, const struct replica *r)
+{
+	uint64_t *term = group_slot(
+	    &g->list_terms, &g->list_terms_capacity, r->members_index);
+
+	if (r->members_index <= r->snapshot_index ||
+	    r->members_index > r->commit_index || *term != 0 ||
+	    !log_term_at(&r->log, r->members_index, term))
+		return;
+	*group_slot(&g->list_times_us, &g->list_times_capacity,
+	    r->members_index) = g->now_us;
+	if (r->members_index > g->last_list)
+		g->last_list = r->members_index;
+}
+
+/*
+ * Checks that a later list of members was not yet committed at the time for
+ * which a majority has denied it.
+ */
+static void
+check_list(struct group *g, struct node *node)
+{
+	const struct replica *r = node->engine;
+	uint64_t local_us = group_local_us(g, node);
+	struct replica_info info;
+	uint64_t age_us;
+
+	replica_describe(r, &info);
+	if (info.list_us == 0 || !is_list_committed(g, r))
+		return;
+	if (info.list_us > node->list_us)
+		g->result->lists_confirmed++;
+	node->list_us = info.list_us;
+	age_us = (local_us - info.list_us) * US_PER_S /
+	    (US_PER_S + node->clock_rate);
+	for (uint64_t i = r->members_index + 1; i <= g->last_list; i++) {
+		if (*group_slot(&g->list_terms, &g->list_terms_capacity, i) ==
+		    0)
+			continue;
+		if (g->now_us - age_us <=
+		    *group_slot(&g->list_times_us, &g->list_times_capacity, i))
+			return;
+		group_trace(g, "LIST MISSED by node %llu: %llu",
+		    (unsigned long long)node->id, (unsigned long long)i);
+		g->result->lists_missed++;
+		return;
+	}
+}
+
+/*
+ * Checks what running replicas know about the lists of members.
+ */
+static void
+check_lists(struct group *g)
+{
+	if (!g->engine->supports_replacement)
+		return;
+	for (unsigned i = 0; i < GROUP_NODES_MAX; i++) {
+		if (group_is_up(g, &g->nodes[i]))
+			record_list(g, g->nodes[i].engine);
+	}
+	for (unsigned i = 0; i < GROUP_NODES_MAX; i++) {
+		if (group_is_up(g, &g->nodes[i]))
+			check_list(g, &g->nodes[i]);
+	}
+}
+
 void
 check_step(struct group *g)
 {
@@ -386,6 +477,7 @@
 			check_leader(g, &g->nodes[i]);
 	}
 	check_leases(g);
+	check_lists(g);
 }
 
 /*
@@ -423,4 +515,6 @@
 	mem_free(g->chains);
 	mem_free(g->stored_entries);
 	mem_free(g->leaders);
+	mem_free(g->list_terms);
+	mem_free(g->list_times_us);
 }
--- a/test/unit/support_replica_group.c
+++ b/test/unit/support_replica_group.c
@@ -188,6 +188,7 @@
 	struct replica_storage storage;
 
 	node->incarnation++;
+	node->list_us = 0;
 	node->state_machine.applied = 0;
 	node->state_machine.chain = 0;
 	node->clock_offset_us = random_below(&g->random, 100 * US_PER_S);
--- a/test/unit/support_replica_group.h
+++ b/test/unit/support_replica_group.h
@@ -46,6 +46,7 @@
 	uint64_t votes_after_wipe; /* by an old id with an empty folder */
 	uint64_t failed_starts; /* on a folder without disk fault */
 	uint64_t stuck; /* no up-to-date leader after all faults ended */
+	uint64_t lists_missed; /* replica_info.list_us after a later list */
 	/* Events of the schedules. */
 	uint64_t elections;
 	uint64_t kills;
@@ -58,6 +59,7 @@
 	uint64_t wipes_after_repair; /* disk lost right after a repair */
 	uint64_t snapshots_loaded;
 	uint64_t messages;
+	uint64_t lists_confirmed; /* a new list_us of a committed list */
 };
 
 extern const struct group_engine group_engine_replica;
--- a/test/unit/support_replica_group_defs.h
+++ b/test/unit/support_replica_group_defs.h
@@ -59,6 +59,7 @@
 	uint64_t incarnation;
 	uint64_t clock_offset_us;
 	uint64_t clock_rate; /* in ppm; added to real time */
+	uint64_t list_us; /* last replica_info.list_us, by its clock */
 	bool bootstrap;
 	struct state_machine state_machine;
 };
@@ -118,6 +119,11 @@
 	size_t stored_entry_capacity;
 	uint64_t *leaders; /* by term */
 	uint64_t leaders_capacity;
+	uint64_t *list_terms; /* of committed lists of members, by index */
+	uint64_t list_terms_capacity;
+	uint64_t *list_times_us; /* when each was first seen, by index */
+	uint64_t list_times_capacity;
+	uint64_t last_list;
 };
 
 /* support_replica_group.c */
--- a/test/unit/support_replica_many.c
+++ b/test/unit/support_replica_many.c
@@ -65,7 +65,8 @@
 {
 	return result->lost + result->reverted + result->diverged +
 	    result->two_leaders + result->two_leases + result->stale_reads +
-	    result->votes_after_wipe + result->failed_starts + result->stuck;
+	    result->votes_after_wipe + result->failed_starts + result->stuck +
+	    result->lists_missed;
 }
 
 void
@@ -75,10 +76,10 @@
 	static const char *const names[] = {"schedules",
 	    "commands acknowledged", "LOST", "REVERTED", "DIVERGED",
 	    "TWO LEADERS OF A TERM", "TWO LEASES", "STALE READS",
-	    "VOTES AFTER WIPE", "FAILED STARTS", "STUCK", "elections", "kills",
-	    "disks wiped", "disks torn", "disk errors", "partitions", "freezes",
-	    "member changes", "wipes after repair", "snapshots loaded",
-	    "messages"};
+	    "VOTES AFTER WIPE", "FAILED STARTS", "STUCK", "LISTS MISSED",
+	    "elections", "kills", "disks wiped", "disks torn", "disk errors",
+	    "partitions", "freezes", "member changes", "wipes after repair",
+	    "snapshots loaded", "messages", "lists confirmed"};
 
 	printf("%-24s", "");
 	for (unsigned i = 0; i < count; i++)
--- a/test/unit/test_replica_schedules.c
+++ b/test/unit/test_replica_schedules.c
@@ -41,6 +41,7 @@
 	assert_true(results[0].disks_torn > 0);
 	assert_true(results[0].snapshots_loaded > 0);
 	assert_true(results[0].member_changes > 0);
+	assert_true(results[0].lists_confirmed > 0);
 }
 
 /*
