Tests: draws of a holder without a leader, bound of list_end

Nothing tested that list_us allows and limits draws: without it in last_touch_us(), or for a list that the file does not name, all tests passed.

--- a/test/unit/test_core_allowance.c
+++ b/test/unit/test_core_allowance.c
@@ -163,6 +163,48 @@
 	core_fixture_close(&fixture);
 }
 
+/*
+ * Guards against a holder without a leader that grants for more than 3 s after
+ * a majority had no later list of members, or with a later list than the one
+ * that its file tells of.
+ */
+static void
+a_holder_grants_while_a_majority_knows_no_later_list(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct drawer drawer;
+	struct core *core;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	core_fixture_edit(&fixture, 0, 1, "text");
+	core_fixture_run(&fixture, 100);
+	open_drawer(&fixture, &drawer);
+	core = fixture.core;
+	uv_timer_stop(&core->timer);
+	core->allowance.granting = true;
+	core->allowance.share_index = 1;
+	core->info.members_index = 1;
+	core->info.members_committed = false;
+	core->info.touch_us = 0;
+	core->info.list_us = 0;
+	draw(&fixture, &drawer, 1);
+	assert_true(drawer.result.unavailable);
+	core->info.list_us = clock_boot_us() - 4 * US_PER_S;
+	draw(&fixture, &drawer, 2);
+	assert_true(drawer.result.unavailable);
+	core->info.list_us = clock_boot_us();
+	core->info.members_index = 2;
+	draw(&fixture, &drawer, 3);
+	assert_true(drawer.result.unavailable);
+	core->info.members_index = 1;
+	core->info.list_us = clock_boot_us();
+	draw(&fixture, &drawer, 4);
+	assert_int_equal(drawer.result.granted, 1);
+	channel_close(drawer.channel);
+	core_fixture_close(&fixture);
+}
+
 /*
  * Guards against two holders of one share: a successor grants only when the
  * voter that it replaces must have stopped.
@@ -392,6 +434,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_voter_grants_while_its_group_has_a_leader),
+	    cmocka_unit_test(
+		a_holder_grants_while_a_majority_knows_no_later_list),
 	    cmocka_unit_test(a_new_holder_waits),
 	    cmocka_unit_test(a_holder_grants_at_once_after_a_restart),
 	    cmocka_unit_test(a_file_counts_only_for_its_number_of_shares),
--- a/test/unit/test_replica_messages.c
+++ b/test/unit/test_replica_messages.c
@@ -30,6 +30,7 @@
     {"log_term", offsetof(Replica__Message, log_term), REPLICA_NUMBER_MAX},
     {"commit", offsetof(Replica__Message, commit), REPLICA_NUMBER_MAX},
     {"hint", offsetof(Replica__Message, hint), REPLICA_NUMBER_MAX},
+    {"list_end", offsetof(Replica__Message, list_end), REPLICA_NUMBER_MAX},
     {"offset", offsetof(Replica__Message, offset), SNAPSHOT_MAX_BYTES},
     {"total", offsetof(Replica__Message, total), SNAPSHOT_MAX_BYTES},
 };
