Allowances: a voter that was displaced waits when it moves up again

A voter keeps its share over changes of the list as long as the list names it among the first ones. A leader of an older version may promote a learner in front of it. Sequence: the voter sees that list and stops; another holder is cut off and removed; the voter moves up, finds the index of its file below the end of the log, and grants at once beside the removed one.

The index is now forgotten once a committed list names others in front. The test failed before. A restart in between reads the file again; so a leader of the older version must still not run beside this one for long.

--- a/src/core/core_allowance.c
+++ b/src/core/core_allowance.c
@@ -204,12 +204,15 @@
 	bool held = is_own_holder(core);
 
 	if (!held) {
+		bool is_committed =
+		    core->info.member_count > 0 && core->info.members_committed;
+
 		a->held_since_us = 0;
 		/* A later share succeeds somebody. */
-		if (a->granting ||
-		    (core->info.member_count > 0 &&
-			core->info.members_committed))
+		if (a->granting || is_committed)
 			a->wait_us = SUCCESSION_MS * US_PER_MS;
+		if (is_committed)
+			a->share_index = 0;
 	} else if (a->held_since_us == 0 && is_list_in_effect(core)) {
 		a->held_since_us = now_us;
 	}
--- a/src/core/core_share.c
+++ b/src/core/core_share.c
@@ -119,7 +119,7 @@
 
 	if (core != NULL) {
 		core->allowance.write = NULL;
-		if (status == 0 && !w->failed &&
+		if (status == 0 && !w->failed && core->allowance.granting &&
 		    core->replica_id == w->replica_id)
 			core->allowance.share_index = w->index;
 		else if (w->failed)
--- a/test/unit/test_core_allowance.c
+++ b/test/unit/test_core_allowance.c
@@ -207,7 +207,8 @@
 
 /*
  * Guards against two holders of one share: a successor grants only when the
- * voter that it replaces must have stopped.
+ * voter that it replaces must have stopped, also one that held a share before
+ * (a leader of an older version may have put another voter in front).
  */
 static void
 a_new_holder_waits(void **state ATTR_UNUSED)
@@ -224,12 +225,14 @@
 	now = clock_boot_us();
 	core->replica_id |= UINT64_C(1) << 47;
 	core->info.members[0].id = core->replica_id;
+	core->info.members_index = 1;
 	core_allowance_on_opened(core);
 	core_allowance_tick(core, now);
 	core_allowance_tick(core, now + 3900 * US_PER_MS);
 	assert_false(core->allowance.granting);
 	core_allowance_tick(core, now + 4000 * US_PER_MS);
 	assert_true(core->allowance.granting);
+	core_fixture_run_until(&fixture, is_share_written, core);
 	/* One more voter is there before it in the list. */
 	core->info.members[1] = core->info.members[0];
 	core->info.members[0].id = 7;
@@ -238,6 +241,12 @@
 	assert_false(core_allowance_is_holder(core, 1));
 	core_allowance_tick(core, now + 4100 * US_PER_MS);
 	assert_false(core->allowance.granting);
+	core->info.members[0].id = core->replica_id;
+	core->info.member_count = 1;
+	core_allowance_tick(core, now + 4200 * US_PER_MS);
+	assert_false(core->allowance.granting);
+	core_allowance_tick(core, now + 8200 * US_PER_MS);
+	assert_true(core->allowance.granting);
 	core_fixture_close(&fixture);
 }
 
