Allowances: a holder of the first list of members writes its file

The first members of a group have the list of index 0, and index 0 also stands for no file. The index of the first entry is now written, which is never a list of members but a leader's no-op.

The new test timed out before. In a_voter_grants_while_its_group_has_a_leader the only voter of its group is now also made old in list_us, since it has a majority without a leader; the assertion stays.

--- a/src/core/core_share.c
+++ b/src/core/core_share.c
@@ -133,7 +133,9 @@
 /*
  * Writes the index of the list of members while the share is granted from.  A
  * replica that is opened again knows only that its list was in effect at its
- * last snapshot, so that a newer snapshot is a newer index.
+ * last snapshot, so that a newer snapshot is a newer index.  The first members
+ * have index 0, which stands for no file; they are in effect at the first
+ * entry, too, since that is a leader's no-op.
  */
 void
 core_share_tick(struct core *core, uint64_t now_us)
@@ -143,6 +145,8 @@
 	    MAX(core->info.members_index, core->info.snapshot_index);
 	struct core_share_write *w;
 
+	if (index == 0 && core->info.commit_index > 0)
+		index = 1;
 	if (!a->granting || !core->info.members_committed ||
 	    index <= a->share_index || a->write != NULL ||
 	    now_us < a->next_write_us)
--- a/test/unit/test_core_allowance.c
+++ b/test/unit/test_core_allowance.c
@@ -155,6 +155,7 @@
 	assert_int_equal(drawer.voters, 1);
 	/* As if the process had been cut off from its leader. */
 	fixture.core->info.touch_us = clock_boot_us() - 4 * US_PER_S;
+	fixture.core->info.list_us = fixture.core->info.touch_us;
 	fixture.core->allowance.granting = true;
 	uv_timer_stop(&fixture.core->timer);
 	draw(&fixture, &drawer, 4);
@@ -344,6 +345,35 @@
 	core_fixture_close(&fixture);
 }
 
+/*
+ * Guards against a holder that writes no file while the members of its group
+ * have never changed and it has taken no snapshot, and cannot grant before a
+ * leader is elected.
+ */
+static void
+a_holder_of_the_first_list_writes_its_file(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct core *core;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	core_fixture_edit(&fixture, 0, 1, "text");
+	core = fixture.core;
+	core_fixture_run_until(&fixture, is_share_written, core);
+	assert_int_equal(core->info.members_index, 0);
+	assert_int_equal(core->info.snapshot_index, 0);
+	uv_timer_stop(&core->timer);
+	core->info.members_committed = false;
+	core->info.list_us = 0;
+	restart(core, clock_boot_us());
+	assert_false(core->allowance.granting);
+	core->info.list_us = clock_boot_us();
+	restart(core, core->info.list_us);
+	assert_true(core->allowance.granting);
+	core_fixture_close(&fixture);
+}
+
 /*
  * Guards against a voter that held one of more shares before `losses` was
  * lowered, and grants at once when it moves up: the voter that it replaces may
@@ -447,6 +477,7 @@
 		a_holder_grants_while_a_majority_knows_no_later_list),
 	    cmocka_unit_test(a_new_holder_waits),
 	    cmocka_unit_test(a_holder_grants_at_once_after_a_restart),
+	    cmocka_unit_test(a_holder_of_the_first_list_writes_its_file),
 	    cmocka_unit_test(a_file_counts_only_for_its_number_of_shares),
 	    cmocka_unit_test(a_first_member_that_moves_up_waits),
 	    cmocka_unit_test(an_instance_without_a_log_never_grants),
