Replica: pre-votes learn of the lists of members across terms

A replica with a higher term than the others ignored their refusals, and so what they say of their lists; the others started an election timeout of up to twice its length when they adopted its term. Sequence: a loss of power during an election, after which one replica has a higher term: neither it nor the others grant before a leader is elected, although a majority has no later list.

Replies to pre-votes of a lower term are now read (a refusal still grants nothing), and a replica that adopts a term from one asks again soon.

--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -186,6 +186,8 @@
 		return true;
 	if (m->term > r->term) {
 		election_become_follower(r, m->term, from_leader ? from : 0);
+		if (m->kind == REPLICA__KIND__KIND_PRE_VOTE_REPLY)
+			election_retry_soon(r);
 		return r->role != REPLICA_STOPPED;
 	}
 	if (m->term == r->term)
@@ -198,7 +200,8 @@
 		reply.reject = true;
 		message_send(r, from, &reply, false);
 	}
-	return is_vote_request;
+	/* Any reply to a pre-vote names the sender's list of members. */
+	return is_vote_request || m->kind == REPLICA__KIND__KIND_PRE_VOTE_REPLY;
 }
 
 /*
--- a/test/unit/test_replica_rules.c
+++ b/test/unit/test_replica_rules.c
@@ -337,6 +337,44 @@
 	testbed_free(testbed);
 }
 
+/*
+ * Guards against replicas that learn nothing about the lists of the others
+ * after a restart because one of them has a higher term.
+ */
+static void
+lists_are_ruled_out_across_terms(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	struct replica *r = testbed_get(testbed, 3);
+
+	r->term++;
+	r->vote = 0;
+	replica_save_state(r);
+	replica_flush(r, testbed->now_us);
+	for (unsigned id = 1; id <= 3; id++)
+		testbed_close(testbed, id);
+	testbed_drop_messages(testbed);
+	testbed_open(testbed, 1);
+	testbed_open(testbed, 3);
+	testbed_block(testbed, 1, 3, true);
+	testbed_open(testbed, 2);
+	testbed_block(testbed, 1, 2, true);
+	/* The one with the higher term hears only from one with a lower one. */
+	testbed_get(testbed, 2)->election_due_us =
+	    testbed->now_us + ELECTION_US;
+	testbed_run(testbed, 3 * (uint64_t)HEARTBEAT_US + 10 * US_PER_MS);
+	assert_true(list_us(testbed, 3) != 0);
+	/* One with a lower term asks again soon after it has learned of it. */
+	testbed_block(testbed, 1, 3, false);
+	testbed_block(testbed, 2, 3, true);
+	testbed_run(testbed, 3 * (uint64_t)HEARTBEAT_US + 10 * US_PER_MS);
+	assert_true(
+	    testbed_get(testbed, 1)->term == testbed_get(testbed, 3)->term);
+	assert_true(testbed_get(testbed, 1)->election_due_us <=
+	    testbed->now_us + 3 * (uint64_t)HEARTBEAT_US);
+	testbed_free(testbed);
+}
+
 /*
  * Voters are listed in the order of their promotion.  Guards against a voter
  * that stops being among the first ones, which hold the shares of allowances,
@@ -705,6 +743,7 @@
 	    cmocka_unit_test(membership_changes_are_serialized),
 	    cmocka_unit_test(refused_pre_votes_are_repeated_soon),
 	    cmocka_unit_test(a_later_list_is_ruled_out_by_a_majority),
+	    cmocka_unit_test(lists_are_ruled_out_across_terms),
 	    cmocka_unit_test(promotions_keep_the_order_of_voters),
 	    cmocka_unit_test(removed_leader_steps_down),
 	    cmocka_unit_test(removal_is_not_reported_before_it_is_committed),
