--- a/src/core/core_allowance.c
+++ b/src/core/core_allowance.c
@@ -93,7 +93,7 @@
 
 /*
  * Returns whether a member holds a share: the first ones of the voters in the
- * order of their joining.  A successor is promoted before the voter that it
+ * order of their promotion.  A successor is promoted before the voter that it
  * replaces is removed, and holds none until then.
  */
 bool
@@ -119,8 +119,9 @@
 }
 
 /*
- * Returns whether the file tells that this replica has held its share with the
- * latest list of members, which is committed for this reason alone.
+ * Returns whether, by its file, this replica has held its share with the latest
+ * list of members.  That list is then committed, also if the replica does not
+ * know it yet.
  */
 static bool
 has_held_with_list(const struct core *core)
@@ -132,10 +133,10 @@
 }
 
 /*
- * Returns whether the share is the one that the file tells of.  Voters are
- * listed in the order of their promotion, and a voter that was removed joins
- * again under another id: one of the first voters stays one of them until it is
- * removed, whatever else has changed in the list.
+ * Returns whether the replica has held its share since its file was written.
+ * Voters are listed in the order of their promotion, and a voter that was
+ * removed joins again under another id: one of the first voters stays one of
+ * them until it is removed, whatever else has changed in the list.
  */
 static bool
 has_kept_share(const struct core *core)
@@ -147,10 +148,9 @@
 }
 
 /*
- * Returns the last time at which nobody else can have held the share, in
- * microseconds; 0: not known.  A successor waits for longer than TOUCH_MS from
- * its list on.  That list is committed by the leader, or by a majority that has
- * a later list than ours.
+ * Returns the latest time at which no list with a successor to this replica's
+ * share can have been committed, in microseconds; 0: not known.  A successor
+ * grants SUCCESSION_MS after the commit of its list.
  */
 static uint64_t
 last_touch_us(const struct core *core)
@@ -193,9 +193,9 @@
  * Follows the list of members, and sweeps the buckets.  A list that is not
  * committed yet may end a share but not begin one.  After a start the log may
  * lack a later list until it has caught up with the leader, or a majority has
- * said that it knows none.  Buckets of a holder that
- * need not wait fill from the start of the process: it has granted nothing
- * before, and nobody else has granted from its share.
+ * said that it knows none.  Buckets of a holder that need not wait fill from
+ * the start of the process: it has granted nothing before, and nobody else has
+ * granted from its share.
  */
 void
 core_allowance_tick(struct core *core, uint64_t now_us)
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -79,9 +79,9 @@
 	 */
 	uint64_t touch_us;
 	/*
-	 * A majority of the members' voters had no later list of members at
-	 * this time; 0: not known.  Without a leader it says as much as touch
-	 * with one, if the list is known to be committed.
+	 * Latest time at which a majority of the voters had no later list of
+	 * members, by their replies to pre-votes; 0: not known.  If the list is
+	 * committed, no later one was committed before this time.
 	 */
 	uint64_t list_us;
 };
--- a/src/replica/replica_defs.h
+++ b/src/replica/replica_defs.h
@@ -91,7 +91,7 @@
 	unsigned in_flight; /* unanswered appends since the last heartbeat */
 	uint64_t last_reply_us; /* arrival of its last reply */
 	uint64_t acked_sent_us; /* our clock; newest message that it answered */
-	/* our clock; newest pre-vote after which it had no later list */
+	/* our clock; newest pre-vote that it answered without a later list */
 	uint64_t list_us;
 	struct image *image;
 	size_t offset;
