--- a/test/unit/test_replica_messages.c
+++ b/test/unit/test_replica_messages.c
@@ -208,11 +208,59 @@
 	testbed_free(testbed);
 }
 
+/*
+ * Guards against a reply to a pre-vote that counts although it is from another
+ * disk, names a later list of members, or answers a question that this process
+ * has not asked yet.
+ */
+static void
+replies_about_lists_are_checked(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	struct replica *r = testbed_get(testbed, 1);
+	const struct replica *from = testbed_get(testbed, 2);
+	const struct {
+		uint64_t disk;
+		uint64_t list_end;
+		uint64_t sent_us;
+		bool counts;
+	} cases[] = {
+	    {from->storage.disk + 1, r->members_index + 1, r->now_us, false},
+	    {from->storage.disk, r->members_index + 2, r->now_us, false},
+	    {from->storage.disk, 0, r->now_us, false},
+	    {from->storage.disk, r->members_index + 1, r->now_us + 1, false},
+	    {from->storage.disk, r->members_index + 1, r->now_us - 1, true},
+	};
+
+	members_peer(r, 2)->list_us = 0;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		Replica__Message m = REPLICA__MESSAGE__INIT;
+		uint8_t bytes[MESSAGE_BYTES];
+		size_t len;
+
+		m.kind = REPLICA__KIND__KIND_PRE_VOTE_REPLY;
+		m.term = r->term;
+		m.reject = true;
+		m.from_disk = cases[i].disk;
+		m.list_end = cases[i].list_end;
+		m.sent_us = r->question_base_us + cases[i].sent_us;
+		len = replica__message__pack(&m, bytes);
+		assert_int_equal(
+		    replica_receive(r, 2, str_of((const char *)bytes, len),
+			testbed->now_us),
+		    STATUS_OK);
+		assert_true(members_peer(r, 2)->list_us ==
+		    (cases[i].counts ? cases[i].sent_us : 0));
+	}
+	testbed_free(testbed);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(each_number_is_refused_above_its_bound),
+	    cmocka_unit_test(replies_about_lists_are_checked),
 	    cmocka_unit_test(entries_are_bounded_by_their_message),
 	    cmocka_unit_test(snapshot_at_the_last_index_does_not_end_the_log),
 	    cmocka_unit_test(message_far_ahead_does_not_end_the_terms),
