--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -186,6 +186,8 @@
 		return true;
 	if (m->term > r->term) {
 		election_become_follower(r, m->term, from_leader ? from : 0);
+		if (m->kind == REPLICA__KIND__KIND_PRE_VOTE_REPLY)
+			election_retry_soon(r);
 		return r->role != REPLICA_STOPPED;
 	}
 	if (m->term == r->term)
@@ -198,7 +200,8 @@
 		reply.reject = true;
 		message_send(r, from, &reply, false);
 	}
-	return is_vote_request;
+	/* Any reply to a pre-vote names the sender's list of members. */
+	return is_vote_request || m->kind == REPLICA__KIND__KIND_PRE_VOTE_REPLY;
 }
 
 /*
@@ -450,6 +453,16 @@
 		replica->applied_term == replica->term);
 }
 
+/*
+ * Returns when a pre-vote was sent after which a peer had no later list of
+ * members, in microseconds by our clock; for election_quorum_value().
+ */
+static uint64_t
+list_us(const struct peer *peer)
+{
+	return peer->list_us;
+}
+
 /*
  * Fills in the replica's status for operators.
  */
@@ -469,6 +482,9 @@
 		replica->members_index <= replica->commit_index,
 	    .members_index = replica->members_index,
 	    .touch_us = replica->touch_us,
+	    .list_us = replica->members.count > 0
+		? election_quorum_value(replica, list_us, replica->now_us)
+		: 0,
 	};
 	for (unsigned i = 0; i < replica->members.count; i++)
 		info->members[i] = replica->members.list[i].info;
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -78,6 +78,12 @@
 	 * opened.
 	 */
 	uint64_t touch_us;
+	/*
+	 * Latest time at which a majority of the voters had no later list of
+	 * members, by their replies to pre-votes; 0: not known.  If the list is
+	 * committed, no later one was committed before this time.
+	 */
+	uint64_t list_us;
 };
 
 struct replica;
--- a/src/replica/replica_open.c
+++ b/src/replica/replica_open.c
@@ -144,13 +144,15 @@
 	r->now_us = now_us;
 	r->leader_contact_us = now_us;
 	random_seed(&r->random, config->seed ^ config->id << 32);
+	r->question_base_us = random_next(&r->random);
 	status = load_storage(r, bootstrap, bootstrap_count);
 	if (status != STATUS_OK) {
 		replica_close(r);
 		return status;
 	}
 	members_reload(r);
-	election_reset_timer(r);
+	/* The first pre-votes ask for the lists of members (list_us). */
+	election_retry_soon(r);
 	if (r->bootstrapping)
 		group_tick(r);
 	if (members_is_voter(r) && members_quorum(r) == 1 && r->peer_count == 0)
--- a/test/unit/test_core_allowance.c
+++ b/test/unit/test_core_allowance.c
@@ -72,6 +72,12 @@
 	return ((const struct drawer *)ctx)->answered;
 }
 
+static bool
+is_share_written(const void *ctx)
+{
+	return ((const struct core *)ctx)->allowance.share_index != 0;
+}
+
 static void
 open_drawer(struct core_fixture *fixture, struct drawer *drawer)
 {
@@ -149,6 +155,7 @@
 	assert_int_equal(drawer.voters, 1);
 	/* As if the process had been cut off from its leader. */
 	fixture.core->info.touch_us = clock_boot_us() - 4 * US_PER_S;
+	fixture.core->info.list_us = fixture.core->info.touch_us;
 	fixture.core->allowance.granting = true;
 	uv_timer_stop(&fixture.core->timer);
 	draw(&fixture, &drawer, 4);
@@ -157,9 +164,52 @@
 	core_fixture_close(&fixture);
 }
 
+/*
+ * Guards against a holder without a leader that grants for more than 3 s after
+ * a majority had no later list of members, or with a later list than the one
+ * that its file tells of.
+ */
+static void
+a_holder_grants_while_a_majority_knows_no_later_list(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct drawer drawer;
+	struct core *core;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	core_fixture_edit(&fixture, 0, 1, "text");
+	core_fixture_run(&fixture, 100);
+	open_drawer(&fixture, &drawer);
+	core = fixture.core;
+	uv_timer_stop(&core->timer);
+	core->allowance.granting = true;
+	core->allowance.share_index = 1;
+	core->info.members_index = 1;
+	core->info.members_committed = false;
+	core->info.touch_us = 0;
+	core->info.list_us = 0;
+	draw(&fixture, &drawer, 1);
+	assert_true(drawer.result.unavailable);
+	core->info.list_us = clock_boot_us() - 4 * US_PER_S;
+	draw(&fixture, &drawer, 2);
+	assert_true(drawer.result.unavailable);
+	core->info.list_us = clock_boot_us();
+	core->info.members_index = 2;
+	draw(&fixture, &drawer, 3);
+	assert_true(drawer.result.unavailable);
+	core->info.members_index = 1;
+	core->info.list_us = clock_boot_us();
+	draw(&fixture, &drawer, 4);
+	assert_int_equal(drawer.result.granted, 1);
+	channel_close(drawer.channel);
+	core_fixture_close(&fixture);
+}
+
 /*
  * Guards against two holders of one share: a successor grants only when the
- * voter that it replaces must have stopped.
+ * voter that it replaces must have stopped, also one that held a share before
+ * (a leader of an older version may have put another voter in front).
  */
 static void
 a_new_holder_waits(void **state ATTR_UNUSED)
@@ -176,12 +226,14 @@
 	now = clock_boot_us();
 	core->replica_id |= UINT64_C(1) << 47;
 	core->info.members[0].id = core->replica_id;
+	core->info.members_index = 1;
 	core_allowance_on_opened(core);
 	core_allowance_tick(core, now);
 	core_allowance_tick(core, now + 3900 * US_PER_MS);
 	assert_false(core->allowance.granting);
 	core_allowance_tick(core, now + 4000 * US_PER_MS);
 	assert_true(core->allowance.granting);
+	core_fixture_run_until(&fixture, is_share_written, core);
 	/* One more voter is there before it in the list. */
 	core->info.members[1] = core->info.members[0];
 	core->info.members[0].id = 7;
@@ -190,6 +242,12 @@
 	assert_false(core_allowance_is_holder(core, 1));
 	core_allowance_tick(core, now + 4100 * US_PER_MS);
 	assert_false(core->allowance.granting);
+	core->info.members[0].id = core->replica_id;
+	core->info.member_count = 1;
+	core_allowance_tick(core, now + 4200 * US_PER_MS);
+	assert_false(core->allowance.granting);
+	core_allowance_tick(core, now + 8200 * US_PER_MS);
+	assert_true(core->allowance.granting);
 	core_fixture_close(&fixture);
 }
 
@@ -205,8 +263,9 @@
 
 /*
  * Guards against a voter that waits after each restart of all processes as if
- * it succeeded another one, and against one that does not wait although the
- * list of members has changed, is not known, or its file is torn.
+ * it succeeded another one, also when another member has joined meanwhile, and
+ * against one that does not wait although the list of members names others
+ * before it, is not known, or its file is torn.
  */
 static void
 a_holder_grants_at_once_after_a_restart(void **state ATTR_UNUSED)
@@ -232,7 +291,7 @@
 	assert_false(core->allowance.granting);
 	core_allowance_tick(core, now + 4000 * US_PER_MS);
 	assert_true(core->allowance.granting);
-	core_fixture_run(&fixture, 200);
+	core_fixture_run_until(&fixture, is_share_written, core);
 	assert_int_equal(core->allowance.share_index, 1);
 	now += 5 * US_PER_S;
 	restart(core, now);
@@ -242,13 +301,34 @@
 	restart(core, now);
 	assert_false(core->allowance.granting);
 	core->info.last_index = last;
+	/* Without a leader a majority must say that it has no later list. */
 	core->info.members_committed = false;
+	core->info.list_us = 0;
 	restart(core, now);
 	assert_false(core->allowance.granting);
+	core->info.list_us = now;
+	restart(core, now);
+	assert_true(core->allowance.granting);
+	/* It says nothing of an own later list that is not committed. */
+	core->info.members_index = 2;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	core->info.members_index = 1;
+	core->info.list_us = 0;
 	core->info.members_committed = true;
+	/* A learner joined while the process was down. */
 	core->info.members_index = 2;
+	core->info.members[1] =
+	    (struct replica_member){.id = core->replica_id + 2};
+	core->info.member_count = 2;
+	restart(core, now);
+	assert_true(core->allowance.granting);
+	/* The replica was removed, and others are the first voters. */
+	core->info.members[0].id = core->replica_id + 3;
 	restart(core, now);
 	assert_false(core->allowance.granting);
+	core->info.members[0].id = core->replica_id;
+	core->info.member_count = 1;
 	core->info.members_index = 1;
 	core->replica_id++;
 	core->info.members[0].id++;
@@ -265,6 +345,84 @@
 	core_fixture_close(&fixture);
 }
 
+/*
+ * Guards against a holder that writes no file while the members of its group
+ * have never changed and it has taken no snapshot, and cannot grant before a
+ * leader is elected.
+ */
+static void
+a_holder_of_the_first_list_writes_its_file(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct core *core;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	core_fixture_edit(&fixture, 0, 1, "text");
+	core = fixture.core;
+	core_fixture_run_until(&fixture, is_share_written, core);
+	assert_int_equal(core->info.members_index, 0);
+	assert_int_equal(core->info.snapshot_index, 0);
+	uv_timer_stop(&core->timer);
+	core->info.members_committed = false;
+	core->info.list_us = 0;
+	restart(core, clock_boot_us());
+	assert_false(core->allowance.granting);
+	core->info.list_us = clock_boot_us();
+	restart(core, core->info.list_us);
+	assert_true(core->allowance.granting);
+	core_fixture_close(&fixture);
+}
+
+/*
+ * Guards against a voter that held one of more shares before `losses` was
+ * lowered, and grants at once when it moves up: the voter that it replaces may
+ * still grant.
+ */
+static void
+a_file_counts_only_for_its_number_of_shares(void **state ATTR_UNUSED)
+{
+	struct core_fixture fixture;
+	struct core *core;
+	uint64_t now;
+
+	core_fixture_init(&fixture, true);
+	core_fixture_open(&fixture, NULL);
+	core_fixture_edit(&fixture, 0, 1, "text");
+	core_fixture_run(&fixture, 200);
+	core = fixture.core;
+	uv_timer_stop(&core->timer);
+	now = clock_boot_us();
+	core->replica_id |= UINT64_C(1) << 47;
+	core->info.members[0] = (struct replica_member){.id = 7, .voter = true};
+	core->info.members[1] =
+	    (struct replica_member){.id = core->replica_id, .voter = true};
+	core->info.member_count = 2;
+	core->info.members_index = 1;
+	core->allowance.shares = 3;
+	restart(core, now);
+	core_allowance_tick(core, now + 4000 * US_PER_MS);
+	assert_true(core->allowance.granting);
+	core_fixture_run_until(&fixture, is_share_written, core);
+	now += 5 * US_PER_S;
+	restart(core, now);
+	assert_true(core->allowance.granting);
+	core->allowance.shares = 1;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	/* The holder of the only share is removed. */
+	core->info.members[0] = core->info.members[1];
+	core->info.member_count = 1;
+	core->info.members_index = 2;
+	restart(core, now);
+	assert_false(core->allowance.granting);
+	core_allowance_tick(core, now + 3900 * US_PER_MS);
+	assert_false(core->allowance.granting);
+	core_allowance_tick(core, now + 4000 * US_PER_MS);
+	assert_true(core->allowance.granting);
+	core_fixture_close(&fixture);
+}
+
 /*
  * Guards against a first member beyond the number of shares that grants at once
  * when it moves up: the voter that it replaces may still grant.
@@ -315,8 +473,12 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_voter_grants_while_its_group_has_a_leader),
+	    cmocka_unit_test(
+		a_holder_grants_while_a_majority_knows_no_later_list),
 	    cmocka_unit_test(a_new_holder_waits),
 	    cmocka_unit_test(a_holder_grants_at_once_after_a_restart),
+	    cmocka_unit_test(a_holder_of_the_first_list_writes_its_file),
+	    cmocka_unit_test(a_file_counts_only_for_its_number_of_shares),
 	    cmocka_unit_test(a_first_member_that_moves_up_waits),
 	    cmocka_unit_test(an_instance_without_a_log_never_grants),
 	};
--- a/test/unit/test_replica_rules.c
+++ b/test/unit/test_replica_rules.c
@@ -242,6 +242,175 @@
 	testbed_free(testbed);
 }
 
+/*
+ * After a restart of all, pre-votes are refused by replicas that started later.
+ * Guards against a group without a leader for up to two further election
+ * timeouts after the votes would be granted.
+ */
+static void
+refused_pre_votes_are_repeated_soon(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(5, 1000);
+
+	for (unsigned round = 0; round < 20; round++) {
+		uint64_t granted_us;
+		bool elected = false;
+
+		for (unsigned id = 1; id <= 5; id++)
+			testbed_close(testbed, id);
+		testbed_drop_messages(testbed);
+		for (unsigned id = 1; id <= 5; id++)
+			testbed_open(testbed, id);
+		granted_us = testbed->now_us + ELECTION_US;
+		/* Two ask just before the others grant votes. */
+		for (unsigned id = 1; id <= 5; id++)
+			testbed_get(testbed, id)->election_due_us =
+			    id == 1 + round % 5 || id == 1 + (round + 1) % 5
+			    ? granted_us - 10 * US_PER_MS
+			    : granted_us + ELECTION_US;
+		testbed_run(testbed, ELECTION_US);
+		while (!elected &&
+		    testbed->now_us < granted_us + 4 * (uint64_t)HEARTBEAT_US) {
+			testbed_run(testbed, 10 * (uint64_t)US_PER_MS);
+			for (unsigned id = 1; id <= 5; id++)
+				elected = elected ||
+				    testbed_get(testbed, id)->role ==
+					REPLICA_LEADER;
+		}
+		assert_true(elected);
+		testbed_run(testbed, ELECTION_US);
+	}
+	testbed_free(testbed);
+}
+
+static uint64_t
+list_us(struct testbed *testbed, unsigned id)
+{
+	struct replica_info info;
+
+	replica_describe(testbed_get(testbed, id), &info);
+	return info.list_us;
+}
+
+/*
+ * After a restart without a leader a replica learns from a majority that there
+ * is no later list of members.  Guards against a majority that is missing, that
+ * knows a later list, or that has lost its log.
+ */
+static void
+a_later_list_is_ruled_out_by_a_majority(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	const struct replica_member learner = {.id = 4};
+	uint64_t index;
+
+	testbed_isolate(testbed, 3, true);
+	assert_int_equal(
+	    replica_add_learner(testbed_get(testbed, 1), &learner, &index),
+	    STATUS_OK);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	testbed_isolate(testbed, 3, false);
+	for (unsigned id = 1; id <= 3; id++)
+		testbed_close(testbed, id);
+	testbed_drop_messages(testbed);
+	testbed_open(testbed, 3);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	assert_true(list_us(testbed, 3) == 0);
+	/* The other one has a later list than this one. */
+	testbed_close(testbed, 3);
+	testbed_open(testbed, 3);
+	testbed_open(testbed, 2);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	assert_true(list_us(testbed, 3) == 0);
+	assert_true(list_us(testbed, 2) != 0);
+	assert_true(list_us(testbed, 2) <= testbed->now_us);
+	assert_int_equal(testbed_get(testbed, 2)->role, REPLICA_PRE_CANDIDATE);
+	/* It comes back without its log. */
+	testbed_close(testbed, 2);
+	fs_free(testbed->replicas[1].fs);
+	testbed->replicas[1].fs = NULL;
+	testbed_close(testbed, 3);
+	testbed_open(testbed, 2);
+	testbed_open(testbed, 3);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	assert_true(list_us(testbed, 3) == 0);
+	testbed_free(testbed);
+}
+
+/*
+ * Guards against replicas that learn nothing about the lists of the others
+ * after a restart because one of them has a higher term.
+ */
+static void
+lists_are_ruled_out_across_terms(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	struct replica *r = testbed_get(testbed, 3);
+
+	r->term++;
+	r->vote = 0;
+	replica_save_state(r);
+	replica_flush(r, testbed->now_us);
+	for (unsigned id = 1; id <= 3; id++)
+		testbed_close(testbed, id);
+	testbed_drop_messages(testbed);
+	testbed_open(testbed, 1);
+	testbed_open(testbed, 3);
+	testbed_block(testbed, 1, 3, true);
+	testbed_open(testbed, 2);
+	testbed_block(testbed, 1, 2, true);
+	/* The one with the higher term hears only from one with a lower one. */
+	testbed_get(testbed, 2)->election_due_us =
+	    testbed->now_us + ELECTION_US;
+	testbed_run(testbed, 3 * (uint64_t)HEARTBEAT_US + 10 * US_PER_MS);
+	assert_true(list_us(testbed, 3) != 0);
+	/* One with a lower term asks again soon after it has learned of it. */
+	testbed_block(testbed, 1, 3, false);
+	testbed_block(testbed, 2, 3, true);
+	testbed_run(testbed, 3 * (uint64_t)HEARTBEAT_US + 10 * US_PER_MS);
+	assert_true(
+	    testbed_get(testbed, 1)->term == testbed_get(testbed, 3)->term);
+	assert_true(testbed_get(testbed, 1)->election_due_us <=
+	    testbed->now_us + 3 * (uint64_t)HEARTBEAT_US);
+	testbed_free(testbed);
+}
+
+/*
+ * Voters are listed in the order of their promotion.  Guards against a voter
+ * that stops being among the first ones, which hold the shares of allowances,
+ * when a learner that joined before it is promoted.
+ */
+static void
+promotions_keep_the_order_of_voters(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	const struct replica_member learners[] = {{.id = 4}, {.id = 5}};
+	struct replica *r = testbed_get(testbed, 1);
+	uint64_t index;
+
+	for (unsigned i = 0; i < 2; i++) {
+		assert_int_equal(
+		    replica_add_learner(r, &learners[i], &index), STATUS_OK);
+		testbed_open(testbed, 4 + i);
+		testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	}
+	assert_int_equal(replica_promote(r, 5, &index), STATUS_OK);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	assert_int_equal(replica_promote(r, 4, &index), STATUS_OK);
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	for (unsigned id = 1; id <= 5; id++) {
+		static const uint64_t expected[] = {1, 2, 3, 5, 4};
+		const struct members *members =
+		    &testbed_get(testbed, id)->members;
+
+		assert_int_equal(members->count, 5);
+		for (unsigned i = 0; i < 5; i++)
+			assert_true(members->list[i].info.id == expected[i] &&
+			    members->list[i].info.voter);
+	}
+	testbed_free(testbed);
+}
+
 /*
  * A leader that is removed steps down once its removal is committed, and the
  * others elect a new one.
@@ -572,6 +741,10 @@
 	    cmocka_unit_test(votes_of_learners_do_not_count),
 	    cmocka_unit_test(leader_without_quorum_steps_down),
 	    cmocka_unit_test(membership_changes_are_serialized),
+	    cmocka_unit_test(refused_pre_votes_are_repeated_soon),
+	    cmocka_unit_test(a_later_list_is_ruled_out_by_a_majority),
+	    cmocka_unit_test(lists_are_ruled_out_across_terms),
+	    cmocka_unit_test(promotions_keep_the_order_of_voters),
 	    cmocka_unit_test(removed_leader_steps_down),
 	    cmocka_unit_test(removal_is_not_reported_before_it_is_committed),
 	    cmocka_unit_test(snapshot_holds_members_at_its_index),
