Loads of parts in Grant, Reject and Held

An entry sends its requests to the parts of a service in rotation and knows nothing of their load. The answers of a scheduler get a field for it, in hundredths of the part's useful slots, at most 1000; a message with more is not processed. Nothing fills the field in yet.

--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -2831,7 +2831,7 @@
     fleet__ask__field_indices_by_name, 2, fleet__ask__number_ranges,
     (ProtobufCMessageInit)fleet__ask__init, NULL, NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__grant__field_descriptors[7] = {
+static const ProtobufCFieldDescriptor fleet__grant__field_descriptors[8] = {
     {
 	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
 	0, /* quantifier_offset */
@@ -2875,9 +2875,16 @@
 	offsetof(Fleet__Grant, resets), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"load", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Grant, load), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__grant__field_indices_by_name[] = {
     2, /* field[2] = expected_ms */
+    7, /* field[7] = load */
     3, /* field[3] = parts */
     0, /* field[0] = request */
     6, /* field[6] = resets */
@@ -2886,15 +2893,15 @@
     4, /* field[4] = work_us */
 };
 static const ProtobufCIntRange fleet__grant__number_ranges[1 + 1] = {
-    {1, 0}, {0, 7}};
+    {1, 0}, {0, 8}};
 const ProtobufCMessageDescriptor fleet__grant__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Grant", "Grant",
-    "Fleet__Grant", "fleet", sizeof(Fleet__Grant), 7,
+    "Fleet__Grant", "fleet", sizeof(Fleet__Grant), 8,
     fleet__grant__field_descriptors, fleet__grant__field_indices_by_name, 1,
     fleet__grant__number_ranges, (ProtobufCMessageInit)fleet__grant__init, NULL,
     NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__reject__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor fleet__reject__field_descriptors[4] = {
     {
 	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
 	0, /* quantifier_offset */
@@ -2913,37 +2920,51 @@
 	offsetof(Fleet__Reject, reason), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"load", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Reject, load), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__reject__field_indices_by_name[] = {
+    3, /* field[3] = load */
     2, /* field[2] = reason */
     0, /* field[0] = request */
     1, /* field[1] = retry_after_ms */
 };
 static const ProtobufCIntRange fleet__reject__number_ranges[1 + 1] = {
-    {1, 0}, {0, 3}};
+    {1, 0}, {0, 4}};
 const ProtobufCMessageDescriptor fleet__reject__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Reject", "Reject",
-    "Fleet__Reject", "fleet", sizeof(Fleet__Reject), 3,
+    "Fleet__Reject", "fleet", sizeof(Fleet__Reject), 4,
     fleet__reject__field_descriptors, fleet__reject__field_indices_by_name, 1,
     fleet__reject__number_ranges, (ProtobufCMessageInit)fleet__reject__init,
     NULL, NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__held__field_descriptors[1] = {
+static const ProtobufCFieldDescriptor fleet__held__field_descriptors[2] = {
     {
 	"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
 	0, /* quantifier_offset */
 	offsetof(Fleet__Held, request), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"load", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Held, load), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__held__field_indices_by_name[] = {
+    1, /* field[1] = load */
     0, /* field[0] = request */
 };
 static const ProtobufCIntRange fleet__held__number_ranges[1 + 1] = {
-    {1, 0}, {0, 1}};
+    {1, 0}, {0, 2}};
 const ProtobufCMessageDescriptor fleet__held__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Held", "Held", "Fleet__Held",
-    "fleet", sizeof(Fleet__Held), 1, fleet__held__field_descriptors,
+    "fleet", sizeof(Fleet__Held), 2, fleet__held__field_descriptors,
     fleet__held__field_indices_by_name, 1, fleet__held__number_ranges,
     (ProtobufCMessageInit)fleet__held__init, NULL, NULL,
     NULL /* reserved[123] */
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -664,10 +664,14 @@
    * the service's targets reset connections when full
    */
   protobuf_c_boolean resets;
+  /*
+   * of the part, hundredths of its useful slots; 0: unknown
+   */
+  uint32_t load;
 };
 #define FLEET__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__grant__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, {0,NULL}, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, {0,NULL}, 0, 0 }
 
 
 struct  Fleet__Reject
@@ -676,20 +680,28 @@
   uint64_t request;
   uint32_t retry_after_ms;
   uint32_t reason;
+  /*
+   * as in Grant
+   */
+  uint32_t load;
 };
 #define FLEET__REJECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__reject__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Fleet__Held
 {
   ProtobufCMessage base;
   uint64_t request;
+  /*
+   * as in Grant
+   */
+  uint32_t load;
 };
 #define FLEET__HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__held__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Fleet__Cancel
--- a/src/wire/fleet_bounds.c
+++ b/src/wire/fleet_bounds.c
@@ -63,6 +63,7 @@
 	    {"expected_ms", grant->expected_ms, FLEET_DURATION_MAX_MS},
 	    {"parts", grant->parts, FLEET_PARTS_MAX},
 	    {"work_us", grant->work_us, FLEET_WORK_MAX_US},
+	    {"load", grant->load, FLEET_LOAD_MAX},
 	};
 
 	if (grant->speed.len > 0 && !are_speeds(grant->speed))
@@ -76,6 +77,7 @@
 	const struct bound bounds[] = {
 	    {"retry_after_ms", reject->retry_after_ms, FLEET_DURATION_MAX_MS},
 	    {"reason", reject->reason, FLEET_REASON_MAX},
+	    {"load", reject->load, FLEET_LOAD_MAX},
 	};
 
 	if (reject->reason < FLEET_REASON_MIN)
@@ -83,6 +85,12 @@
 	return FIRST_ABOVE(bounds);
 }
 
+static const char *
+held_fault(const Fleet__Held *held)
+{
+	return held->load > FLEET_LOAD_MAX ? "load" : NULL;
+}
+
 static const char *
 done_fault(const Fleet__Done *done)
 {
@@ -113,6 +121,8 @@
 		return grant_fault(datagram->grant);
 	case FLEET__DATAGRAM__BODY_REJECT:
 		return reject_fault(datagram->reject);
+	case FLEET__DATAGRAM__BODY_HELD:
+		return held_fault(datagram->held);
 	case FLEET__DATAGRAM__BODY_DONE:
 		return done_fault(datagram->done);
 	default:
--- a/src/wire/fleet_bounds.h
+++ b/src/wire/fleet_bounds.h
@@ -35,7 +35,9 @@
 	FLEET_TARGETS_MAX = 1 << 16, /* in one list */
 	FLEET_NAME_BYTES = 128, /* of a client account or a failure domain */
 	FLEET_EVACUATIONS_MAX = 256, /* failure domains */
-	FLEET_TOKENS_MAX = 64 /* of one draw or return */
+	FLEET_TOKENS_MAX = 64, /* of one draw or return */
+	/* Of a service or a part of it, in hundredths of its useful slots. */
+	FLEET_LOAD_MAX = 1000
 };
 
 /* Work of a request: an hour, in microseconds. */
--- a/test/fuzz/fuzz_fleet.c
+++ b/test/fuzz/fuzz_fleet.c
@@ -333,6 +333,7 @@
 	done.target = grant.target = (char *)"t1";
 	done.has_load = true;
 	grant.parts = 2;
+	grant.load = reject.load = held.load = 100;
 	sign.address = (char *)"127.0.0.3:7";
 	INVARIANT(max >= SEED_COUNT, "all seeds fit in the array");
 	seeds[n++] = frame_seed(FLEET__FRAME__BODY_HELLO, &hello);
--- a/test/unit/test_fleet_bounds.c
+++ b/test/unit/test_fleet_bounds.c
@@ -54,6 +54,9 @@
     DATAGRAM(GRANT, Grant, work_us, 0, 3600000000U),
     DATAGRAM(REJECT, Reject, retry_after_ms, 0, 3600000),
     DATAGRAM(REJECT, Reject, reason, 1, 3),
+    DATAGRAM(GRANT, Grant, load, 0, 1000),
+    DATAGRAM(REJECT, Reject, load, 0, 1000),
+    DATAGRAM(HELD, Held, load, 0, 1000),
     FRAME(HELLO, Hello, processor_millis, 1024000),
     FRAME(HELLO, Hello, link_kbps, 1000000000),
     FRAME(MEMBERS, Members, voters, 64),
@@ -75,6 +78,7 @@
 	Fleet__Ask ask = FLEET__ASK__INIT;
 	Fleet__Grant grant = FLEET__GRANT__INIT;
 	Fleet__Reject reject = FLEET__REJECT__INIT;
+	Fleet__Held held = FLEET__HELD__INIT;
 	Fleet__Hello hello = FLEET__HELLO__INIT;
 	Fleet__Members members = FLEET__MEMBERS__INIT;
 	Fleet__Result result = FLEET__RESULT__INIT;
@@ -93,6 +97,8 @@
 		    : field->body == FLEET__DATAGRAM__BODY_ASK   ? (void *)&ask
 		    : field->body == FLEET__DATAGRAM__BODY_GRANT
 		    ? (void *)&grant
+		    : field->body == FLEET__DATAGRAM__BODY_HELD
+		    ? (void *)&held
 		    : (void *)&reject;
 	}
 	memcpy((char *)body + field->offset, &value, sizeof(value));
