Entries choose among the parts of a service by targets and load

Schedulers of parts report their load in Grant, Reject and Held; entries choose by part_choice, and ask another part once when the first one has no free slot. The allowance is drawn once, and a grant of the first part after the cancel is ignored.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -217,6 +217,7 @@
 	flow->next_ask = flow->started_ms << 20;
 	register_counters(flow);
 	account_open(flow);
+	part_open(flow);
 	flow->route_caller_timeouts =
 	    g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	uv_update_time(loop);
--- a/src/flow/flow_allowance.c
+++ b/src/flow/flow_allowance.c
@@ -254,6 +254,15 @@
 	return true;
 }
 
+/*
+ * Returns whether a grant is kept for a token.
+ */
+bool
+allowance_has_grant(const struct exchange *x)
+{
+	return x->allowance != NULL && x->allowance->target != NULL;
+}
+
 /*
  * Ends a request's part in the allowance.  A token is spent if the request was
  * sent, otherwise it is kept for another one or returned; a kept grant is
--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -79,7 +79,10 @@
 	struct placement_request request = build_placement_request(x, repeat);
 
 	x->placed_locally = true;
-	(void)schedule_submit(x->service, &request);
+	if (!schedule_submit(x->service, &request) || !x->service->owner)
+		return;
+	part_on_load(x->service, part_load(x->service));
+	(void)part_move(x);
 }
 
 /*
@@ -300,6 +303,7 @@
 
 	if (x == NULL)
 		return;
+	part_on_load(x->service, grant->load);
 	fleet_adopt_scheduler_parts(flow, x->service, grant->parts);
 	schedule_adopt_grant(x->service, grant, x->route->id);
 	exchange_on_grant(
@@ -317,6 +321,9 @@
 	if (x == NULL)
 		return;
 	x->scheduler_done = true;
+	part_on_load(x->service, reject->load);
+	if (reject->reason == REJECT_NO_ROOM && part_move(x))
+		return;
 	exchange_on_reject(x, reject->retry_after_ms * US_PER_MS,
 	    (enum placement_reason)reject->reason);
 }
@@ -333,5 +340,8 @@
 		return;
 	x->held = true;
 	x->ask_tries = 0;
-	uv_timer_start(&x->ask_timer, on_answer_timeout, HELD_TIMEOUT_MS, 0);
+	part_on_load(x->service, held->load);
+	if (!part_move(x))
+		uv_timer_start(
+		    &x->ask_timer, on_answer_timeout, HELD_TIMEOUT_MS, 0);
 }
--- a/src/flow/flow_away.c
+++ b/src/flow/flow_away.c
@@ -129,6 +129,7 @@
 {
 	const struct pool *pool = g_hash_table_lookup(flow->pools, target);
 
+	flow->usable_generation++;
 	if (pool != NULL)
 		placement_set_away(pool->service_part->placement, target,
 		    FLOW_OWN_REQUESTER, flow_now_us(flow) + left_us);
--- a/src/flow/flow_evacuation_targets.c
+++ b/src/flow/flow_evacuation_targets.c
@@ -51,6 +51,7 @@
 set_evacuated(struct pool *pool, bool evacuated)
 {
 	pool->evacuated = evacuated;
+	pool->flow->usable_generation++;
 	placement_set_evacuated(
 	    pool->service_part->placement, pool->id, evacuated);
 	probe_update(pool);
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -69,7 +69,7 @@
 static void
 set_limits(struct flow *flow, struct service *service)
 {
-	double parts = service_part_count(service);
+	double parts = service->parts;
 	struct repeat_limits limits = flow->settings.repeats;
 
 	if (service->owner)
@@ -257,8 +257,8 @@
 	flow->roster = roster_new(&callbacks);
 	flow->services = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, flow_service_free);
-	flow->service_sizes =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	flow->service_sizes = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, service_size_free);
 	flow->peer_entries = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, peer_entry_free);
 	flow->controls = g_hash_table_new_full(
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -50,8 +50,11 @@
 /* Excludes an unresponsive entry from scheduling until it responds. */
 void fleet_mark_suspect(struct flow *flow, struct peer_entry *peer_entry);
 void fleet_clear_suspect(struct flow *flow, struct peer_entry *peer_entry);
-/* The part of a service for its next request. */
-struct service *fleet_next_part(struct flow *flow, const char *name);
+/* One of a service's parts; the service itself if it has only one. */
+struct service *
+fleet_part(struct flow *flow, const char *name, unsigned parts, unsigned part);
+/* The size of a service, which is created with one part. */
+struct service_size *fleet_service_size(struct flow *flow, const char *name);
 /*
  * Adopts a larger number of parts of a service, if it has enough targets.
  * Returns the number of parts.
@@ -62,11 +65,26 @@
  * service has no targets here.
  */
 struct service *fleet_resolve_part(struct flow *flow, const char *text);
-unsigned service_part_count(const struct service *service);
 unsigned fleet_parts(struct flow *flow, const struct service *service);
 void fleet_adopt_scheduler_parts(
     struct flow *flow, const struct service *service, unsigned parts);
 
+/* flow_part.c: the choice among the parts of a service */
+void part_open(struct flow *flow);
+void part_reset(struct service_size *size);
+void service_size_free(void *value);
+/* The part of a service for its next request. */
+struct service *fleet_next_part(struct flow *flow, const char *name);
+/* The load of a part on this entry, for a message; 0: it is a whole service. */
+uint32_t part_load(const struct service *service);
+/* The scheduler of a part has reported its load. */
+void part_on_load(const struct service *service, uint32_t load);
+/*
+ * Moves a request off a part without room, once; false if it stays.  After true
+ * it may have ended.
+ */
+bool part_move(struct exchange *x);
+
 /* flow_control.c: channels to control instances */
 /*
  * Returns a control instance by its link address and connects to a new one;
@@ -269,6 +287,8 @@
 /* Keeps a grant until the token is there; false if it can be used. */
 bool allowance_keep_grant(
     struct exchange *x, const char *target, bool remote, uint64_t expected_us);
+/* Whether a grant is kept for a token. */
+bool allowance_has_grant(const struct exchange *x);
 void allowance_end(struct exchange *x);
 void allowance_on_result(struct flow *flow, const Fleet__DrawResult *message);
 void allowance_on_members(struct flow *flow, const Fleet__Members *m);
--- a/src/flow/flow_schedule.c
+++ b/src/flow/flow_schedule.c
@@ -80,6 +80,7 @@
 	grant.speed.len = sizeof(model.speed);
 	grant.resets =
 	    placement_has_resets(call->service->placement, flow_now_us(flow));
+	grant.load = part_load(call->service);
 	datagram.body_case = FLEET__DATAGRAM__BODY_GRANT;
 	datagram.grant = &grant;
 	datagram_send(flow, &call->from, &datagram);
@@ -141,7 +142,7 @@
 
 static void
 send_reject(struct flow *flow, const struct sockaddr_in *to, uint64_t request,
-    uint64_t retry_after_us, enum placement_reason reason)
+    uint64_t retry_after_us, enum placement_reason reason, uint32_t load)
 {
 	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
 	Fleet__Reject reject = FLEET__REJECT__INIT;
@@ -150,6 +151,7 @@
 	reject.retry_after_ms =
 	    fleet_clamp(retry_after_us / US_PER_MS, FLEET_DURATION_MAX_MS);
 	reject.reason = reason;
+	reject.load = load;
 	datagram.body_case = FLEET__DATAGRAM__BODY_REJECT;
 	datagram.reject = &reject;
 	datagram_send(flow, to, &datagram);
@@ -169,7 +171,7 @@
 		    flow->settings.instance, ask->service, ask->request,
 		    REJECT_NO_TARGET, UNKNOWN_RETRY_MS);
 	send_reject(flow, from, ask->request, UNKNOWN_RETRY_MS * US_PER_MS,
-	    REJECT_NO_TARGET);
+	    REJECT_NO_TARGET, 0);
 }
 
 static void
@@ -179,13 +181,19 @@
 	struct service *service = ctx;
 	struct remote_call *call = user;
 
+	if (!call->requester.remote && service->owner &&
+	    reason == REJECT_NO_ROOM) {
+		part_on_load(service, part_load(service));
+		if (part_move(user))
+			return;
+	}
 	log_reject(service, call, retry_after_us, reason);
 	if (!call->requester.remote) {
 		exchange_on_reject(user, retry_after_us, reason);
 		return;
 	}
-	send_reject(
-	    service->flow, &call->from, call->request, retry_after_us, reason);
+	send_reject(service->flow, &call->from, call->request, retry_after_us,
+	    reason, part_load(service));
 	remove_remote_call(service->flow, call);
 }
 
@@ -306,6 +314,7 @@
 		Fleet__Held held = FLEET__HELD__INIT;
 
 		held.request = ask->request;
+		held.load = part_load(service);
 		datagram.body_case = FLEET__DATAGRAM__BODY_HELD;
 		datagram.held = &held;
 		datagram_send(flow, from, &datagram);
--- a/src/flow/flow_service.c
+++ b/src/flow/flow_service.c
@@ -186,6 +186,26 @@
 	return parts > 0 && parts <= FLEET_PARTS_MAX ? (unsigned)parts : 1;
 }
 
+/*
+ * Returns the number of the part in a part's name, 0 for a whole service;
+ * UINT_MAX if it can't be read.
+ */
+static unsigned
+parse_part_number(const char *text)
+{
+	const char *mark = strrchr(text, '#');
+	const char *slash = mark != NULL ? strchr(mark, '/') : NULL;
+	uint64_t part = 0;
+
+	if (slash == NULL)
+		return 0;
+	return str_to_u64(
+		   str_of(mark + 1, (size_t)(slash - mark - 1)), &part) &&
+		part < FLEET_PARTS_MAX
+	    ? (unsigned)part
+	    : UINT_MAX;
+}
+
 /*
  * Frees a service; a GDestroyNotify.
  */
@@ -212,8 +232,9 @@
 
 	if (service != NULL)
 		return service;
-	(void)parse_part_name(name, whole_name);
 	service = mem_calloc(1, sizeof(*service));
+	service->parts = parse_part_name(name, whole_name);
+	service->part = parse_part_number(name);
 	service->flow = flow;
 	service->name = str_dup(str_from(name));
 	service->whole_name = str_dup(str_from(whole_name));
@@ -230,8 +251,8 @@
 /*
  * Returns one of a service's parts; the service itself if it has only one.
  */
-static struct service *
-get_part(struct flow *flow, const char *name, unsigned parts, unsigned part)
+struct service *
+fleet_part(struct flow *flow, const char *name, unsigned parts, unsigned part)
 {
 	char text[PART_NAME_BYTES + PART_SUFFIX_BYTES];
 
@@ -244,31 +265,20 @@
 /*
  * Returns the size of a service, which is created with one part.
  */
-static struct service_size *
-get_service_size(struct flow *flow, const char *name)
+struct service_size *
+fleet_service_size(struct flow *flow, const char *name)
 {
 	struct service_size *size =
 	    g_hash_table_lookup(flow->service_sizes, name);
 
 	if (size == NULL) {
-		size = g_new0(struct service_size, 1);
+		size = mem_calloc(1, sizeof(*size));
 		size->parts = 1;
 		g_hash_table_insert(flow->service_sizes, g_strdup(name), size);
 	}
 	return size;
 }
 
-/*
- * Returns the part of a service for its next request, in rotation.
- */
-struct service *
-fleet_next_part(struct flow *flow, const char *name)
-{
-	struct service_size *size = get_service_size(flow, name);
-
-	return get_part(flow, name, size->parts, size->next++ % size->parts);
-}
-
 /*
  * Adds a target to its part.
  */
@@ -277,11 +287,12 @@
 {
 	const struct roster_target *target =
 	    roster_find(flow->roster, pool->id);
-	unsigned parts = get_service_size(flow, pool->service)->parts;
+	unsigned parts = fleet_service_size(flow, pool->service)->parts;
 
-	pool->service_part = get_part(flow, pool->service, parts,
+	pool->service_part = fleet_part(flow, pool->service, parts,
 	    (unsigned)(str_hash(str_from(pool->id)) % parts));
 	g_ptr_array_add(pool->service_part->pools, pool);
+	flow->usable_generation++;
 	probe_update(pool);
 	if (target != NULL)
 		placement_add_target(pool->service_part->placement, pool->id,
@@ -297,6 +308,7 @@
 {
 	placement_remove_target(pool->service_part->placement, pool->id);
 	g_ptr_array_remove_fast(pool->service_part->pools, pool);
+	pool->flow->usable_generation++;
 	probe_remove(pool);
 }
 
@@ -317,7 +329,7 @@
 static void
 split_service(struct flow *flow, const char *name, unsigned parts)
 {
-	struct service_size *size = get_service_size(flow, name);
+	struct service_size *size = fleet_service_size(flow, name);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -325,6 +337,7 @@
 	    "instance=%s service=%s targets=%u parts=%u before=%u",
 	    flow->settings.instance, name, size->targets, parts, size->parts);
 	size->parts = parts;
+	part_reset(size);
 	g_hash_table_iter_init(&iter, flow->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool *pool = value;
@@ -342,7 +355,7 @@
 static void
 adjust_parts(struct flow *flow, const char *name, int change)
 {
-	struct service_size *size = get_service_size(flow, name);
+	struct service_size *size = fleet_service_size(flow, name);
 	unsigned parts = size->parts;
 
 	size->targets += (unsigned)change;
@@ -363,7 +376,7 @@
 unsigned
 fleet_adopt_parts(struct flow *flow, const char *name, unsigned parts)
 {
-	struct service_size *size = get_service_size(flow, name);
+	struct service_size *size = fleet_service_size(flow, name);
 
 	if (parts > size->parts && parts <= FLEET_PARTS_MAX &&
 	    (parts & (parts - 1)) == 0 && !has_too_many_parts(size, parts))
@@ -371,37 +384,6 @@
 	return size->parts;
 }
 
-/*
- * Returns the number of the part in a part's name, 0 for a whole service;
- * UINT_MAX if it can't be read.
- */
-static unsigned
-parse_part_number(const char *text)
-{
-	const char *mark = strrchr(text, '#');
-	const char *slash = mark != NULL ? strchr(mark, '/') : NULL;
-	uint64_t part = 0;
-
-	if (slash == NULL)
-		return 0;
-	return str_to_u64(
-		   str_of(mark + 1, (size_t)(slash - mark - 1)), &part) &&
-		part < FLEET_PARTS_MAX
-	    ? (unsigned)part
-	    : UINT_MAX;
-}
-
-/*
- * Returns the number of parts of which a service is one; 1 for a whole one.
- */
-unsigned
-service_part_count(const struct service *service)
-{
-	char name[PART_NAME_BYTES];
-
-	return parse_part_name(service->name, name);
-}
-
 /*
  * Returns the part that another entry asks for.  If that entry uses another
  * number of parts, any local part serves it.
@@ -419,8 +401,10 @@
 		return NULL;
 	if (fleet_adopt_parts(flow, name, parts) == parts &&
 	    parse_part_number(text) < parts)
-		return get_part(flow, name, parts, parse_part_number(text));
-	return fleet_next_part(flow, name);
+		return fleet_part(flow, name, parts, parse_part_number(text));
+	parts = fleet_service_size(flow, name)->parts;
+	return fleet_part(
+	    flow, name, parts, fleet_service_size(flow, name)->next++ % parts);
 }
 
 /*
@@ -432,7 +416,7 @@
 	char name[PART_NAME_BYTES];
 
 	(void)parse_part_name(service->name, name);
-	return get_service_size(flow, name)->parts;
+	return fleet_service_size(flow, name)->parts;
 }
 
 /*
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -25,6 +25,7 @@
 #include "flow/request_scan.h"
 #include "net/address.h"
 #include "net/channel.h"
+#include "placement/part_choice.h"
 #include "roster/roster.h"
 #include "routing/account.h"
 #include "wire/fleet.pb-c.h"
@@ -251,6 +252,7 @@
 	unsigned handles;
 	uint64_t ask_id; /* id of the ask sent to the scheduler; 0: none */
 	bool placed_locally;
+	bool part_moved; /* its first part had no room */
 	bool ask_repeat;
 	bool scheduler_done; /* the scheduler has removed it */
 	bool held;
@@ -268,6 +270,8 @@
 	struct flow *flow;
 	char *name;
 	char *whole_name; /* of the service of which it is a part */
+	unsigned part; /* its number */
+	unsigned parts; /* 1: it is the whole service */
 	struct placement *placement;
 	GPtrArray *pools; /* struct pool of each target */
 	uint64_t name_hash;
@@ -286,7 +290,13 @@
 struct service_size {
 	unsigned targets;
 	unsigned parts; /* a power of two */
-	unsigned next; /* part of the next request */
+	/* Part of the next ask of an entry with another number of parts. */
+	unsigned next;
+	/* Of this entry's own requests; NULL until the first of several parts. */
+	struct part_choice *choice;
+	struct service **part_services; /* by number, while there is a choice */
+	unsigned usable_generation; /* flow->usable_generation when counted */
+	uint64_t count_due_boot_us; /* a target may be used again */
 };
 
 /* Another entry, as reported by control instances. */
@@ -385,6 +395,8 @@
 	GPtrArray *busy_services; /* services with calls */
 	GHashTable *services; /* name, or name#part -> struct service */
 	GHashTable *service_sizes; /* name -> struct service_size */
+	/* incremented when the targets that this entry may use change */
+	unsigned usable_generation;
 	GHashTable *peer_entries; /* datagram address -> struct peer_entry */
 	uint64_t own_address_hash; /* hash of the own datagram address */
 	unsigned entries; /* size of the fleet, as reported by control */
@@ -457,6 +469,7 @@
 	struct counter *departures_asked;
 	struct counter *aways_heard;
 	struct counter *refused_grants;
+	struct counter *part_choices[PART_REASONS];
 	struct counter *resets_full;
 	struct counter *cold_targets;
 	struct counter *cold_held_back;
