--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -79,7 +79,10 @@
 	struct placement_request request = build_placement_request(x, repeat);
 
 	x->placed_locally = true;
-	(void)schedule_submit(x->service, &request);
+	if (!schedule_submit(x->service, &request) || !x->service->owner)
+		return;
+	part_on_load(x->service, part_load(x->service));
+	(void)part_move(x);
 }
 
 /*
@@ -99,6 +102,9 @@
 	struct placement_request r = build_placement_request(x, repeat);
 	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
 	Fleet__Ask ask = FLEET__ASK__INIT;
+	struct peer_entry *scheduler =
+	    g_hash_table_lookup(x->flow->peer_entries, x->scheduler_address);
+	uint64_t ended[FLEET_ENDED_MAX];
 
 	x->ask_sent_boot_us = clock_boot_us();
 	ask.request = x->ask_id;
@@ -115,6 +121,10 @@
 	ask.sends_left = fleet_clamp(r.sends_left, FLEET_SENDS_MAX);
 	ask.n_excluded = r.excluded_count;
 	ask.excluded = r.excluded;
+	ask.ended = ended;
+	if (scheduler != NULL)
+		ask.n_ended = ended_asks_name(
+		    &scheduler->ended_asks, ended, flow_now_us(x->flow));
 	datagram.body_case = FLEET__DATAGRAM__BODY_ASK;
 	datagram.ask = &ask;
 	datagram_send(x->flow, &x->scheduler_sockaddr, &datagram);
@@ -132,6 +142,20 @@
 	datagram_send(x->flow, &x->scheduler_sockaddr, &datagram);
 }
 
+/*
+ * Remembers an ask that ends now, for the next asks to its scheduler.
+ */
+static void
+remember_ended(struct exchange *x)
+{
+	struct peer_entry *scheduler =
+	    g_hash_table_lookup(x->flow->peer_entries, x->scheduler_address);
+
+	if (scheduler != NULL)
+		ended_asks_add(
+		    &scheduler->ended_asks, x->ask_id, flow_now_us(x->flow));
+}
+
 /*
  * Asks the service's scheduler for a target; repeat is true if the request was
  * sent before.  The answer arrives at exchange_on_grant() or
@@ -192,9 +216,12 @@
 	uv_timer_stop(&x->ask_timer);
 	if (!x->scheduler_done)
 		send_cancel(x);
+	if (!x->ask_rejected)
+		remember_ended(x);
 	g_hash_table_remove(x->flow->pending_asks, &x->ask_id);
 	x->ask_id = 0;
 	x->scheduler_done = false;
+	x->ask_rejected = false;
 }
 
 /*
@@ -300,6 +327,7 @@
 
 	if (x == NULL)
 		return;
+	part_on_load(x->service, grant->load);
 	fleet_adopt_scheduler_parts(flow, x->service, grant->parts);
 	schedule_adopt_grant(x->service, grant, x->route->id);
 	exchange_on_grant(
@@ -317,6 +345,10 @@
 	if (x == NULL)
 		return;
 	x->scheduler_done = true;
+	x->ask_rejected = true;
+	part_on_load(x->service, reject->load);
+	if (reject->reason == REJECT_NO_ROOM && part_move(x))
+		return;
 	exchange_on_reject(x, reject->retry_after_ms * US_PER_MS,
 	    (enum placement_reason)reject->reason);
 }
@@ -333,5 +365,8 @@
 		return;
 	x->held = true;
 	x->ask_tries = 0;
-	uv_timer_start(&x->ask_timer, on_answer_timeout, HELD_TIMEOUT_MS, 0);
+	part_on_load(x->service, held->load);
+	if (!part_move(x))
+		uv_timer_start(
+		    &x->ask_timer, on_answer_timeout, HELD_TIMEOUT_MS, 0);
 }
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -18,6 +18,7 @@
 #include "base/random.h"
 #include "flow/caller_timeouts.h"
 #include "flow/delivery.h"
+#include "flow/ended_asks.h"
 #include "flow/flow.h"
 #include "flow/flow_memory.h"
 #include "flow/head.h"
@@ -25,6 +26,7 @@
 #include "flow/request_scan.h"
 #include "net/address.h"
 #include "net/channel.h"
+#include "placement/part_choice.h"
 #include "roster/roster.h"
 #include "routing/account.h"
 #include "wire/fleet.pb-c.h"
@@ -251,8 +253,10 @@
 	unsigned handles;
 	uint64_t ask_id; /* id of the ask sent to the scheduler; 0: none */
 	bool placed_locally;
+	bool part_moved; /* its first part had no room */
 	bool ask_repeat;
 	bool scheduler_done; /* the scheduler has removed it */
+	bool ask_rejected; /* and has said so itself */
 	bool held;
 	const char *scheduler_address; /* datagram address; interned */
 	struct sockaddr_in scheduler_sockaddr; /* the scheduler */
@@ -268,6 +272,8 @@
 	struct flow *flow;
 	char *name;
 	char *whole_name; /* of the service of which it is a part */
+	unsigned part; /* its number */
+	unsigned parts; /* 1: it is the whole service */
 	struct placement *placement;
 	GPtrArray *pools; /* struct pool of each target */
 	uint64_t name_hash;
@@ -286,7 +292,13 @@
 struct service_size {
 	unsigned targets;
 	unsigned parts; /* a power of two */
-	unsigned next; /* part of the next request */
+	/* Part of the next ask of an entry with another number of parts. */
+	unsigned next;
+	/* Of this entry's own requests; NULL until the first of several parts. */
+	struct part_choice *choice;
+	struct service **part_services; /* by number, while there is a choice */
+	unsigned usable_generation; /* flow->usable_generation when counted */
+	uint64_t count_due_boot_us; /* a target may be used again */
 };
 
 /* Another entry, as reported by control instances. */
@@ -303,6 +315,7 @@
 	bool suspect; /* does not respond; pinged periodically */
 	uint64_t ping_due_us; /* time of the next ping */
 	unsigned timeouts;
+	struct ended_asks ended_asks; /* of this entry at it */
 };
 
 /* A control instance. */
@@ -385,6 +398,8 @@
 	GPtrArray *busy_services; /* services with calls */
 	GHashTable *services; /* name, or name#part -> struct service */
 	GHashTable *service_sizes; /* name -> struct service_size */
+	/* incremented when the targets that this entry may use change */
+	unsigned usable_generation;
 	GHashTable *peer_entries; /* datagram address -> struct peer_entry */
 	uint64_t own_address_hash; /* hash of the own datagram address */
 	unsigned entries; /* size of the fleet, as reported by control */
@@ -436,6 +451,9 @@
 	uint64_t next_ask;
 	GHashTable *pending_asks; /* ask id -> struct exchange */
 	GHashTable *remote_calls; /* remote_key() -> struct remote_call */
+	/* Calls freed since the reports of their ends were lost. */
+	uint64_t freed_second; /* in which they were counted */
+	unsigned freed_calls; /* in this second */
 	uv_timer_t place_timer;
 	struct loop_lag loop_lag;
 	uv_timer_t probe_timer;
@@ -457,6 +475,8 @@
 	struct counter *departures_asked;
 	struct counter *aways_heard;
 	struct counter *refused_grants;
+	struct counter *calls_freed;
+	struct counter *part_choices[PART_REASONS];
 	struct counter *resets_full;
 	struct counter *cold_targets;
 	struct counter *cold_held_back;
--- a/src/wire/fleet_bounds.h
+++ b/src/wire/fleet_bounds.h
@@ -19,6 +19,7 @@
 	FLEET_DURATION_MAX_MS = 3600 * 1000,
 	FLEET_SENDS_MAX = 64, /* of one request */
 	FLEET_EXCLUDED_MAX = 6, /* targets in one ask */
+	FLEET_ENDED_MAX = 8, /* earlier asks in one ask */
 	FLEET_PARTS_MAX = 64, /* of a service */
 	FLEET_OUTCOME_MAX = 5, /* enum placement_outcome */
 	FLEET_REASON_MIN = 1, /* enum placement_reason */
@@ -35,7 +36,9 @@
 	FLEET_TARGETS_MAX = 1 << 16, /* in one list */
 	FLEET_NAME_BYTES = 128, /* of a client account or a failure domain */
 	FLEET_EVACUATIONS_MAX = 256, /* failure domains */
-	FLEET_TOKENS_MAX = 64 /* of one draw or return */
+	FLEET_TOKENS_MAX = 64, /* of one draw or return */
+	/* Of a service or a part of it, in hundredths of its useful slots. */
+	FLEET_LOAD_MAX = 1000
 };
 
 /* Work of a request: an hour, in microseconds. */
