Replica: a replica does not vote for itself soon after a restart

The first pre-vote goes out one to three heartbeat intervals after a start, and a replica counted its own vote in it, while it refuses its vote to others for an election timeout. Sequence, three voters: the leader is cut off from the third one and has its lease from the answers of the second one, which restarts and reaches the third one alone. 100 to 300 ms later the second one has two votes and is elected; the former leader's lease lasts up to 500 ms from its last heartbeat, so that two leaders have one. Until the first pre-vote came so soon, the election timer had covered the own vote. A late refusal with a higher term led to the same through election_retry_soon().

The own vote now waits like those of others. The test failed before.

--- a/src/replica/replica_election.c
+++ b/src/replica/replica_election.c
@@ -87,7 +87,8 @@
  * Starts a pre-vote round: terms stay unchanged until a majority would grant
  * its vote (Ongaro 2014, section 9.6).  The next round follows soon: after a
  * restart of all, the first rounds are refused by replicas that started later,
- * and pre-votes disturb no leader.
+ * and pre-votes disturb no leader.  Rounds within an election timeout of our
+ * start elect nobody, and only ask for the lists of members.
  */
 void
 election_campaign(struct replica *r)
@@ -145,6 +146,19 @@
 	replica_mark_changed(r);
 }
 
+/*
+ * Returns whether we may vote for ourselves.  After a restart we refuse it as
+ * we refuse votes to others: a leader's lease may depend on what we answered
+ * before.  A replica that is alone has promised nothing to others.
+ */
+static bool
+may_vote_for_self(const struct replica *r)
+{
+	if (members_quorum(r) == 1 && r->peer_count == 0)
+		return true;
+	return !election_leader_is_active(r);
+}
+
 /*
  * Counts the votes of the current round.  Called once our own vote is
  * durable.
@@ -156,6 +170,8 @@
 
 	if (r->role != REPLICA_PRE_CANDIDATE && r->role != REPLICA_CANDIDATE)
 		return;
+	if (r->role == REPLICA_PRE_CANDIDATE && !may_vote_for_self(r))
+		return;
 	for (unsigned i = 0; i < r->peer_count; i++) {
 		if (r->peers[i].voter && r->peers[i].granted)
 			votes++;
--- a/test/unit/test_replica_rules.c
+++ b/test/unit/test_replica_rules.c
@@ -337,6 +337,37 @@
 	testbed_free(testbed);
 }
 
+/*
+ * Guards against a replica that votes for itself soon after a restart, although
+ * the leader's lease depends on what it answered before: two leaders would have
+ * a lease.
+ */
+static void
+a_restarted_replica_waits_before_it_votes_for_itself(void **state ATTR_UNUSED)
+{
+	struct testbed *testbed = testbed_new(3, 1000);
+	uint64_t opened_us;
+
+	testbed_block(testbed, 1, 3, true);
+	testbed_run(testbed, 2 * (uint64_t)ELECTION_US);
+	assert_true(
+	    replica_has_lease(testbed_get(testbed, 1), testbed->now_us));
+	testbed_close(testbed, 2);
+	testbed_block(testbed, 1, 2, true);
+	testbed_open(testbed, 2);
+	opened_us = testbed->now_us;
+	while (testbed->now_us < opened_us + ELECTION_US - 10 * US_PER_MS) {
+		testbed_run(testbed, 10 * (uint64_t)US_PER_MS);
+		for (unsigned id = 2; id <= 3; id++)
+			assert_true(
+			    testbed_get(testbed, id)->role != REPLICA_LEADER);
+	}
+	testbed_run(testbed, 4 * (uint64_t)HEARTBEAT_US);
+	assert_true(testbed_get(testbed, 2)->role == REPLICA_LEADER ||
+	    testbed_get(testbed, 3)->role == REPLICA_LEADER);
+	testbed_free(testbed);
+}
+
 /*
  * Guards against replicas that learn nothing about the lists of the others
  * after a restart because one of them has a higher term.
@@ -743,6 +774,8 @@
 	    cmocka_unit_test(membership_changes_are_serialized),
 	    cmocka_unit_test(refused_pre_votes_are_repeated_soon),
 	    cmocka_unit_test(a_later_list_is_ruled_out_by_a_majority),
+	    cmocka_unit_test(
+		a_restarted_replica_waits_before_it_votes_for_itself),
 	    cmocka_unit_test(lists_are_ruled_out_across_terms),
 	    cmocka_unit_test(promotions_keep_the_order_of_voters),
 	    cmocka_unit_test(removed_leader_steps_down),
