Entry: a new caller waits for a place that is free soon

functional/test_platform_slow_peers, test_callers_that_never_close: the 325th caller was closed without an answer. The entry closes a connection whose last answer is acknowledged in favour of a new one. A host may delay that acknowledgement, the one of the end of stream included, by 40 ms (Linux, up to 200 ms). Callers that open 324 connections within that time, as this machine does, found no place although all had their answers.

A new connection now stays with libuv, unaccepted, while a last answer was sent within the last 200 ms and no place is free, and is tried again every 5 ms. A slow reader does not prolong that.

--- a/src/base/linger.c
+++ b/src/base/linger.c
@@ -6,7 +6,9 @@
 
 enum {
 	/* without progress of the last answer, on the slowest link */
-	ANSWER_MAX_MS = 60 * 1000
+	ANSWER_MAX_MS = 60 * 1000,
+	/* The longest delay of an acknowledgement on Linux; usually 40 ms. */
+	DELAYED_ACK_MAX_MS = 200
 };
 
 /*
@@ -15,7 +17,10 @@
 void
 linger_start(struct linger_wait *wait, uint64_t now_ms)
 {
-	*wait = (struct linger_wait){.progress_ms = now_ms};
+	*wait = (struct linger_wait){
+	    .started_ms = now_ms,
+	    .progress_ms = now_ms,
+	};
 }
 
 /*
@@ -68,6 +73,17 @@
 	    (other == NULL || wait->delivered_ms < other->delivered_ms);
 }
 
+/*
+ * Counts from the start of the wait, whatever progress the peer makes: a new
+ * peer waits meanwhile.
+ */
+bool
+linger_may_yield_soon(const struct linger_wait *wait, uint64_t now_ms)
+{
+	return wait->delivered_ms == 0 &&
+	    now_ms - wait->started_ms <= DELAYED_ACK_MAX_MS;
+}
+
 /*
  * Asks the socket for the length of its send queue, which includes bytes in
  * transit.
--- a/src/base/linger.h
+++ b/src/base/linger.h
@@ -20,6 +20,7 @@
 };
 
 struct linger_wait {
+	uint64_t started_ms;
 	uint64_t progress_ms; /* of the last answer */
 	uint64_t delivered_ms; /* all is acknowledged since then; 0: not yet */
 	unsigned unacknowledged; /* bytes */
@@ -48,6 +49,13 @@
 bool linger_can_yield(const struct linger_wait *wait,
     const struct linger_wait *other) ATTR_UNUSED_RESULT;
 
+/*
+ * Returns whether the acknowledgement of the last answer is probably only
+ * delayed by the peer's host, so that the connection can be closed soon.
+ */
+bool linger_may_yield_soon(const struct linger_wait *wait,
+    uint64_t now_ms) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
+
 /*
  * Returns how many bytes taken by a TCP socket the peer's host has not
  * acknowledged, counting the end of stream as one; 0 if that is unknown.
--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -331,6 +331,7 @@
 		caller_close(caller);
 	if (flow->listening)
 		uv_close((uv_handle_t *)&flow->listener, NULL);
+	uv_close((uv_handle_t *)&flow->accept_timer, NULL);
 	uv_close((uv_handle_t *)&flow->sweep, NULL);
 	ahead_close(flow);
 	limits_close(flow);
--- a/src/flow/flow_caller.c
+++ b/src/flow/flow_caller.c
@@ -11,7 +11,8 @@
 	STOP_IDLE_TIMEOUT_MS = 2500, /* longer than a lookup result is cached */
 	STOP_CLOSE_ALL_MS = 4500,
 	/* for files, targets and other connections */
-	RESERVED_DESCRIPTORS = 700
+	RESERVED_DESCRIPTORS = 700,
+	ACCEPT_RETRY_MS = 5 /* while a new connection waits for a place */
 };
 
 static void
@@ -246,18 +247,28 @@
 	caller_flush(caller);
 }
 
+/*
+ * Returns whether a new connection has a place, after the close of another one
+ * if need be.
+ */
+static bool
+find_place(struct flow *flow)
+{
+	return flow->callers.length + RESERVED_DESCRIPTORS <
+	    flow->settings.descriptors ||
+	    callers_yield_lingering(flow) || limits_yield_silent(flow);
+}
+
+/*
+ * Accepts the connection that libuv holds, or refuses it if it has no place.
+ */
 static void
-on_connection(uv_stream_t *listener, int status)
+accept_caller(struct flow *flow, bool has_place)
 {
-	struct flow *flow = listener->data;
+	uv_stream_t *listener = (uv_stream_t *)&flow->listener;
 	struct caller *caller;
 	int peer_len = sizeof(caller->peer);
 
-	if (status != 0) {
-		log_warn("accept_failed", "instance=%s reason=\"%s\"",
-		    flow->settings.instance, uv_strerror(status));
-		return;
-	}
 	caller = mem_calloc(1, sizeof(*caller));
 	caller->flow = flow;
 	uv_tcp_init(flow->loop, &caller->tcp);
@@ -274,9 +285,7 @@
 	}
 	(void)uv_tcp_getpeername(
 	    &caller->tcp, (struct sockaddr *)&caller->peer, &peer_len);
-	if (flow->callers.length + RESERVED_DESCRIPTORS >
-		flow->settings.descriptors &&
-	    !callers_yield_lingering(flow) && !limits_yield_silent(flow)) {
+	if (!has_place) {
 		limit_refuse_connection(caller);
 		return;
 	}
@@ -288,6 +297,47 @@
 	caller_read(caller);
 }
 
+static void on_accept_retry(uv_timer_t *timer);
+
+/*
+ * Accepts a new connection.  While there is no place, but one may be free as
+ * soon as a caller's host acknowledges the last answer, the connection stays
+ * with libuv, which takes no further one until it is accepted.
+ */
+static void
+accept_or_wait(struct flow *flow)
+{
+	bool has_place = find_place(flow);
+
+	if (!has_place && callers_may_yield_soon(flow))
+		uv_timer_start(
+		    &flow->accept_timer, on_accept_retry, ACCEPT_RETRY_MS, 0);
+	else
+		accept_caller(flow, has_place);
+}
+
+static void
+on_accept_retry(uv_timer_t *timer)
+{
+	struct flow *flow = timer->data;
+
+	if (flow->listening)
+		accept_or_wait(flow);
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+	struct flow *flow = listener->data;
+
+	if (status != 0) {
+		log_warn("accept_failed", "instance=%s reason=\"%s\"",
+		    flow->settings.instance, uv_strerror(status));
+		return;
+	}
+	accept_or_wait(flow);
+}
+
 /*
  * Returns the idle timeout of a connection in milliseconds.  During a stop a
  * request may be in transit on any connection.  Callers leave by themselves
@@ -435,6 +485,8 @@
 		return status_set(STATUS_IO, "%s: %s",
 		    flow->settings.caller_address, uv_strerror(error));
 	flow->listening = true;
+	uv_timer_init(flow->loop, &flow->accept_timer);
+	flow->accept_timer.data = flow;
 	uv_timer_init(flow->loop, &flow->sweep);
 	flow->sweep.data = flow;
 	uv_timer_start(&flow->sweep, on_sweep, START_SWEEP_MS, START_SWEEP_MS);
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -149,6 +149,8 @@
 void caller_linger(struct caller *caller);
 void caller_sweep_lingering(struct caller *caller, uint64_t now_ms);
 bool callers_yield_lingering(struct flow *flow);
+/* Whether one that can't be closed for a new one yet probably can be soon. */
+bool callers_may_yield_soon(const struct flow *flow);
 /* Whether a part of the answers has not reached the caller's host. */
 bool caller_is_undelivered(const struct caller *caller);
 /* Whether it makes no progress; for connections with output. */
--- a/src/flow/flow_linger.c
+++ b/src/flow/flow_linger.c
@@ -119,3 +119,22 @@
 		caller_close(first);
 	return first != NULL;
 }
+
+/*
+ * Returns whether the last answer to a caller was sent so recently that its
+ * acknowledgement may be delayed.
+ */
+bool
+callers_may_yield_soon(const struct flow *flow)
+{
+	uint64_t now = uv_now(flow->loop);
+
+	for (const GList *l = flow->callers.head; l != NULL; l = l->next) {
+		const struct caller *caller = l->data;
+
+		if (caller->lingering &&
+		    linger_may_yield_soon(&caller->linger_wait, now))
+			return true;
+	}
+	return false;
+}
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -416,6 +416,7 @@
 	void *on_stopped_ctx;
 	/* Callers. */
 	uv_tcp_t listener;
+	uv_timer_t accept_timer; /* runs while a new one waits for a place */
 	GQueue callers;
 	struct memory_budget memory;
 	GQueue memory_waiters; /* struct caller, oldest request first */
--- a/test/functional/test_platform_slow_peers.py
+++ b/test/functional/test_platform_slow_peers.py
@@ -11,6 +11,8 @@
     read_late, read_to_end, request_bytes, split_answers)
 
 DESCRIPTORS = 1024  # of the entry
+RESERVED_DESCRIPTORS = 700  # of them, not for callers
+PLACES = 20
 
 
 def read_to_end_of_answer(caller):
@@ -72,6 +74,51 @@
             self.assertEqual(
                 [status for status, _ in split_answers(data)[0]], [200], at)
 
+    def test_new_caller_gets_a_place_that_is_free_soon(self):
+        """All places are taken by callers whose hosts delay the
+        acknowledgement of the last answer, by 40 ms on Linux.  A new caller
+        must not be refused meanwhile."""
+        self.start(8, lambda b: [b.route("/a/", timeout_ms=20000)],
+                   max_fds=RESERVED_DESCRIPTORS + PLACES)
+        wait_until(lambda: self.bed.request("/a/warm")[0] == 200, "answer")
+        for at in range(4 * PLACES):
+            caller = self.connect()
+            caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 0)
+            caller.sendall(request_bytes("/a/%d" % at, "p%d" % at, 20000)
+                           .replace(b"Host", b"Connection: close\r\nHost"))
+            data, error = read_to_end(caller)
+            self.assertIsNone(error, at)
+            self.assertEqual(
+                [status for status, _ in split_answers(data)[0]], [200], at)
+
+    def test_new_caller_does_not_wait_for_a_slow_reader(self):
+        """No place will be free soon: the refusal must not wait until the slow
+        reader has its answer."""
+        self.start(8, lambda b: [b.route("/a/", timeout_ms=20000)],
+                   max_fds=RESERVED_DESCRIPTORS + PLACES)
+        wait_until(lambda: self.bed.request("/a/warm")[0] == 200, "answer")
+        # The entry takes it whole, the caller's host does not: its buffer holds
+        # less, whatever the system's limits are.
+        body = bytes(range(256)) * 800
+        self.target.handler = lambda r: self.target.answer(r, body)
+        reader = self.connect(receive_buffer=4096)
+        reader.sendall(request_bytes("/a/large", "large", 20000).replace(
+            b"Host", b"Connection: close\r\nHost"))
+        wait_until(lambda: self.is_logged("attempt=large "), "answer is whole")
+        self.target.handler = self.target.answer
+        for at in range(PLACES - 1):
+            caller = self.connect()
+            caller.sendall(request_bytes("/a/%d" % at, "p%d" % at, 20000))
+            self.assertIsNone(read_to_end_of_answer(caller)[1])
+        caller = self.connect()
+        began = time.monotonic()
+        caller.sendall(request_bytes("/a/x", "x", 20000))
+        self.assertEqual(read_to_end(caller)[0], b"")
+        self.assertLess(time.monotonic() - began, 2)
+        data, error = read_to_end(reader)
+        self.assertIsNone(error)
+        self.assertEqual(split_answers(data), ([(200, body)], b""))
+
     def test_answer_survives_a_caller_that_pauses_for_four_seconds(self):
         self.start(8, lambda b: [b.route("/a/", timeout_ms=20000)])
         wait_until(lambda: self.bed.request("/a/warm")[0] == 200, "answer")
--- a/test/unit/test_linger.c
+++ b/test/unit/test_linger.c
@@ -74,6 +74,28 @@
 	assert_false(linger_can_yield(&waits[2], &waits[1]));
 }
 
+/*
+ * Guards against new peers that wait for a place as long as a slow reader makes
+ * progress.
+ */
+static void
+connection_may_yield_soon_for_the_delay_of_an_acknowledgement(
+    void **state ATTR_UNUSED)
+{
+	struct linger_wait wait;
+
+	linger_start(&wait, START_MS);
+	assert_true(linger_may_yield_soon(&wait, START_MS));
+	assert_false(linger_is_over(&wait, ANSWER_BYTES, START_MS + STEP_MS));
+	assert_true(linger_may_yield_soon(&wait, START_MS + 2 * STEP_MS));
+	assert_false(
+	    linger_is_over(&wait, ANSWER_BYTES / 2, START_MS + 2 * STEP_MS));
+	assert_false(linger_may_yield_soon(&wait, START_MS + 2 * STEP_MS + 1));
+	linger_start(&wait, START_MS);
+	assert_true(linger_is_delivered(&wait, 0, START_MS + STEP_MS));
+	assert_false(linger_may_yield_soon(&wait, START_MS + STEP_MS));
+}
+
 int
 main(void)
 {
@@ -83,6 +105,8 @@
 	    cmocka_unit_test(late_peer_has_ten_seconds_to_close),
 	    cmocka_unit_test(
 		only_delivered_connections_yield_the_first_of_them_first),
+	    cmocka_unit_test(
+		connection_may_yield_soon_for_the_delay_of_an_acknowledgement),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
