Placement: a late request takes a free slot after answers in no time

functional/test_platform_ahead, test_stop_cuts_no_answer_of_a_slow_reader: requests that had waited for their caller beyond their objective were rejected ("no room in time") while 32 of 32 slots were free. An entry measures times in milliseconds, so the answers of a fast target take 0, and the estimated time of a further one is 0. placement_slowest_target() looked for a time above 0 and found no target. Every request past its objective was rejected until a longer answer came.

The new unit test of the placement failed before.

--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -424,7 +424,8 @@
 			continue;
 		finish = target_finish_time(p, t, call, now_us) +
 		    failure_cost(t, call, now_us);
-		if (finish > left || finish <= *finish_us)
+		/* 0 if answers took less than the clock's resolution. */
+		if (finish > left || (slowest != NULL && finish <= *finish_us))
 			continue;
 		slowest = t;
 		*finish_us = finish;
--- a/test/unit/test_placement_queue.c
+++ b/test/unit/test_placement_queue.c
@@ -119,12 +119,38 @@
 	placement_free(p);
 }
 
+/*
+ * Guards against late requests that are rejected while slots are free, because
+ * the answers so far took less than the clock's resolution.
+ */
+static void
+late_call_is_granted_after_answers_in_no_time(void **state ATTR_UNUSED)
+{
+	struct placement *p = open_placement();
+	struct placement_request request = {
+	    .user = "late",
+	    .objective_us = 2 * SECOND_US,
+	    .deadline_us = 60 * SECOND_US,
+	};
+
+	submit(p, 0, SECOND_US);
+	assert_int_equal(granted, 1);
+	placement_complete(p,
+	    ((const struct call *)p->call_order.head->data)->request.user, "t1",
+	    OUTCOME_ANSWERED, 0, NULL, SECOND_US);
+	assert_false(placement_submit(p, &request, 3 * SECOND_US));
+	assert_int_equal(granted, 2);
+	assert_int_equal(rejected, 0);
+	placement_free(p);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(arrival_visits_each_waiting_call_a_few_times),
 	    cmocka_unit_test(calls_of_the_best_rank_are_granted_first),
+	    cmocka_unit_test(late_call_is_granted_after_answers_in_no_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
