test_platform_cold: the other entry asks the scheduler before the reset

test_reset_of_a_full_target timed out waiting for the scheduler's line event=reset_full. Traced: the entry that is not the scheduler had placed the request itself, as an entry does until it has heard of a scheduler that is ready; the test began right after both were. Without probes of its own it does not know that the target is full, and no scheduler is told of the reset. That is as specified; the test assumed a scheduler that was asked.

The test now waits until the scheduler's own count of placed requests exceeds those that came to it from callers. All checks of the reset stay.

--- a/test/functional/test_platform_cold.py
+++ b/test/functional/test_platform_cold.py
@@ -3,6 +3,7 @@
 as many as any other one before and after.  Targets that reset connections when
 they are full."""
 
+import re
 import threading
 import time
 import unittest
@@ -121,10 +122,41 @@
 
 
 class FullTargets(Bed):
+    def log(self, instance):
+        with open(self.bed.instances[instance].log("flow"),
+                  encoding="utf-8") as lines:
+            return lines.read()
+
+    def scheduler(self):
+        """Returns the number of the only entry that is the scheduler, or
+        None."""
+        last = [(re.findall(r"event=scheduler .* here=(\d)", self.log(i)) or
+                 ["0"])[-1] for i in range(ENTRIES)]
+        return last.index("1") if last.count("1") == 1 else None
+
+    def placed(self, instance):
+        """Returns how many requests an entry has placed, as last logged."""
+        return max([int(n) for n in re.findall(
+            r"event=placement .* requests=(\d+)", self.log(instance))] + [0])
+
+    def wait_asked(self):
+        """Waits until the scheduler places requests of the other entry, which
+        places them itself until it has heard of a scheduler that is ready."""
+        wait_until(lambda: self.scheduler() is not None, "a scheduler")
+        scheduler = self.scheduler()
+        own = len(re.findall("event=request .* attempt=", self.log(scheduler)))
+
+        def is_asked():
+            self.bed.request("/safe/x", instance=1 - scheduler)
+            return self.placed(scheduler) > own
+        wait_until(is_asked, "the scheduler is asked")
+        self.assertEqual(self.scheduler(), scheduler)
+
     def test_reset_of_a_full_target(self):
         """A request that must not be repeated may have run: 502.  The target
         is known to be full by its probes, and is no failing one."""
         self.open_bed(1)
+        self.wait_asked()
         target = self.targets[0]
 
         def reset_when_full(request):
