test_flow_fleet: addresses by process id

Two copies at once failed: flow_open() returned 9 (address in use), as the 150 entries listen at the fixed addresses 127.0.6.1 to 127.0.6.150. They now use a network of the process, as support_core.c does.

--- a/test/unit/test_flow_fleet.c
+++ b/test/unit/test_flow_fleet.c
@@ -8,6 +8,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -318,6 +319,7 @@
 	    .message = relay_hello, .closed = drop_channel, .ctx = &startup};
 	struct flow_fixture fixture;
 	const char *seeds[1];
+	unsigned pid = (unsigned)getpid();
 	uint64_t probes;
 
 	flow_fixture_open(&fixture, REPEAT_ALLOWED);
@@ -329,7 +331,9 @@
 		struct flow_settings settings = fixture.flow->settings;
 		char at[ADDRESS_BYTES];
 
-		snprintf(at, sizeof(at), "127.0.6.%u:32050", 1 + i);
+		/* A network that no other test uses at the same time. */
+		snprintf(at, sizeof(at), "127.%u.%u.%u:32050",
+		    64 + (pid >> 8) % 128, pid % 256, 1 + i);
 		settings.datagram_address = str_dup(str_from(at));
 		settings.processor_millis = i < LARGE_ENTRIES ? 250 : 100;
 		settings.seeds = seeds;
