test_core_initial_state: wait for the hello, not for 50 loop iterations

all_entries_reconnect_at_once failed once with 8 of 40 entries in a lookup: the control instance had not read the busy entry's hello within 50 iterations. With 0 iterations the old test fails with the same numbers at the same line. It now waits until the instance knows that the entry is busy, and for the updates of entries until all have them; the checks are unchanged.

0 of 28 copies failed (14 at once), before and after: the failure itself was not seen again.

--- a/test/unit/test_core_initial_state.c
+++ b/test/unit/test_core_initial_state.c
@@ -275,6 +275,25 @@
 	return most;
 }
 
+/*
+ * Returns whether the instance has heard that an entry is busy.
+ */
+static bool
+is_known_as_busy(const struct testbed *testbed, unsigned number)
+{
+	char name[ADDRESS_MAX];
+
+	snprintf(name, sizeof(name), "entry-%u", number);
+	for (guint i = 0; i < testbed->core->peers->len; i++) {
+		const struct core_peer *peer = testbed->core->peers->pdata[i];
+
+		if (peer->hello != NULL &&
+		    strcmp(peer->hello->instance, name) == 0)
+			return peer->hello->busy;
+	}
+	return false;
+}
+
 /*
  * Each answer names all entries with wide links and as many narrow ones;
  * once a wide one has no processor time left, it names all entries.
@@ -287,12 +306,29 @@
 	assert_int_equal(repeat_lookups(testbed, &wide, &different), 8);
 	assert_int_equal(wide, 4);
 	assert_int_equal(different, ENTRIES / 3);
+	assert_false(is_known_as_busy(testbed, 30));
 	send_hello(&testbed->entries[30], true);
-	run_for(testbed, 50);
+	while (!is_known_as_busy(testbed, 30) && !testbed->timed_out)
+		uv_run(&testbed->loop, UV_RUN_ONCE);
+	assert_false(testbed->timed_out);
 	assert_int_equal(
 	    repeat_lookups(testbed, &wide, &different), ENTRIES / 3);
 }
 
+/*
+ * Returns whether each entry has learnt of all others, as they do if all have
+ * the same processor time.
+ */
+static bool
+all_know_each_other(const struct testbed *testbed)
+{
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		if (testbed->entries[i].others < ENTRIES)
+			return false;
+	}
+	return true;
+}
+
 /*
  * Each entry learns of all others; where entries differ in processor time,
  * only of those that may schedule.  The first ones to connect count as a
@@ -338,6 +374,9 @@
 	}
 	while (!all_synced(&testbed) && !testbed.timed_out)
 		uv_run(&testbed.loop, UV_RUN_ONCE);
+	while (!uneven_processors && !all_know_each_other(&testbed) &&
+	    !testbed.timed_out)
+		uv_run(&testbed.loop, UV_RUN_ONCE);
 	run_for(&testbed, 50);
 	assert_false(testbed.timed_out);
 	for (unsigned i = 0; i < ENTRIES; i++) {
