Entry: schedulers that it uses hear of a departure at once

functional/test_platform_leaving, test_holds_when_another_entry_schedules: an entry counts as silent with the control instance of its host until it answers a ping. If it is the scheduler, another one places the request that hears of a departure, and is told with the report of the send. The scheduler itself was not told, and granted the target again to the next entry that believed in it; control, which was gone, could not tell it either.

An entry that hears from a target that it leaves now sends this to the scheduler that it believes in and to those that it has asked within the last 10 s, as a report of an unknown send (request 0, abandoned), which older programs accept and which counts for nothing else.

--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -160,6 +160,7 @@
 	}
 	x->ask_id = ++flow->next_ask;
 	x->placed_locally = false;
+	scheduler->asked_us = flow_now_us(flow);
 	x->scheduler_sockaddr = scheduler->datagram;
 	x->scheduler_address = g_intern_string(scheduler->address);
 	g_hash_table_insert(flow->pending_asks, &x->ask_id, x);
--- a/src/flow/flow_leaving.c
+++ b/src/flow/flow_leaving.c
@@ -3,7 +3,8 @@
  * request of this entry any more, whatever control or a scheduler knows: it is
  * recorded as departed in the roster of this entry, where later announcements
  * do not bring it back.  Control is asked to record the departure until this
- * entry hears of it; schedulers learn it from the reports of ended sends.
+ * entry hears of it.  Schedulers that this entry uses are told at once, others
+ * learn it from the reports of ended sends.
  */
 #include <inttypes.h>
 
@@ -20,7 +21,12 @@
 	/* More than leave at once in the largest fleet. */
 	LEAVINGS_MAX = 4096,
 	/* As long as control keeps departures. */
-	LEAVING_KEPT_MS = 30 * 60 * 1000
+	LEAVING_KEPT_MS = 30 * 60 * 1000,
+	/*
+	 * Longer than an entry counts as silent in error.  Others may believe
+	 * in a scheduler that was asked within this time.
+	 */
+	ASKED_MS = 10 * 1000
 };
 
 /* A departure that control has not confirmed. */
@@ -118,13 +124,53 @@
 	ask_control(flow, leaving, leaving->heard_boot_us);
 }
 
+/*
+ * Tells the scheduler of a target's service, and all that this entry has asked
+ * lately, that the incarnation leaves.  The scheduler that granted the request
+ * may not be the one that others ask: an entry counts as silent with the
+ * control instance of its host until it answers a ping.
+ */
+static void
+tell_schedulers(struct flow *flow, const char *target, uint64_t started_ms)
+{
+	const struct pool *pool = g_hash_table_lookup(flow->pools, target);
+	uint64_t now = flow_now_us(flow);
+	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
+	Fleet__Done done = FLEET__DONE__INIT;
+	const struct peer_entry *scheduler;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (pool == NULL)
+		return;
+	scheduler = fleet_scheduler(flow, pool->service_part);
+	/* The end of no send: request 0 is unknown, and nothing is counted. */
+	done.service = pool->service_part->name;
+	done.target = (char *)target;
+	done.outcome = OUTCOME_ABANDONED;
+	done.departed = true;
+	done.started_ms = started_ms;
+	datagram.body_case = FLEET__DATAGRAM__BODY_DONE;
+	datagram.done = &done;
+	g_hash_table_iter_init(&iter, flow->peer_entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer_entry *peer_entry = value;
+
+		if (peer_entry == scheduler ||
+		    (peer_entry->asked_us != 0 &&
+			now - peer_entry->asked_us < ASKED_MS * US_PER_MS))
+			datagram_send(flow, &peer_entry->datagram, &datagram);
+	}
+}
+
 /*
  * Records that an incarnation leaves: its target gets no new requests from now
- * on, and those that run continue.  source tells where this was heard.
+ * on, and those that run continue.  source tells where this was heard; tell is
+ * true if schedulers may not know it.
  */
 static void
-record(
-    struct flow *flow, const char *id, uint64_t started_ms, const char *source)
+record(struct flow *flow, const char *id, uint64_t started_ms,
+    const char *source, bool tell)
 {
 	char *target;
 	struct roster_departure departure = {
@@ -141,6 +187,8 @@
 		log_info("target_leaving",
 		    "instance=%s target=%s started=%" PRIu64 " source=%s",
 		    flow->settings.instance, target, started_ms, source);
+	if (tell)
+		tell_schedulers(flow, target, started_ms);
 	(void)roster_depart(flow->roster, &departure);
 	keep_until_recorded(flow, target, started_ms);
 	mem_free(target);
@@ -160,7 +208,7 @@
 	    !str_equal_c(str_trim(value), "1"))
 		return;
 	record(up->flow, target, up->target_started_ms,
-	    up->probe ? "probe" : "answer");
+	    up->probe ? "probe" : "answer", true);
 }
 
 /*
@@ -174,7 +222,7 @@
 	const struct roster_target *known = roster_find(flow->roster, target);
 
 	if (known != NULL && known->started_ms == started_ms)
-		record(flow, target, started_ms, "entry");
+		record(flow, target, started_ms, "entry", false);
 }
 
 /*
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -303,6 +303,7 @@
 	bool suspect; /* does not respond; pinged periodically */
 	uint64_t ping_due_us; /* time of the next ping */
 	unsigned timeouts;
+	uint64_t asked_us; /* last ask of this entry to it; 0: none */
 };
 
 /* A control instance. */
--- a/test/unit/test_flow_leaving.c
+++ b/test/unit/test_flow_leaving.c
@@ -2,14 +2,19 @@
  * Targets that say in their answers that they leave: what other entries and
  * control are told, and what reports of other entries may do.
  */
+#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
+#include "base/memory.h"
 #include "support_flow.h"
 
 static void
@@ -190,6 +195,125 @@
 	flow_fixture_close(&fixture, NULL);
 }
 
+/*
+ * Adds another entry, the scheduler of all services, whose datagrams arrive at
+ * a socket, which is returned.
+ */
+static int
+add_scheduler(struct flow_fixture *fixture, struct peer_entry **peer_entry)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET};
+	socklen_t len = sizeof(at);
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+	char address[ADDRESS_BYTES];
+
+	assert_true(fd >= 0);
+	assert_int_equal(inet_pton(AF_INET, "127.0.7.253", &at.sin_addr), 1);
+	assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&at, &len), 0);
+	snprintf(
+	    address, sizeof(address), "127.0.7.253:%u", ntohs(at.sin_port));
+	*peer_entry = mem_calloc(1, sizeof(**peer_entry));
+	**peer_entry = (struct peer_entry){
+	    .address = str_dup(str_from(address)),
+	    .instance = str_dup(str_from("other")),
+	    .address_hash = str_hash(str_from(address)),
+	    .processor_millis = 1000,
+	    .sources = 1,
+	    .ready = true,
+	    .datagram = at,
+	};
+	g_hash_table_insert(
+	    fixture->flow->peer_entries, (*peer_entry)->address, *peer_entry);
+	fleet_invalidate_schedulers(fixture->flow);
+	return fd;
+}
+
+/*
+ * Counts the reports of the departure of "t1" that have arrived at a socket.
+ */
+static unsigned
+count_departures(int fd)
+{
+	uint8_t bytes[2048];
+	unsigned count = 0;
+	ssize_t n;
+
+	while ((n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0) {
+		Fleet__Datagram *d =
+		    fleet__datagram__unpack(NULL, (size_t)n, bytes);
+
+		assert_non_null(d);
+		assert_null(fleet_datagram_fault(d));
+		if (d->body_case == FLEET__DATAGRAM__BODY_DONE &&
+		    d->done->departed) {
+			assert_string_equal(d->done->target, "t1");
+			assert_int_equal(d->done->started_ms, 1);
+			/* It must count for nothing else. */
+			assert_int_equal(d->done->outcome, OUTCOME_ABANDONED);
+			assert_int_equal(d->done->request, 0);
+			count++;
+		}
+		fleet__datagram__free_unpacked(d, NULL);
+	}
+	return count;
+}
+
+/*
+ * Guards against a scheduler that counts as lost for a moment, while another
+ * one places the request that hears of the departure, and that grants the
+ * target again afterwards.
+ */
+static void
+schedulers_hear_of_a_departure_at_once(void **state ATTR_UNUSED)
+{
+	static const struct {
+		bool asked;
+		uint64_t asked_ago_ms;
+		bool suspect;
+		unsigned told;
+	} cases[] = {
+	    {.told = 1},
+	    {.suspect = true, .told = 0},
+	    {.asked = true, .suspect = true, .told = 1},
+	    {.asked = true, .asked_ago_ms = 9000, .suspect = true, .told = 1},
+	    {.asked = true, .asked_ago_ms = 11000, .suspect = true, .told = 0},
+	    {.asked = true, .told = 1},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct flow_fixture fixture;
+		struct peer_entry *scheduler;
+		struct exchange *x;
+		int fd;
+
+		flow_fixture_open(&fixture, REPEAT_ALLOWED);
+		fd = add_scheduler(&fixture, &scheduler);
+		if (cases[i].asked) {
+			struct exchange *first =
+			    flow_fixture_exchange(&fixture);
+
+			schedule_ask(first, false);
+			assert_int_not_equal(first->ask_id, 0);
+			exchange_free(first);
+		}
+		fixture.loop.time += cases[i].asked_ago_ms;
+		if (cases[i].suspect)
+			fleet_mark_suspect(fixture.flow, scheduler);
+		x = flow_fixture_exchange(&fixture);
+		exchange_on_grant(x, "t1", false, 0);
+		assert_non_null(x->attempts[0].upstream);
+		assert_int_equal(count_departures(fd), 0);
+		answer(x->attempts[0].upstream, 200, "1", NULL);
+		assert_int_equal(count_departures(fd), cases[i].told);
+		/* Not again for the same incarnation. */
+		leaving_on_head(x->attempts[0].upstream);
+		assert_int_equal(count_departures(fd), 0);
+		flow_fixture_close(&fixture, x);
+		assert_int_equal(close(fd), 0);
+	}
+}
+
 struct asked {
 	unsigned count;
 	unsigned answer_from; /* number of the ask that is answered */
@@ -250,6 +374,7 @@
 	    cmocka_unit_test(same_start_stays_away_and_new_one_is_used),
 	    cmocka_unit_test(granted_target_that_leaves_gets_no_request),
 	    cmocka_unit_test(report_counts_for_a_known_incarnation_alone),
+	    cmocka_unit_test(schedulers_hear_of_a_departure_at_once),
 	    cmocka_unit_test(
 		control_is_asked_until_it_has_recorded_the_departure),
 	};
