--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -316,6 +316,7 @@
 	uint64_t ping_due_us; /* time of the next ping */
 	unsigned timeouts;
 	struct ended_asks ended_asks; /* of this entry at it */
+	uint64_t asked_us; /* last ask of this entry to it; 0: none */
 };
 
 /* A control instance. */
@@ -431,6 +432,7 @@
 	void *on_stopped_ctx;
 	/* Callers. */
 	uv_tcp_t listener;
+	uv_timer_t accept_timer; /* runs while a new one waits for a place */
 	GQueue callers;
 	struct memory_budget memory;
 	GQueue memory_waiters; /* struct caller, oldest request first */
