A bound for the connections of one address

base/connection_share decides for all listeners: half of the connections for one address while more than one is connected, all while there is one, or the setting max_connections_per_address. The oldest connection of the address that never sent a whole request is closed for a new one, else the new one is refused, with reason=address in counter and log line. At the bound of all, silent connections of an address above its share go first.

--- a/src/base/connection_guard.c
+++ b/src/base/connection_guard.c
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "base/condition.h"
 #include "base/connection_budget.h"
+#include "base/connection_share.h"
 #include "base/counter.h"
 #include "base/linger.h"
 #include "base/log_limiter.h"
@@ -39,6 +40,7 @@
 /* A connection, by its descriptor. */
 struct guarded {
 	uint64_t cookie; /* of the socket; 0: none */
+	uint64_t address; /* key of the peer's */
 	uint64_t opened; /* order in which it was found */
 	uint64_t acked; /* bytes that its caller's host has taken */
 	unsigned checks; /* since it was found */
@@ -60,6 +62,8 @@
 	pthread_cond_t changed;
 	struct guarded *table; /* by descriptor */
 	unsigned table_size;
+	struct connection_share share; /* of the connections found */
+	struct connection_share requested; /* of those with a request */
 	unsigned checks;
 	unsigned served;
 	unsigned open; /* found by the last check */
@@ -129,6 +133,16 @@
 	return entry;
 }
 
+static uint64_t
+peer_key(int fd)
+{
+	struct sockaddr_storage peer = {0};
+	socklen_t len = sizeof(peer);
+
+	(void)getpeername(fd, (struct sockaddr *)&peer, &len);
+	return connection_share_key((const struct sockaddr *)&peer);
+}
+
 /*
  * Updates what is known of a descriptor, if it is a connection of the server,
  * or how many connections wait at the server's listener.
@@ -161,8 +175,12 @@
 	entry->acked = acked;
 	entry->checks++;
 	entry->seen = guard->checks;
-	if (!entry->closing && !entry->shut)
-		guard->open++;
+	if (!entry->requested)
+		entry->address = peer_key(fd);
+	if (entry->closing || entry->shut)
+		return;
+	guard->open++;
+	connection_share_add(&guard->share, entry->address);
 }
 
 static void
@@ -292,16 +310,62 @@
 	close(same);
 }
 
+static bool
+is_above_share(const struct connection_guard *guard, int fd)
+{
+	const struct guarded *entry = &guard->table[fd];
+
+	return entry->seen == guard->checks && !entry->closing &&
+	    !entry->shut && !entry->requested &&
+	    connection_share_excess(&guard->share, entry->address) > 0;
+}
+
+/*
+ * Returns the descriptor of the connection that is shut down first among those
+ * of addresses above their share, or -1: the oldest one that has sent no whole
+ * request, else the newest one whose request has not begun to run.
+ */
+static int
+find_above_share(const struct connection_guard *guard)
+{
+	enum connection_limit limit;
+	int oldest = -1;
+	int newest = -1;
+
+	for (unsigned fd = 0; fd < guard->table_size; fd++) {
+		uint64_t opened = guard->table[fd].opened;
+
+		if (!is_above_share(guard, (int)fd))
+			continue;
+		if (may_shut(guard, (int)fd, &limit) &&
+		    (oldest < 0 || opened < guard->table[oldest].opened))
+			oldest = (int)fd;
+		if (newest < 0 || opened > guard->table[newest].opened)
+			newest = (int)fd;
+	}
+	return oldest >= 0 ? oldest : newest;
+}
+
 /*
- * Shuts down as many connections as others wait for a thread.
+ * Shuts down connections of addresses above their share, and as many others as
+ * wait for a thread.
  */
 static void
 check_connections(struct connection_guard *guard)
 {
 	enum connection_limit limit = CONNECTION_LIMIT_COUNT;
 	unsigned waiting;
+	int above;
 
+	connection_share_open(&guard->share, guard->settings.threads,
+	    guard->settings.address_max);
 	check_descriptors(guard);
+	while ((above = find_above_share(guard)) >= 0) {
+		shut_connection(guard, above, CONNECTION_LIMIT_ADDRESS);
+		connection_share_remove(
+		    &guard->share, guard->table[above].address);
+		guard->open--;
+	}
 	waiting = guard->queued;
 	if (guard->open > guard->settings.threads)
 		waiting += guard->open - guard->settings.threads;
@@ -309,10 +373,24 @@
 		int fd = find_first(guard, &limit);
 
 		if (fd < 0)
-			return;
+			break;
 		shut_connection(guard, fd, limit);
 		waiting--;
 	}
+	connection_share_close(&guard->share);
+}
+
+/*
+ * Returns how many connections may be served before one address may be above
+ * its share, or others wait for a thread.
+ */
+static unsigned
+free_connections(const struct connection_guard *guard)
+{
+	unsigned half = guard->settings.threads / 2;
+	unsigned max = guard->settings.address_max;
+
+	return max == 0 || max > half ? half : max;
 }
 
 static void *
@@ -325,7 +403,7 @@
 		if (condition_wait(&guard->changed, &guard->lock,
 			clock_monotonic_us() + check_us))
 			continue;
-		if (guard->served >= guard->settings.threads)
+		if (guard->served > free_connections(guard))
 			check_connections(guard);
 	}
 	pthread_mutex_unlock(&guard->lock);
@@ -348,6 +426,8 @@
 		    connection_limit_names[i]);
 	pthread_mutex_init(&guard->lock, NULL);
 	condition_init(&guard->changed);
+	connection_share_open(
+	    &guard->requested, settings->threads, settings->address_max);
 	return guard;
 }
 
@@ -370,16 +450,37 @@
 	pthread_mutex_unlock(&guard->lock);
 }
 
-void
+/*
+ * Counts a connection whose first request is about to run.  It is shut down
+ * instead if its address has too many of them; the next check would be too late
+ * for a burst.
+ */
+static void
+count_request(struct connection_guard *guard, struct guarded *entry, int fd)
+{
+	if (entry->requested || entry->shut || entry->closing)
+		return;
+	entry->requested = true;
+	entry->address = peer_key(fd);
+	connection_share_add(&guard->requested, entry->address);
+	if (connection_share_excess(&guard->requested, entry->address) > 0)
+		shut_connection(guard, fd, CONNECTION_LIMIT_ADDRESS);
+}
+
+bool
 connection_guard_requested(struct connection_guard *guard, int fd)
 {
 	struct guarded *entry;
+	bool shut = false;
 
 	pthread_mutex_lock(&guard->lock);
 	entry = find_entry(guard, fd);
-	if (entry != NULL)
-		entry->requested = true;
+	if (entry != NULL) {
+		count_request(guard, entry, fd);
+		shut = entry->shut;
+	}
 	pthread_mutex_unlock(&guard->lock);
+	return !shut;
 }
 
 bool
@@ -391,6 +492,9 @@
 	pthread_mutex_lock(&guard->lock);
 	entry = find_entry(guard, fd);
 	if (entry != NULL) {
+		if (entry->requested && !entry->closing)
+			connection_share_remove(
+			    &guard->requested, entry->address);
 		entry->closing = true;
 		shut = entry->shut;
 	}
@@ -411,6 +515,7 @@
 		pthread_join(guard->thread, NULL);
 	pthread_cond_destroy(&guard->changed);
 	pthread_mutex_destroy(&guard->lock);
+	connection_share_close(&guard->requested);
 	mem_free(guard->table);
 	mem_free(guard);
 }
--- a/src/base/web.c
+++ b/src/base/web.c
@@ -22,7 +22,8 @@
 	NUMBER_BYTES = 24,
 	READ_BYTES = 8192,
 	DESCRIPTORS_MAX = 65536,
-	SEARCH_AHEAD = 16 /* descriptors */
+	SEARCH_AHEAD = 16, /* descriptors */
+	HTTP_UNAVAILABLE = 503
 };
 
 /*
@@ -41,10 +42,12 @@
 };
 
 /*
- * The connection that this thread serves: its descriptor, or that of the one
- * before until served_descriptor() is called, and the time of the last answer.
+ * The connection that this thread serves: its descriptor, -1 until
+ * served_descriptor() has found it, whether it was shut down before its first
+ * request, and the time of the last answer.
  */
 static _Thread_local int served_fd = -1;
+static _Thread_local bool served_shut;
 static _Thread_local uint64_t answered_us;
 
 /*
@@ -132,27 +135,16 @@
 }
 
 /*
- * Returns whether served_fd is the descriptor of a connection.  A connection
- * that was reset has none.
- */
-static bool
-is_served(const struct mg_connection *conn)
-{
-	const struct mg_request_info *info = mg_get_request_info(conn);
-
-	return served_fd >= 0 && info != NULL && is_connection(served_fd, info);
-}
-
-/*
- * Returns the descriptor of the connection that this thread serves; -1 if there
- * is none.
+ * Returns the descriptor of the connection that this thread serves; -1 if it
+ * cannot be found, since the connection was reset before.
  */
 static int
 served_descriptor(const struct mg_connection *conn)
 {
-	if (!is_served(conn)) {
+	if (served_fd < 0) {
 		served_fd = find_descriptor(mg_get_request_info(conn));
-		connection_guard_requested(get_server(conn)->guard, served_fd);
+		served_shut = !connection_guard_requested(
+		    get_server(conn)->guard, served_fd);
 	}
 	return served_fd;
 }
@@ -191,6 +183,8 @@
 static int
 init_connection(const struct mg_connection *conn, void **data ATTR_UNUSED)
 {
+	served_fd = -1;
+	served_shut = false;
 	connection_guard_serve(get_server(conn)->guard, 1);
 	return 0;
 }
@@ -205,10 +199,10 @@
 	struct web_server *server = get_server(conn);
 
 	connection_guard_serve(server->guard, -1);
-	if (is_served(conn) &&
-	    !connection_guard_closing(server->guard, served_fd) &&
-	    must_linger(served_fd))
+	if (!connection_guard_closing(server->guard, served_fd) &&
+	    served_fd >= 0 && must_linger(served_fd))
 		(void)linger_pool_add(server->lingering, served_fd);
+	served_fd = -1;
 }
 
 /*
@@ -224,6 +218,10 @@
 
 	/* Before it runs: a request that runs long is not a silent caller. */
 	(void)served_descriptor(conn);
+	if (served_shut) {
+		mg_disable_connection_keep_alive(conn);
+		return HTTP_UNAVAILABLE;
+	}
 	status = server->settings.serve(server->settings.ctx, conn);
 	record_answer(conn);
 	return status;
@@ -343,6 +341,7 @@
 	    .instance = settings->instance != NULL ? settings->instance : "-",
 	    .what = settings->what,
 	    .threads = settings->threads,
+	    .address_max = settings->address_max,
 	});
 	new_server->context = mg_start(&callbacks, new_server, options);
 	if (new_server->context == NULL ||
--- a/src/base/web.h
+++ b/src/base/web.h
@@ -20,6 +20,7 @@
 	const char *what; /* the server, in log lines and counters */
 	const char *address; /* IP:PORT; port 0 picks a free one */
 	unsigned threads; /* connections served at once */
+	unsigned address_max; /* connections of one address; 0: the default */
 	unsigned backlog; /* connections waiting for a thread */
 	uint64_t request_timeout_ms; /* read or write without progress */
 	uint64_t keep_alive_ms; /* until an idle connection is closed */
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -28,6 +28,7 @@
 	uint64_t election_ms;
 	uint64_t heartbeat_ms;
 	uint64_t snapshot_entries;
+	uint64_t connections_per_address; /* of operators; 0: the default */
 };
 
 struct control;
--- a/src/control/operators.c
+++ b/src/control/operators.c
@@ -251,7 +251,10 @@
 on_request_end(struct operators *operators, struct MHD_Connection *conn,
     struct exchange *exchange)
 {
-	connection_guard_requested(operators->guard, connection_socket(conn));
+	/* It was shut down at a limit: nobody would get the answer. */
+	if (!connection_guard_requested(
+		operators->guard, connection_socket(conn)))
+		return MHD_NO;
 	if (!exchange->answered && exchange->job->kind == JOB_EDIT &&
 	    exchange->job->text.len == 0)
 		reject_exchange(exchange, MHD_HTTP_UNPROCESSABLE_CONTENT,
@@ -440,6 +443,7 @@
 		.instance = settings->instance,
 		.what = "operators",
 		.threads = OPERATORS_CONNECTIONS_MAX,
+		.address_max = (unsigned)settings->connections_per_address,
 	    });
 	pthread_mutex_init(&operators->lock, NULL);
 	operators->requests = counter_register(COUNTER_TOTAL,
--- a/src/entry/entry_main.c
+++ b/src/entry/entry_main.c
@@ -53,6 +53,7 @@
 static uint64_t heartbeat_ms = 300;
 static uint64_t connections_max = 512;
 static uint64_t backlog = 256;
+static uint64_t connections_per_address;
 static uint64_t request_timeout_ms = 30000;
 static uint64_t keep_alive_ms = 15000;
 static uint64_t refusals_kept = 20000;
@@ -126,6 +127,15 @@
 	.min = 4,
 	.max = 8192,
 	.help = "Callers' connections served, one thread each"},
+    {.name = "max-connections-per-address",
+	.group = "Bounds",
+	.kind = SETTING_NUMBER,
+	.value = &connections_per_address,
+	.unit = "connections",
+	.min = 0,
+	.max = 8192,
+	.help = "Connections of one address; 0: half while others are "
+		"connected"},
     {.name = "backlog",
 	.group = "Bounds",
 	.kind = SETTING_NUMBER,
@@ -394,6 +404,7 @@
 		.what = "callers",
 		.address = listen_address,
 		.threads = (unsigned)connections_max,
+		.address_max = (unsigned)connections_per_address,
 		.backlog = (unsigned)backlog,
 		.request_timeout_ms = request_timeout_ms,
 		.keep_alive_ms = keep_alive_ms,
@@ -428,6 +439,7 @@
 		.what = "operators",
 		.address = metrics_listen,
 		.threads = OPERATOR_THREADS,
+		.address_max = (unsigned)connections_per_address,
 		.backlog = OPERATOR_BACKLOG,
 		.request_timeout_ms = request_timeout_ms,
 		.keep_alive_ms = keep_alive_ms,
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -53,6 +53,7 @@
 	unsigned link_kbps; /* of the instance's own link */
 	uint64_t memory_bytes;
 	unsigned descriptors;
+	unsigned connections_per_address; /* 0: the default rule */
 	uint64_t grace_ms; /* from the stop request to the end */
 	struct repeat_limits repeats;
 	double probes_per_second; /* of one target, at most */
--- a/src/flow/flow_caller.c
+++ b/src/flow/flow_caller.c
@@ -9,9 +9,7 @@
 	SWEEP_MS = 100,
 	START_SWEEP_MS = 20, /* during the startup, since callers wait */
 	STOP_IDLE_TIMEOUT_MS = 2500, /* longer than a lookup result is cached */
-	STOP_CLOSE_ALL_MS = 4500,
-	/* for files, targets and other connections */
-	RESERVED_DESCRIPTORS = 700
+	STOP_CLOSE_ALL_MS = 4500
 };
 
 static void
@@ -274,12 +272,8 @@
 	}
 	(void)uv_tcp_getpeername(
 	    &caller->tcp, (struct sockaddr *)&caller->peer, &peer_len);
-	if (flow->callers.length + RESERVED_DESCRIPTORS >
-		flow->settings.descriptors &&
-	    !callers_yield_lingering(flow) && !limits_yield_silent(flow)) {
-		limit_refuse_connection(caller);
+	if (!limit_admit(caller))
 		return;
-	}
 	/*
 	 * No user timeout: the kernel applies it to callers that read slowly,
 	 * too, although their hosts acknowledge all along.
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -137,8 +137,7 @@
 /* Closes connections soon if all hold too much; after a change of one. */
 void limit_check(struct caller *caller);
 void limit_release(struct caller *caller);
-bool limits_yield_silent(struct flow *flow);
-void limit_refuse_connection(struct caller *caller);
+bool limit_admit(struct caller *caller);
 
 /* flow_write.c: output */
 void caller_write(struct caller *caller, struct str bytes);
--- a/src/flow/flow_limit.c
+++ b/src/flow/flow_limit.c
@@ -10,6 +10,8 @@
 #include "flow/flow_internal.h"
 
 enum {
+	/* for files, targets and other connections */
+	RESERVED_DESCRIPTORS = 700,
 	/* Requests freed in this loop iteration, whose timers are closing. */
 	CLOSING_EXCHANGES_MAX = 1024,
 	/* A connection that has sent nothing for so long may be replaced. */
@@ -29,7 +31,14 @@
 void
 limits_open(struct flow *flow)
 {
+	unsigned descriptors = flow->settings.descriptors;
+
 	connection_budget_open(&flow->connections, flow->settings.memory_bytes);
+	connection_share_open(&flow->share,
+	    descriptors > RESERVED_DESCRIPTORS
+		? descriptors - RESERVED_DESCRIPTORS
+		: 1,
+	    flow->settings.connections_per_address);
 	g_queue_init(&flow->turns);
 	uv_idle_init(flow->loop, &flow->turn);
 	flow->turn.data = flow;
@@ -54,6 +63,7 @@
 {
 	uv_close((uv_handle_t *)&flow->turn, NULL);
 	uv_close((uv_handle_t *)&flow->limit_timer, NULL);
+	connection_share_close(&flow->share);
 }
 
 /*
@@ -337,8 +347,15 @@
 		    &flow->limit_timer, on_check, CHECK_MS, CHECK_MS);
 }
 
+static uint64_t
+address_key(const struct caller *caller)
+{
+	return connection_share_key((const struct sockaddr *)&caller->peer);
+}
+
 /*
- * Takes a connection that closes out of the process's sum.
+ * Takes a connection that closes out of the sums of the process and of its
+ * address.
  */
 void
 limit_release(struct caller *caller)
@@ -346,6 +363,10 @@
 	connection_budget_change(
 	    &caller->flow->connections, caller->use.held, 0);
 	caller->use.held = 0;
+	if (caller->counted)
+		connection_share_remove(
+		    &caller->flow->share, address_key(caller));
+	caller->counted = false;
 }
 
 /*
@@ -361,31 +382,65 @@
 }
 
 /*
- * Closes the oldest connection that has never sent a whole request, in favour
- * of a new one.  Returns false if there is none.
+ * Returns the oldest connection that has never sent a whole request, of the
+ * address of a caller if it is not NULL, else of all addresses, those above
+ * their share first.  NULL if there is none.
  */
-bool
-limits_yield_silent(struct flow *flow)
+static struct caller *
+find_silent(const struct flow *flow, const struct caller *same_address)
 {
 	uint64_t now = uv_now(flow->loop);
+	struct caller *first = NULL;
 
 	/* In the order in which they were opened. */
 	for (GList *l = flow->callers.head; l != NULL; l = l->next) {
 		struct caller *caller = l->data;
-
-		if (is_silent(caller, now)) {
-			close_at_limit(caller, CONNECTION_LIMIT_COUNT);
-			return true;
-		}
+		uint64_t key = address_key(caller);
+
+		if (same_address != NULL && key != address_key(same_address))
+			continue;
+		if (!is_silent(caller, now))
+			continue;
+		if (same_address != NULL ||
+		    connection_share_excess(&flow->share, key) > 0)
+			return caller;
+		if (first == NULL)
+			first = caller;
 	}
-	return false;
+	return first;
 }
 
 /*
- * Counts and logs a new connection that is not accepted.
+ * Closes a connection that has never sent a whole request in favour of a new
+ * one, else the new one.  Returns whether the new one stays.
  */
-void
-limit_refuse_connection(struct caller *caller)
+static bool
+make_room(struct caller *new_caller, const struct caller *same_address,
+    enum connection_limit limit)
+{
+	struct caller *silent = find_silent(new_caller->flow, same_address);
+
+	close_at_limit(silent != NULL ? silent : new_caller, limit);
+	return silent != NULL;
+}
+
+/*
+ * Counts a new connection.  If its address or the process has too many, closes
+ * another one or the new one; returns false if that is closed.
+ */
+bool
+limit_admit(struct caller *caller)
 {
-	close_at_limit(caller, CONNECTION_LIMIT_COUNT);
+	struct flow *flow = caller->flow;
+
+	connection_share_add(&flow->share, address_key(caller));
+	caller->counted = true;
+	if (connection_share_excess(&flow->share, address_key(caller)) > 0 &&
+	    !make_room(caller, caller, CONNECTION_LIMIT_ADDRESS))
+		return false;
+	if (flow->callers.length + RESERVED_DESCRIPTORS <=
+		flow->settings.descriptors ||
+	    callers_yield_lingering(flow))
+		return true;
+	return make_room(caller, NULL, CONNECTION_LIMIT_COUNT);
 }
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/connection_budget.h"
+#include "base/connection_share.h"
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "base/linger.h"
@@ -101,6 +102,7 @@
 	unsigned turn_requests; /* parsed since its turn began */
 	GList turn_link; /* in flow->turns while its data is set */
 	struct connection_use use;
+	bool counted; /* in the share of its address */
 };
 
 /* Whose response it is. */
@@ -422,6 +424,7 @@
 	GQueue ahead_waiters; /* struct caller with requests that wait */
 	uv_timer_t ahead_timer; /* runs while there are any */
 	struct connection_budget connections;
+	struct connection_share share; /* of the addresses */
 	GQueue turns; /* struct caller that go on in the next iteration */
 	uv_idle_t turn; /* runs while there are any */
 	uv_timer_t limit_timer; /* runs while all hold too much */
--- a/src/net/api.c
+++ b/src/net/api.c
@@ -221,6 +221,7 @@
 	struct api_server *server = listener->data;
 	struct connection *c;
 	int peer_len = sizeof(c->peer);
+	enum connection_limit limit;
 	bool accepted;
 
 	if (status != 0) {
@@ -245,8 +246,8 @@
 	if (accepted)
 		(void)uv_tcp_getpeername(
 		    &c->tcp, (struct sockaddr *)&c->peer, &peer_len);
-	if (!api_limit_add_connection(c)) {
-		api_limit_close(c, CONNECTION_LIMIT_COUNT);
+	if (!api_limit_add_connection(c, &limit)) {
+		api_limit_close(c, limit);
 		return;
 	}
 	if (!accepted) {
--- a/src/net/api.h
+++ b/src/net/api.h
@@ -33,11 +33,11 @@
     api_handler *handler, void *ctx) ATTR_NONNULL(1, 2, 4) ATTR_UNUSED_RESULT;
 /*
  * Sets the bounds that all servers of the process share: the process may use
- * memory_bytes in all, and its servers accept connections_max connections.
- * instance is kept.
+ * memory_bytes in all, and its servers accept connections_max connections,
+ * address_max of one address (0: the default rule).  instance is kept.
  */
 void api_set_limits(const char *instance, uint64_t memory_bytes,
-    unsigned connections_max) ATTR_NONNULL_ALL;
+    unsigned connections_max, unsigned address_max) ATTR_NONNULL_ALL;
 /* Sends the reply and frees the call. */
 void api_reply(struct api_call *call, int status, const char *content_type,
     struct str body) ATTR_NONNULL_ALL;
--- a/src/net/api_internal.h
+++ b/src/net/api_internal.h
@@ -7,6 +7,7 @@
 #include <http_parser.h>
 
 #include "base/connection_budget.h"
+#include "base/connection_share.h"
 #include "base/linger.h"
 #include "net/address.h"
 #include "net/api.h"
@@ -54,6 +55,7 @@
 	size_t unread; /* bytes of buffers for its answers */
 	size_t queued; /* bytes that the socket has not taken, when checked */
 	struct connection_use use;
+	bool counted; /* in the share of its address */
 };
 
 struct exchange {
@@ -94,7 +96,9 @@
 void api_limit_add_server(struct api_server *server) ATTR_NONNULL_ALL;
 void api_limit_remove_server(const struct api_server *server) ATTR_NONNULL_ALL;
 void api_limit_set_socket(uv_tcp_t *listener) ATTR_NONNULL_ALL;
-bool api_limit_add_connection(struct connection *connection) ATTR_NONNULL_ALL;
+/* Returns false, with the limit, if the connection has to be closed. */
+bool api_limit_add_connection(struct connection *connection,
+    enum connection_limit *limit) ATTR_NONNULL_ALL;
 void
 api_limit_remove_connection(struct connection *connection) ATTR_NONNULL_ALL;
 /* Logs and counts a connection that is closed at a limit, and closes it. */
--- a/src/net/api_limit.c
+++ b/src/net/api_limit.c
@@ -29,6 +29,7 @@
 	uint64_t allocated; /* held, also by connections that are closing */
 	unsigned connections_max;
 	unsigned connections;
+	struct connection_share share; /* of the addresses */
 	struct api_server *servers;
 	struct counter *limited[CONNECTION_LIMITS];
 	struct counter *refused_replies;
@@ -39,15 +40,19 @@
  * Sets the bounds of the process.
  */
 void
-api_set_limits(
-    const char *instance, uint64_t memory_bytes, unsigned connections_max)
+api_set_limits(const char *instance, uint64_t memory_bytes,
+    unsigned connections_max, unsigned address_max)
 {
 	limits.log.instance = instance;
 	limits.connections_max = connections_max;
 	connection_budget_open(&limits.budget, memory_bytes);
-	if (limits.open)
+	if (limits.open) {
+		connection_share_set(
+		    &limits.share, connections_max, address_max);
 		return;
+	}
 	limits.open = true;
+	connection_share_open(&limits.share, connections_max, address_max);
 	for (size_t i = 0; i < CONNECTION_LIMITS; i++)
 		limits.limited[i] = counter_register(COUNTER_TOTAL,
 		    "gypsummill_api_limited_connections_total",
@@ -66,7 +71,8 @@
 api_limit_add_server(struct api_server *server)
 {
 	if (!limits.open)
-		api_set_limits("-", DEFAULT_MEMORY_BYTES, DEFAULT_CONNECTIONS);
+		api_set_limits(
+		    "-", DEFAULT_MEMORY_BYTES, DEFAULT_CONNECTIONS, 0);
 	server->next = limits.servers;
 	limits.servers = server;
 }
@@ -147,6 +153,12 @@
 	    !connection_budget_must_pause(&limits.budget, c->unread);
 }
 
+static uint64_t
+address_key(const struct connection *c)
+{
+	return connection_share_key((const struct sockaddr *)&c->peer);
+}
+
 static uint64_t
 address_held(uint32_t address)
 {
@@ -203,8 +215,12 @@
 
 	connection_budget_change(&limits.budget, c->use.held, held);
 	c->use.held = held;
-	if (c->closing)
+	if (c->closing) {
+		if (c->counted)
+			connection_share_remove(&limits.share, address_key(c));
+		c->counted = false;
 		return;
+	}
 	while (connection_budget_excess(&limits.budget) > 0 &&
 	    (first = find_first(c, uv_now(c->server->loop))) != NULL)
 		api_limit_close(first, CONNECTION_LIMIT_MEMORY);
@@ -272,33 +288,73 @@
 }
 
 /*
- * Counts a new connection.  Returns false if there are too many and none can be
- * closed for it: one whose caller has its last answer, or one that has sent no
- * whole request.
+ * Returns whether a connection has sent no whole request, and nothing lately.
  */
-bool
-api_limit_add_connection(struct connection *c)
+static bool
+is_silent(const struct connection *c)
+{
+	return !c->closing && !c->lingering && !c->served &&
+	    uv_now(c->server->loop) - c->opened_ms > SILENT_MS &&
+	    !tcp_has_unread_input(&c->tcp);
+}
+
+/*
+ * Returns whether one silent connection is closed before another: those of an
+ * address above its share first, then the oldest.
+ */
+static bool
+silent_goes_first(const struct connection *c, const struct connection *other)
 {
-	uint64_t now_ms = uv_now(c->server->loop);
-	struct connection *oldest = NULL;
+	bool above = connection_share_excess(&limits.share, address_key(c)) > 0;
+
+	if (above !=
+	    (connection_share_excess(&limits.share, address_key(other)) > 0))
+		return above;
+	return c->opened_ms < other->opened_ms;
+}
+
+/*
+ * Closes the silent connection that goes first, of the address of a connection
+ * if it is not NULL.  Returns false if there is none.
+ */
+static bool
+close_silent(const struct connection *same_address, enum connection_limit limit)
+{
+	struct connection *first = NULL;
 
-	limits.connections++;
-	if (limits.connections <= limits.connections_max ||
-	    api_yield_connection(c->server))
-		return true;
 	for (struct api_server *s = limits.servers; s != NULL; s = s->next) {
-		for (struct connection *o = s->first; o != NULL; o = o->next) {
-			if (!o->closing && !o->lingering && !o->served &&
-			    now_ms - o->opened_ms > SILENT_MS &&
-			    !tcp_has_unread_input(&o->tcp) &&
-			    (oldest == NULL ||
-				o->opened_ms < oldest->opened_ms))
-				oldest = o;
+		for (struct connection *c = s->first; c != NULL; c = c->next) {
+			if (same_address != NULL &&
+			    address_key(c) != address_key(same_address))
+				continue;
+			if (is_silent(c) &&
+			    (first == NULL || silent_goes_first(c, first)))
+				first = c;
 		}
 	}
-	if (oldest != NULL)
-		api_limit_close(oldest, CONNECTION_LIMIT_COUNT);
-	return oldest != NULL;
+	if (first != NULL)
+		api_limit_close(first, limit);
+	return first != NULL;
+}
+
+/*
+ * Counts a new connection.  Returns false, with the limit, if its address or
+ * the process has too many and none can be closed for it: one whose caller has
+ * its last answer, or one that has sent no whole request.
+ */
+bool
+api_limit_add_connection(struct connection *c, enum connection_limit *limit)
+{
+	limits.connections++;
+	connection_share_add(&limits.share, address_key(c));
+	c->counted = true;
+	*limit = CONNECTION_LIMIT_ADDRESS;
+	/* The one that closes still counts as a connection. */
+	if (connection_share_excess(&limits.share, address_key(c)) > 0)
+		return close_silent(c, *limit);
+	*limit = CONNECTION_LIMIT_COUNT;
+	return limits.connections <= limits.connections_max ||
+	    api_yield_connection(c->server) || close_silent(NULL, *limit);
 }
 
 /*
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -39,10 +39,11 @@
     ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
 /*
  * Sets the bounds for accepted channels: the process may use memory_bytes in
- * all and accepts channels_max of them.  instance is kept.
+ * all and accepts channels_max of them, address_max from one address (0: the
+ * default rule).  instance is kept.
  */
 void channel_set_limits(const char *instance, uint64_t memory_bytes,
-    unsigned channels_max) ATTR_NONNULL_ALL;
+    unsigned channels_max, unsigned address_max) ATTR_NONNULL_ALL;
 void channel_listener_close(struct channel_listener *listener);
 /* Discards the frame when the channel is not open. */
 void channel_send(
--- a/src/net/channel_internal.h
+++ b/src/net/channel_internal.h
@@ -5,6 +5,7 @@
 #define NET_CHANNEL_INTERNAL_H
 
 #include "base/connection_budget.h"
+#include "base/connection_share.h"
 #include "base/refcount.h"
 #include "net/address.h"
 #include "net/channel.h"
--- a/src/net/channel_limit.c
+++ b/src/net/channel_limit.c
@@ -29,6 +29,7 @@
 	uint64_t unread_max;
 	unsigned channels_max;
 	unsigned channels;
+	struct connection_share share; /* of the addresses */
 	struct channel *first;
 	uint64_t evicted; /* output of channels closed in this iteration */
 	uint64_t evicted_ms;
@@ -41,8 +42,8 @@
  * Sets the bounds of the process.
  */
 void
-channel_set_limits(
-    const char *instance, uint64_t memory_bytes, unsigned channels_max)
+channel_set_limits(const char *instance, uint64_t memory_bytes,
+    unsigned channels_max, unsigned address_max)
 {
 	uint64_t held = limits.budget.held;
 
@@ -53,9 +54,12 @@
 	limits.unread_max = memory_bytes / UNREAD_DIVISOR;
 	if (limits.unread_max < UNREAD_MIN_BYTES)
 		limits.unread_max = UNREAD_MIN_BYTES;
-	if (limits.open)
+	if (limits.open) {
+		connection_share_set(&limits.share, channels_max, address_max);
 		return;
+	}
 	limits.open = true;
+	connection_share_open(&limits.share, channels_max, address_max);
 	for (size_t i = 0; i < CONNECTION_LIMITS; i++)
 		limits.limited[i] = counter_register(COUNTER_TOTAL,
 		    "gypsummill_link_limited_connections_total",
@@ -72,7 +76,8 @@
 open_limits(void)
 {
 	if (!limits.open)
-		channel_set_limits("-", DEFAULT_MEMORY_BYTES, DEFAULT_CHANNELS);
+		channel_set_limits(
+		    "-", DEFAULT_MEMORY_BYTES, DEFAULT_CHANNELS, 0);
 }
 
 /*
@@ -122,6 +127,64 @@
 	    : uv_stream_get_write_queue_size((uv_stream_t *)channel->tcp);
 }
 
+static uint64_t
+address_key(const struct channel *channel)
+{
+	return connection_share_key((const struct sockaddr *)&channel->peer);
+}
+
+/*
+ * Returns whether one silent channel is closed before another: those of an
+ * address above its share first, then the oldest.
+ */
+static bool
+silent_goes_first(const struct channel *c, const struct channel *other)
+{
+	bool above = connection_share_excess(&limits.share, address_key(c)) > 0;
+
+	if (above !=
+	    (connection_share_excess(&limits.share, address_key(other)) > 0))
+		return above;
+	return c->opened_ms < other->opened_ms;
+}
+
+/*
+ * Closes a channel that has sent no whole frame in favour of a new one, of its
+ * address only if same_address, else the new one.  Returns whether the new one
+ * stays.
+ */
+static bool
+make_room(
+    struct channel *channel, bool same_address, enum connection_limit limit)
+{
+	uint64_t now = uv_now(channel->loop);
+	struct channel *first = NULL;
+
+	for (struct channel *c = limits.first; c != NULL; c = c->next) {
+		if (same_address && address_key(c) != address_key(channel))
+			continue;
+		if (!c->served && now - c->opened_ms > SILENT_MS &&
+		    (first == NULL || silent_goes_first(c, first)))
+			first = c;
+	}
+	close_at_limit(first != NULL ? first : channel, limit);
+	return first != NULL;
+}
+
+/*
+ * Returns whether there is room for an accepted channel, if necessary in place
+ * of another one; closes it if there is none.
+ */
+static bool
+admit(struct channel *channel)
+{
+	if (connection_share_excess(&limits.share, address_key(channel)) > 0 &&
+	    !make_room(channel, true, CONNECTION_LIMIT_ADDRESS))
+		return false;
+	return limits.channels < limits.channels_max ||
+	    make_room(channel, false, CONNECTION_LIMIT_COUNT);
+}
+
 /*
  * Adds an accepted channel.  If there are too many, one that has sent no whole
  * frame is closed for it; returns false if there is none.
@@ -130,21 +193,12 @@
 channel_limit_add(struct channel *channel)
 {
 	uint64_t now = uv_now(channel->loop);
-	struct channel *oldest = NULL;
 
 	open_limits();
-	if (limits.channels >= limits.channels_max) {
-		for (struct channel *c = limits.first; c != NULL; c = c->next) {
-			if (!c->served && now - c->opened_ms > SILENT_MS &&
-			    (oldest == NULL ||
-				c->opened_ms < oldest->opened_ms))
-				oldest = c;
-		}
-		if (oldest == NULL) {
-			close_at_limit(channel, CONNECTION_LIMIT_COUNT);
-			return false;
-		}
-		close_at_limit(oldest, CONNECTION_LIMIT_COUNT);
+	connection_share_add(&limits.share, address_key(channel));
+	if (!admit(channel)) {
+		connection_share_remove(&limits.share, address_key(channel));
+		return false;
 	}
 	channel->opened_ms = channel->use.moved_ms = now;
 	channel->counted = true;
@@ -165,6 +219,7 @@
 	if (!channel->counted)
 		return;
 	channel->counted = false;
+	connection_share_remove(&limits.share, address_key(channel));
 	if (channel->previous != NULL)
 		channel->previous->next = channel->next;
 	else
--- a/test/fuzz/fuzz_control_call.c
+++ b/test/fuzz/fuzz_control_call.c
@@ -84,6 +84,7 @@
 	    .ctx = trace,
 	};
 	struct connection *c = mem_calloc(1, sizeof(*c));
+	enum connection_limit limit;
 
 	c->server = &server;
 	server.first = c;
@@ -94,8 +95,8 @@
 	http_parser_init(&c->parser, HTTP_REQUEST);
 	c->parser.data = c;
 	api_limit_add_server(&server);
-	INVARIANT(
-	    api_limit_add_connection(c), "there is room for a connection");
+	INVARIANT(api_limit_add_connection(c, &limit),
+	    "there is room for a connection");
 	api_parse_input(c, data, cut);
 	end_requests(c, trace);
 	if (!c->closing && !c->lingering)
--- a/test/unit/test_connection_guard.c
+++ b/test/unit/test_connection_guard.c
@@ -58,12 +58,18 @@
 }
 
 /*
- * Connects and accepts another caller.
+ * Connects and accepts another caller, from an address in host order.
  */
 static void
-connect_caller(struct server *server, unsigned i)
+connect_caller_from(struct server *server, unsigned i, uint32_t ip)
 {
+	const struct sockaddr_in from = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(ip)};
+
 	server->callers[i] = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(bind(server->callers[i],
+			     (const struct sockaddr *)&from, sizeof(from)),
+	    0);
 	assert_int_equal(
 	    connect(server->callers[i], (struct sockaddr *)&server->address,
 		sizeof(server->address)),
@@ -72,6 +78,12 @@
 	assert_true(server->accepted[i] >= 0);
 }
 
+static void
+connect_caller(struct server *server, unsigned i)
+{
+	connect_caller_from(server, i, INADDR_LOOPBACK);
+}
+
 static void
 start_guard(struct server *server)
 {
@@ -116,6 +128,35 @@
 		;
 }
 
+/*
+ * A burst of requests on connections of one address: the second one does not
+ * run.  It may have another when the first is closed.
+ */
+static void
+request_above_the_share_does_not_run(void **state ATTR_UNUSED)
+{
+	struct server server;
+
+	open_server(&server);
+	connect_caller(&server, 0);
+	connect_caller_from(&server, 1, INADDR_LOOPBACK + 8);
+	connect_caller_from(&server, 2, INADDR_LOOPBACK + 8);
+	for (unsigned i = 0; i < PAIRS; i++)
+		assert_int_equal(connection_guard_requested(
+				     server.guard, server.accepted[i]),
+		    i < 2);
+	assert_true(is_shut(&server, 2, 0));
+	assert_true(connection_guard_closing(server.guard, server.accepted[2]));
+	close(server.accepted[2]);
+	assert_false(
+	    connection_guard_closing(server.guard, server.accepted[1]));
+	close(server.callers[2]);
+	connect_caller_from(&server, 2, INADDR_LOOPBACK + 8);
+	assert_true(
+	    connection_guard_requested(server.guard, server.accepted[2]));
+	close_server(&server);
+}
+
 static void
 oldest_silent_one_is_shut_for_one_that_waits(void **state ATTR_UNUSED)
 {
@@ -208,6 +249,34 @@
 	close_server(&server);
 }
 
+/*
+ * Two of 127.0.0.9 are above its share of one while another address is
+ * connected.  Neither has sent a request that runs: the newer one is refused,
+ * before it may.
+ */
+static void
+address_above_its_share_is_refused(void **state ATTR_UNUSED)
+{
+	struct server server;
+
+	open_server(&server);
+	connect_caller(&server, 0);
+	connect_caller_from(&server, 1, INADDR_LOOPBACK + 8);
+	connect_caller_from(&server, 2, INADDR_LOOPBACK + 8);
+	for (unsigned i = 1; i < PAIRS; i++)
+		assert_int_equal(send(server.callers[i], "GET", 3, 0), 3);
+	connection_guard_requested(server.guard, server.accepted[0]);
+	start_guard(&server);
+	assert_true(is_shut(&server, 2, WAIT_MS));
+	assert_false(is_shut(&server, 0, 0));
+	assert_false(is_shut(&server, 1, 0));
+	assert_false(
+	    connection_guard_requested(server.guard, server.accepted[2]));
+	assert_true(
+	    connection_guard_requested(server.guard, server.accepted[1]));
+	close_server(&server);
+}
+
 int
 main(void)
 {
@@ -216,6 +285,8 @@
 	    cmocka_unit_test(caller_that_reads_nothing_is_shut),
 	    cmocka_unit_test(waiting_at_the_listener_counts),
 	    cmocka_unit_test(descriptor_of_another_socket_is_not_shut),
+	    cmocka_unit_test(address_above_its_share_is_refused),
+	    cmocka_unit_test(request_above_the_share_does_not_run),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
