--- a/test/fuzz/fuzz_control_call.c
+++ b/test/fuzz/fuzz_control_call.c
@@ -12,6 +12,8 @@
 
 enum {
 	BODY_MAX_BYTES = 64,
+	MEMORY_BYTES = 8 << 20, /* its bounds are far below the defaults */
+	CONNECTIONS_MAX = 1,
 	INPUT_MAX_BYTES = 32 << 10
 };
 
@@ -118,6 +120,7 @@
 
 	if (len > INPUT_MAX_BYTES)
 		return 0;
+	api_set_limits("fuzz", MEMORY_BYTES, CONNECTIONS_MAX, 0);
 	uv_loop_init(&loop);
 	feed(&loop, text, len, len, &whole);
 	for (size_t cut = 0; cut < len; cut += 1 + len / 16) {
--- a/test/fuzz/fuzz_fleet.c
+++ b/test/fuzz/fuzz_fleet.c
@@ -22,6 +22,8 @@
 	SEED_BYTES = 256,
 	SEED_COUNT = 24,
 	FRAME_HEADER_BYTES = 4,
+	LINK_MEMORY_BYTES = 8 << 20, /* its bounds are far below the defaults */
+	LINK_CHANNELS_MAX = 8,
 	LOOP_ITERATIONS = 6, /* until an input is received and handled */
 	UNREADABLE_INTERVAL = 64, /* unreadable inputs per one that is sent */
 	/* Inputs name random services, which must not be kept. */
@@ -115,6 +117,7 @@
 	int len = sizeof(harness.flow_at);
 
 	uv_loop_init(&harness.loop);
+	channel_set_limits("fuzz", LINK_MEMORY_BYTES, LINK_CHANNELS_MAX, 0);
 	harness.listener = listen_on_any_port(control);
 	harness.accepted = harness.dialled = -1;
 	INVARIANT(flow_open(&harness.loop, &settings, &dialect,
