--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -30,6 +30,7 @@
 CALLERS = 10
 TARGETS = 6
 INSTANCES = 4
+UNREAD_IP = "127.0.0.9"
 DEADLINE_MS = 1500
 DRAIN_TIMEOUT_S = 2.0  # after the acknowledgement; required by the users
 READ_STALENESS_S = 2.0  # how long a read may miss an acknowledged edit
@@ -198,7 +199,8 @@
             time.sleep(rng.random() * 0.02)
 
     def run_unread_caller(self):
-        """Sends requests ahead to entries and control and reads nothing."""
+        """Sends requests ahead to entries and control, at each of their HTTP
+        ports, from an address of its own, and reads nothing."""
         request = (b"GET /safe/unread HTTP/1.1\r\nHost: h.example\r\n"
                    b"X-Attempt-Id: unread\r\nX-Request-Deadline: 1500\r\n\r\n")
         number = 0
@@ -208,8 +210,8 @@
             one = self.bed.instances[number % INSTANCES]
             try:
                 with socket.create_connection(
-                        (one.ip, self.bed.port + (0, 2)[number // 4 % 2]),
-                        1) as caller:
+                        (one.ip, self.bed.port + number // 4 % 4), 1,
+                        (UNREAD_IP, 0)) as caller:
                     caller.settimeout(0.3)
                     for _ in range(40):
                         caller.sendall(request * 100)
--- a/test/soak/stops.py
+++ b/test/soak/stops.py
@@ -24,6 +24,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -42,6 +43,9 @@
 HANG_S = 60
 SERVICES = {"sync": "jobs", "status": "jobs", "late": "jobs"}
 PLANTS = ("kill", "body", "twice", "refused", "drain", "budget")
+UNREAD_IP = "127.0.0.9"
+UNREAD_REQUESTS = 4000  # 0.4 MB, more than is read of one that does not read
+UNREAD_S = 0.5
 EXIT_S = 15  # a target that leaves waits so long for its requests to end
 
 
@@ -354,6 +358,25 @@
             await asyncio.gather(*parts)
             await asyncio.sleep(rng.uniform(0.5, 2))
 
+    async def read_nothing(self):
+        """A caller that sends requests ahead, from an address of its own, and
+        reads no answer.  It must cost the others nothing."""
+        loop = asyncio.get_running_loop()
+        request = (b"GET /none HTTP/1.1\r\nHost: h.example\r\n"
+                   b"X-Attempt-Id: unread\r\nX-Request-Deadline: 1500\r\n\r\n")
+        for number in itertools.count():
+            one = self.bed.instances[number % len(self.bed.instances)]
+            with socket.socket() as caller:
+                caller.setblocking(False)
+                caller.bind((UNREAD_IP, 0))
+                try:
+                    await loop.sock_connect(caller, (one.ip, self.bed.port))
+                    await asyncio.wait_for(loop.sock_sendall(
+                        caller, request * UNREAD_REQUESTS), UNREAD_S)
+                except (OSError, asyncio.TimeoutError):
+                    pass
+            await asyncio.sleep(0.2)
+
     async def check_service(self):
         """All instances serve again."""
         for one in self.bed.instances:
@@ -385,7 +408,7 @@
         helpers = [asyncio.ensure_future(one) for one in (
             self.disturb(), self.change_speeds(targets),
             self.turn_away(targets), self.replace_targets(targets),
-            self.measure_lag())]
+            self.measure_lag(), self.read_nothing())]
         callers = [asyncio.ensure_future(call(self, name, number))
                    for name in self.names
                    for number in range(max(1, int(
