Bounds for memory: a caller that takes bytes is not still

A caller counted as one that takes nothing when what waits for it did not shrink between two checks. At the callers' port a check follows each write: three writes after a connection had its first answer it could be closed, although milliseconds had passed, and so could one that reads while answers come faster. At the HTTP servers and the own link a connection that was never checked counted as still since the start of the machine.

--- a/src/base/connection_budget.c
+++ b/src/base/connection_budget.c
@@ -88,6 +88,23 @@
 	return use->held * (1 + still_ms / STALLED_MS);
 }
 
+/*
+ * The number of bytes that wait says nothing alone: it grows while a caller
+ * reads, if answers come faster.
+ */
+bool
+connection_use_update(struct connection_use *use, uint64_t given,
+    uint64_t waiting, uint64_t now_ms)
+{
+	uint64_t taken = given - waiting;
+	bool moved = waiting == 0 || taken > use->taken;
+
+	use->taken = taken;
+	if (moved)
+		use->moved_ms = now_ms;
+	return moved;
+}
+
 /*
  * One that runs an ordinary request is never closed.  The address that holds
  * most comes first, so that one caller with many connections displaces no
--- a/src/base/connection_budget.h
+++ b/src/base/connection_budget.h
@@ -30,6 +30,7 @@
 /* What one connection holds, and for how long. */
 struct connection_use {
 	uint64_t held; /* bytes */
+	uint64_t taken; /* bytes of answers, in all */
 	uint64_t moved_ms; /* when its caller last took an answer's bytes */
 	uint64_t address_held; /* by all connections of its address */
 	bool ordinary; /* runs a request within the limits */
@@ -52,6 +53,12 @@
 /* Returns whether such a connection is read on again. */
 bool connection_budget_may_resume(
     const struct connection_budget *budget, uint64_t unread) ATTR_NONNULL_ALL;
+/*
+ * Records that of the bytes that a connection was given to send in all, some
+ * wait.  Returns whether its caller has taken any since the last time, or all.
+ */
+bool connection_use_update(struct connection_use *use, uint64_t given,
+    uint64_t waiting, uint64_t now_ms) ATTR_NONNULL_ALL;
 /* Returns whether a connection is closed before another, which may be NULL. */
 bool connection_use_goes_first(const struct connection_use *use,
     const struct connection_use *other, uint64_t now_ms) ATTR_NONNULL(1);
--- a/src/flow/flow_limit.c
+++ b/src/flow/flow_limit.c
@@ -242,13 +242,10 @@
 	size_t queued =
 	    uv_stream_get_write_queue_size((uv_stream_t *)&caller->tcp);
 
-	if (queued == 0 || queued < caller->queued) {
-		caller->use.moved_ms = now_ms;
+	if (connection_use_update(&caller->use, caller->given, queued, now_ms))
 		caller->still_checks = 0;
-	} else {
+	else
 		caller->still_checks++;
-	}
-	caller->queued = queued;
 	/* After a pause of this process a caller has had no chance to move. */
 	caller->use.ordinary = now_ms - caller->use.moved_ms < STILL_MS ||
 	    caller->still_checks < STILL_CHECKS;
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -95,7 +95,7 @@
 	struct str_buf held; /* input that is not parsed yet */
 	size_t held_charged;
 	size_t unread; /* bytes of answers that the socket has not taken */
-	size_t queued; /* the same when last checked */
+	uint64_t given; /* bytes of answers, in all */
 	unsigned still_checks; /* checks since the caller last took something */
 	/* it has sent more than PIPELINE_MAX requests ahead, not all parsed */
 	bool beyond_pipeline;
--- a/src/flow/flow_write.c
+++ b/src/flow/flow_write.c
@@ -78,6 +78,7 @@
 	    ? uv_try_write((uv_stream_t *)&caller->tcp, &buf, 1)
 	    : 0;
 
+	caller->given += bytes.len;
 	delivery_write(&caller->delivery, bytes.len);
 	return n > 0 ? (size_t)n : 0;
 }
--- a/src/net/api.c
+++ b/src/net/api.c
@@ -361,6 +361,7 @@
 	c->exchange = NULL;
 	api_limit_allocate(c, write->allocated);
 	buf = uv_buf_init(write->bytes, (unsigned)((size_t)len + body.len));
+	c->given += buf.len;
 	if (c->closing ||
 	    uv_write(&write->request, (uv_stream_t *)&c->tcp, &buf, 1,
 		on_written) != 0) {
--- a/src/net/api_internal.h
+++ b/src/net/api_internal.h
@@ -53,7 +53,7 @@
 	uint64_t opened_ms;
 	uint64_t request_ms; /* start of the request being received */
 	size_t unread; /* bytes of buffers for its answers */
-	size_t queued; /* bytes that the socket has not taken, when checked */
+	uint64_t given; /* bytes of answers, in all */
 	struct connection_use use;
 	bool counted; /* in the share of its address */
 };
--- a/src/net/api_limit.c
+++ b/src/net/api_limit.c
@@ -144,11 +144,8 @@
 static void
 update_use(struct connection *c, uint64_t now_ms)
 {
-	size_t queued = uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp);
-
-	if (queued == 0 || queued < c->queued)
-		c->use.moved_ms = now_ms;
-	c->queued = queued;
+	(void)connection_use_update(&c->use, c->given,
+	    uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp), now_ms);
 	c->use.ordinary = c->paused &&
 	    !connection_budget_must_pause(&limits.budget, c->unread);
 }
--- a/src/net/channel_limit.c
+++ b/src/net/channel_limit.c
@@ -259,8 +259,7 @@
 
 		if (c == self)
 			continue;
-		if (queued < c->checked_output)
-			c->use.moved_ms = now_ms;
+		(void)connection_use_update(&c->use, c->queued, queued, now_ms);
 		c->checked_output = queued;
 		c->use.held = c->in_capacity + queued;
 		c->use.ordinary = c->in_capacity <= ORDINARY_BYTES &&
--- a/test/unit/test_connection_budget.c
+++ b/test/unit/test_connection_budget.c
@@ -107,6 +107,25 @@
 	assert_true(connection_use_goes_first(&stalls, &small, NOW_MS));
 }
 
+static void
+caller_that_takes_bytes_has_moved(void **state ATTR_UNUSED)
+{
+	struct connection_use use = {0};
+
+	/* Less than it was given waits: its host has taken the rest. */
+	assert_true(connection_use_update(&use, 100 * KB, 60 * KB, 1));
+	assert_false(connection_use_update(&use, 100 * KB, 60 * KB, 2));
+	assert_false(connection_use_update(&use, 200 * KB, 160 * KB, 3));
+	assert_int_equal(use.moved_ms, 1);
+	/* More waits than before, and some was taken. */
+	assert_true(connection_use_update(&use, 300 * KB, 259 * KB, 4));
+	assert_int_equal(use.moved_ms, 4);
+	/* Nothing waits: a caller that is idle is not a slow one. */
+	assert_true(connection_use_update(&use, 300 * KB, 0, 5));
+	assert_true(connection_use_update(&use, 300 * KB, 0, 6));
+	assert_int_equal(use.moved_ms, 6);
+}
+
 int
 main(void)
 {
@@ -117,6 +136,7 @@
 	    cmocka_unit_test(ordinary_request_is_never_closed),
 	    cmocka_unit_test(address_that_holds_most_comes_first),
 	    cmocka_unit_test(most_held_and_least_moved_comes_first),
+	    cmocka_unit_test(caller_that_takes_bytes_has_moved),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
