Own link: a channel with a frame that is not read yet is not silent

When there are too many channels, the oldest one that has sent no whole frame is closed for a new one. After a pause of the process, all channels of the pause seem silent for longer than a second, although their frames wait in the socket: unlike at the other listeners, these were closed. The new test of test_connection_share failed before.

--- a/src/net/channel_limit.c
+++ b/src/net/channel_limit.c
@@ -133,6 +133,18 @@
 	return connection_share_key((const struct sockaddr *)&channel->peer);
 }
 
+/*
+ * Returns whether a channel has sent no whole frame, and nothing that is not
+ * read yet: after a pause of the process all of them have been open for long.
+ */
+static bool
+is_silent(const struct channel *channel)
+{
+	return !channel->served &&
+	    uv_now(channel->loop) - channel->opened_ms > SILENT_MS &&
+	    (channel->tcp == NULL || !tcp_has_unread_input(channel->tcp));
+}
+
 /*
  * Returns whether one silent channel is closed before another: those of an
  * address above its share first, then the oldest.
@@ -157,13 +169,12 @@
 make_room(
     struct channel *channel, bool same_address, enum connection_limit limit)
 {
-	uint64_t now = uv_now(channel->loop);
 	struct channel *first = NULL;
 
 	for (struct channel *c = limits.first; c != NULL; c = c->next) {
 		if (same_address && address_key(c) != address_key(channel))
 			continue;
-		if (!c->served && now - c->opened_ms > SILENT_MS &&
+		if (is_silent(c) &&
 		    (first == NULL || silent_goes_first(c, first)))
 			first = c;
 	}
--- a/test/unit/test_connection_share.c
+++ b/test/unit/test_connection_share.c
@@ -8,6 +8,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -143,6 +144,37 @@
 	uv_loop_close(&channels.loop);
 }
 
+/*
+ * After a pause of the process all new channels seem to be silent for long,
+ * although their frames wait in the socket.
+ */
+static void
+peer_whose_frame_is_not_read_yet_is_not_silent(void **state ATTR_UNUSED)
+{
+	struct channels channels = {0};
+	uv_tcp_t tcp;
+	int pair[2];
+
+	uv_loop_init(&channels.loop);
+	uv_tcp_init(&channels.loop, &tcp);
+	assert_int_equal(
+	    socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair), 0);
+	assert_int_equal(uv_tcp_open(&tcp, pair[0]), 0);
+	channel_set_limits("i-1", 32 << 20, 1, 0);
+	assert_true(add_channel(&channels, 0, 1, false));
+	channels.of[0].tcp = &tcp;
+	channels.of[0].opened_ms -= LONG_MS;
+	assert_int_equal(write(pair[1], "x", 1), 1);
+	assert_false(add_channel(&channels, 1, 2, false));
+	assert_true(channels.of[0].counted);
+	channels.of[0].tcp = NULL;
+	channel_limit_remove(&channels.of[0]);
+	uv_close((uv_handle_t *)&tcp, NULL);
+	close(pair[1]);
+	(void)uv_run(&channels.loop, UV_RUN_DEFAULT);
+	uv_loop_close(&channels.loop);
+}
+
 int
 main(void)
 {
@@ -152,6 +184,7 @@
 	    cmocka_unit_test(setting_applies_to_an_address_alone),
 	    cmocka_unit_test(network_of_an_ipv6_address_is_one),
 	    cmocka_unit_test(peers_of_one_address_leave_room_on_the_link),
+	    cmocka_unit_test(peer_whose_frame_is_not_read_yet_is_not_silent),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
