Own link: nothing is closed while libuv allocates the input of a channel

The input buffer of a channel is charged when libuv asks for it. If all channels then held too much, others were closed at once; an owner that closes this channel in response, or a queue of this one that overflows, closed a handle within its allocation callback, which libuv answers with an abort (uv__stream_fd(stream) >= 0). No case of it in the programs is known.

The charge is recorded there, and the bound applied after the read, as before. The new test of test_channel aborted before, and passes with AddressSanitizer.

--- a/src/net/channel_internal.h
+++ b/src/net/channel_internal.h
@@ -57,7 +57,7 @@
 /* Returns false if there are too many channels to accept another one. */
 bool channel_limit_add(struct channel *channel) ATTR_NONNULL_ALL;
 void channel_limit_remove(struct channel *channel) ATTR_NONNULL_ALL;
-/* The input buffer was allocated, grown or freed.  This may close others. */
+/* The input buffer was allocated, grown or freed. */
 void channel_limit_input(struct channel *channel) ATTR_NONNULL_ALL;
 /* A frame for output was allocated or freed. */
 void channel_limit_packed(size_t len, bool freed);
--- a/src/net/channel_limit.c
+++ b/src/net/channel_limit.c
@@ -309,6 +309,10 @@
 	}
 }
 
+/*
+ * Only records: libuv does not allow that a handle is closed while it allocates
+ * its input, and the owner of a channel that is closed here may close others.
+ */
 void
 channel_limit_input(struct channel *channel)
 {
@@ -317,7 +321,6 @@
 	connection_budget_change(
 	    &limits.budget, channel->input_charged, channel->in_capacity);
 	channel->input_charged = channel->in_capacity;
-	channel_limit_enforce(channel);
 }
 
 void
--- a/test/unit/test_channel.c
+++ b/test/unit/test_channel.c
@@ -20,6 +20,9 @@
 
 enum {
 	TEXT_BYTES = 200000,
+	LITTLE_MEMORY_BYTES = 1 << 20, /* a quarter of it for all channels */
+	INPUT_BYTES = 1 << 20,
+	PIECE_BYTES = 16 << 10,
 	WATCHDOG_MS = 20000 /* stops a hung test */
 };
 
@@ -263,6 +266,90 @@
 	assert_int_equal(channel_connect_timeout_ms(1000), 1000);
 }
 
+/* Two accepted channels of one owner, which closes them together. */
+struct pair {
+	uv_loop_t loop;
+	struct channel *channels[2];
+	unsigned opened;
+	unsigned closed;
+};
+
+static void
+on_pair_opened(void *ctx, struct channel *channel)
+{
+	struct pair *pair = ctx;
+
+	pair->channels[pair->opened++] = channel;
+}
+
+static void
+on_pair_closed(
+    void *ctx, struct channel *channel, const char *reason ATTR_UNUSED)
+{
+	struct pair *pair = ctx;
+
+	pair->closed++;
+	for (int i = 0; i < 2; i++) {
+		struct channel *one = pair->channels[i];
+
+		pair->channels[i] = NULL;
+		if (one != channel)
+			channel_close(one);
+	}
+}
+
+static int
+connect_raw(const char *address)
+{
+	struct sockaddr_in at;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_true(address_parse(address, &at));
+	assert_int_equal(connect(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	return fd;
+}
+
+/*
+ * The input of one channel displaces another one, whose owner then closes the
+ * first: not while libuv is about to read it.
+ */
+static void
+channel_may_be_closed_while_it_makes_room(void **state ATTR_UNUSED)
+{
+	static const uint8_t bytes[INPUT_BYTES] = {0, 0xff, 0xff, 0xff};
+	struct pair pair = {0};
+	const struct channel_callbacks callbacks = {
+	    .ctx = &pair, .opened = on_pair_opened, .closed = on_pair_closed};
+	struct channel_listener *listener = NULL;
+	char address[ADDRESS_BYTES];
+	int peers[2];
+
+	uv_loop_init(&pair.loop);
+	channel_set_limits("-", LITTLE_MEMORY_BYTES, 2, 0);
+	for (unsigned port = 21400; listener == NULL && port < 21800; port++) {
+		snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+		listener = channel_listen(&pair.loop, address, &callbacks);
+	}
+	assert_non_null(listener);
+	for (int i = 0; i < 2; i++)
+		peers[i] = connect_raw(address);
+	while (pair.opened < 2)
+		(void)uv_run(&pair.loop, UV_RUN_ONCE);
+	for (size_t at = 0; pair.closed == 0; at += PIECE_BYTES) {
+		assert_true(at < sizeof(bytes));
+		for (int i = 0; i < 2; i++)
+			(void)send(peers[i], bytes + at, PIECE_BYTES,
+			    MSG_DONTWAIT | MSG_NOSIGNAL);
+		(void)uv_run(&pair.loop, UV_RUN_NOWAIT);
+	}
+	assert_int_equal(pair.closed, 1);
+	channel_listener_close(listener);
+	(void)uv_run(&pair.loop, UV_RUN_DEFAULT);
+	for (int i = 0; i < 2; i++)
+		close(peers[i]);
+	assert_int_equal(uv_loop_close(&pair.loop), 0);
+}
+
 int
 main(void)
 {
@@ -272,6 +359,7 @@
 	    cmocka_unit_test(field_zero_closes_the_connection),
 	    cmocka_unit_test(nested_deflated_batch_closes_the_connection),
 	    cmocka_unit_test(connect_timeouts_start_short_and_back_off),
+	    cmocka_unit_test(channel_may_be_closed_while_it_makes_room),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
