--- a/src/base/connection_guard.c
+++ b/src/base/connection_guard.c
@@ -299,9 +299,12 @@
 {
 	int same = fcntl(fd, F_DUPFD_CLOEXEC, 0);
 
-	guard->table[fd].shut = true;
-	if (same < 0)
+	if (same < 0) {
+		/* No descriptor is free: the next check tries again. */
+		guard->table[fd].seen = 0;
 		return;
+	}
+	guard->table[fd].shut = true;
 	if (socket_cookie(same) == guard->table[fd].cookie) {
 		counter_add(guard->limited[limit], 1);
 		log_shut(guard, same, limit);
