--- a/src/base/web.c
+++ b/src/base/web.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include "base/clock.h"
+#include "base/connection_guard.h"
 #include "base/linger.h"
 #include "base/linger_pool.h"
 #include "base/memory.h"
@@ -21,7 +22,8 @@
 	NUMBER_BYTES = 24,
 	READ_BYTES = 8192,
 	DESCRIPTORS_MAX = 65536,
-	SEARCH_AHEAD = 16 /* descriptors */
+	SEARCH_AHEAD = 16, /* descriptors */
+	HTTP_UNAVAILABLE = 503
 };
 
 /*
@@ -35,14 +37,17 @@
 	struct web_settings settings;
 	struct mg_context *context;
 	struct linger_pool *lingering;
+	struct connection_guard *guard;
 	uint16_t port;
 };
 
 /*
- * The connection that this thread serves: its descriptor, or that of the one
- * before until served_descriptor() is called, and the time of the last answer.
+ * The connection that this thread serves: its descriptor, -1 until
+ * served_descriptor() has found it, whether it was shut down before its first
+ * request, and the time of the last answer.
  */
 static _Thread_local int served_fd = -1;
+static _Thread_local bool served_shut;
 static _Thread_local uint64_t answered_us;
 
 /*
@@ -130,26 +135,17 @@
 }
 
 /*
- * Returns whether served_fd is the descriptor of a connection.  A connection
- * that was reset has none.
- */
-static bool
-is_served(const struct mg_connection *conn)
-{
-	const struct mg_request_info *info = mg_get_request_info(conn);
-
-	return served_fd >= 0 && info != NULL && is_connection(served_fd, info);
-}
-
-/*
- * Returns the descriptor of the connection that this thread serves; -1 if there
- * is none.
+ * Returns the descriptor of the connection that this thread serves; -1 if it
+ * cannot be found, since the connection was reset before.
  */
 static int
 served_descriptor(const struct mg_connection *conn)
 {
-	if (!is_served(conn))
+	if (served_fd < 0) {
 		served_fd = find_descriptor(mg_get_request_info(conn));
+		served_shut = !connection_guard_requested(
+		    get_server(conn)->guard, served_fd);
+	}
 	return served_fd;
 }
 
@@ -180,6 +176,19 @@
 	    clock_monotonic_us() - answered_us < settled_us;
 }
 
+/*
+ * CivetWeb callback, on the serving thread, when it begins to serve a
+ * connection.
+ */
+static int
+init_connection(const struct mg_connection *conn, void **data ATTR_UNUSED)
+{
+	served_fd = -1;
+	served_shut = false;
+	connection_guard_serve(get_server(conn)->guard, 1);
+	return 0;
+}
+
 /*
  * CivetWeb callback, on the serving thread, before it shuts down and closes a
  * connection.  If the pool is full, the connection is closed at once.
@@ -189,8 +198,11 @@
 {
 	struct web_server *server = get_server(conn);
 
-	if (is_served(conn) && must_linger(served_fd))
+	connection_guard_serve(server->guard, -1);
+	if (!connection_guard_closing(server->guard, served_fd) &&
+	    served_fd >= 0 && must_linger(served_fd))
 		(void)linger_pool_add(server->lingering, served_fd);
+	served_fd = -1;
 }
 
 /*
@@ -202,8 +214,15 @@
 begin_request(struct mg_connection *conn)
 {
 	struct web_server *server = get_server(conn);
-	int status = server->settings.serve(server->settings.ctx, conn);
+	int status;
 
+	/* Before it runs: a request that runs long is not a silent caller. */
+	(void)served_descriptor(conn);
+	if (served_shut) {
+		mg_disable_connection_keep_alive(conn);
+		return HTTP_UNAVAILABLE;
+	}
+	status = server->settings.serve(server->settings.ctx, conn);
 	record_answer(conn);
 	return status;
 }
@@ -289,6 +308,7 @@
 	struct mg_callbacks callbacks = {
 	    .begin_request = begin_request,
 	    .http_error = http_error,
+	    .init_connection = init_connection,
 	    .connection_close = connection_close,
 	    .init_thread = init_thread,
 	    .exit_thread = exit_thread,
@@ -316,9 +336,17 @@
 	mg_init_library(0);
 	new_server->settings = *settings;
 	new_server->lingering = linger_pool_new(settings->threads);
+	new_server->guard = connection_guard_new(&(
+	    struct connection_guard_settings){
+	    .instance = settings->instance != NULL ? settings->instance : "-",
+	    .what = settings->what,
+	    .threads = settings->threads,
+	    .address_max = settings->address_max,
+	});
 	new_server->context = mg_start(&callbacks, new_server, options);
 	if (new_server->context == NULL ||
 	    mg_get_server_ports(new_server->context, 1, ports) != 1) {
+		connection_guard_free(new_server->guard);
 		linger_pool_free(new_server->lingering);
 		mem_free(new_server);
 		return status_set(STATUS_IO,
@@ -327,6 +355,7 @@
 		    settings->address, settings->threads);
 	}
 	new_server->port = (uint16_t)ports[0].port;
+	connection_guard_start(new_server->guard, new_server->port);
 	*server = new_server;
 	return STATUS_OK;
 }
@@ -369,6 +398,7 @@
 		return;
 	if (server->context != NULL)
 		web_stop(server);
+	connection_guard_free(server->guard);
 	linger_pool_free(server->lingering);
 	mem_free(server);
 }
--- a/src/entry/entry_main.c
+++ b/src/entry/entry_main.c
@@ -25,7 +25,12 @@
 	EXIT_UNAVAILABLE = 69,
 	EXIT_IO = 74,
 	ADDRESS_BYTES = 96,
-	OPERATOR_THREADS = 4,
+	/*
+	 * A caller that reads nothing keeps a thread for a second while others
+	 * wait: 120 of them take 8 s.
+	 */
+	OPERATOR_THREADS = 16,
+	OPERATOR_BACKLOG = 128, /* connections waiting for a thread */
 	FILES_PER_CONNECTION = 6 /* for a caller and its upstream connection */
 };
 
@@ -48,6 +53,7 @@
 static uint64_t heartbeat_ms = 300;
 static uint64_t connections_max = 512;
 static uint64_t backlog = 256;
+static uint64_t connections_per_address;
 static uint64_t request_timeout_ms = 30000;
 static uint64_t keep_alive_ms = 15000;
 static uint64_t refusals_kept = 20000;
@@ -121,6 +127,15 @@
 	.min = 4,
 	.max = 8192,
 	.help = "Callers' connections served, one thread each"},
+    {.name = "max-connections-per-address",
+	.group = "Bounds",
+	.kind = SETTING_NUMBER,
+	.value = &connections_per_address,
+	.unit = "connections",
+	.min = 0,
+	.max = 8192,
+	.help = "Connections of one address; 0: half while others are "
+		"connected"},
     {.name = "backlog",
 	.group = "Bounds",
 	.kind = SETTING_NUMBER,
@@ -385,8 +400,11 @@
 	uint16_t port;
 	enum status status = web_start(
 	    &(struct web_settings){
+		.instance = name,
+		.what = "callers",
 		.address = listen_address,
 		.threads = (unsigned)connections_max,
+		.address_max = (unsigned)connections_per_address,
 		.backlog = (unsigned)backlog,
 		.request_timeout_ms = request_timeout_ms,
 		.keep_alive_ms = keep_alive_ms,
@@ -417,9 +435,12 @@
 {
 	return web_start(
 	    &(struct web_settings){
+		.instance = name,
+		.what = "operators",
 		.address = metrics_listen,
 		.threads = OPERATOR_THREADS,
-		.backlog = OPERATOR_THREADS,
+		.address_max = (unsigned)connections_per_address,
+		.backlog = OPERATOR_BACKLOG,
 		.request_timeout_ms = request_timeout_ms,
 		.keep_alive_ms = keep_alive_ms,
 		.ctx = &entry,
--- a/src/flow/flow_caller.c
+++ b/src/flow/flow_caller.c
@@ -10,8 +10,6 @@
 	START_SWEEP_MS = 20, /* during the startup, since callers wait */
 	STOP_IDLE_TIMEOUT_MS = 2500, /* longer than a lookup result is cached */
 	STOP_CLOSE_ALL_MS = 4500,
-	/* for files, targets and other connections */
-	RESERVED_DESCRIPTORS = 700,
 	ACCEPT_RETRY_MS = 5 /* while a new connection waits for a place */
 };
 
@@ -247,23 +245,11 @@
 	caller_flush(caller);
 }
 
-/*
- * Returns whether a new connection has a place, after the close of another one
- * if need be.
- */
-static bool
-find_place(struct flow *flow)
-{
-	return flow->callers.length + RESERVED_DESCRIPTORS <
-	    flow->settings.descriptors ||
-	    callers_yield_lingering(flow) || limits_yield_silent(flow);
-}
-
 /*
  * Accepts the connection that libuv holds, or refuses it if it has no place.
  */
 static void
-accept_caller(struct flow *flow, bool has_place)
+accept_caller(struct flow *flow)
 {
 	uv_stream_t *listener = (uv_stream_t *)&flow->listener;
 	struct caller *caller;
@@ -285,10 +271,8 @@
 	}
 	(void)uv_tcp_getpeername(
 	    &caller->tcp, (struct sockaddr *)&caller->peer, &peer_len);
-	if (!has_place) {
-		limit_refuse_connection(caller);
+	if (!limit_admit(caller))
 		return;
-	}
 	/*
 	 * No user timeout: the kernel applies it to callers that read slowly,
 	 * too, although their hosts acknowledge all along.
@@ -307,13 +291,11 @@
 static void
 accept_or_wait(struct flow *flow)
 {
-	bool has_place = find_place(flow);
-
-	if (!has_place && callers_may_yield_soon(flow))
+	if (!limit_has_place(flow) && callers_may_yield_soon(flow))
 		uv_timer_start(
 		    &flow->accept_timer, on_accept_retry, ACCEPT_RETRY_MS, 0);
 	else
-		accept_caller(flow, has_place);
+		accept_caller(flow);
 }
 
 static void
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/connection_budget.h"
+#include "base/connection_share.h"
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "base/linger.h"
@@ -96,13 +97,14 @@
 	struct str_buf held; /* input that is not parsed yet */
 	size_t held_charged;
 	size_t unread; /* bytes of answers that the socket has not taken */
-	size_t queued; /* the same when last checked */
+	uint64_t given; /* bytes of answers, in all */
 	unsigned still_checks; /* checks since the caller last took something */
 	/* it has sent more than PIPELINE_MAX requests ahead, not all parsed */
 	bool beyond_pipeline;
 	unsigned turn_requests; /* parsed since its turn began */
 	GList turn_link; /* in flow->turns while its data is set */
 	struct connection_use use;
+	bool counted; /* in the share of its address */
 };
 
 /* Whose response it is. */
@@ -439,6 +441,7 @@
 	GQueue ahead_waiters; /* struct caller with requests that wait */
 	uv_timer_t ahead_timer; /* runs while there are any */
 	struct connection_budget connections;
+	struct connection_share share; /* of the addresses */
 	GQueue turns; /* struct caller that go on in the next iteration */
 	uv_idle_t turn; /* runs while there are any */
 	uv_timer_t limit_timer; /* runs while all hold too much */
--- a/test/fuzz/fuzz_control_call.c
+++ b/test/fuzz/fuzz_control_call.c
@@ -12,6 +12,8 @@
 
 enum {
 	BODY_MAX_BYTES = 64,
+	MEMORY_BYTES = 8 << 20, /* its bounds are far below the defaults */
+	CONNECTIONS_MAX = 1,
 	INPUT_MAX_BYTES = 32 << 10
 };
 
@@ -84,6 +86,7 @@
 	    .ctx = trace,
 	};
 	struct connection *c = mem_calloc(1, sizeof(*c));
+	enum connection_limit limit;
 
 	c->server = &server;
 	server.first = c;
@@ -94,8 +97,8 @@
 	http_parser_init(&c->parser, HTTP_REQUEST);
 	c->parser.data = c;
 	api_limit_add_server(&server);
-	INVARIANT(
-	    api_limit_add_connection(c), "there is room for a connection");
+	INVARIANT(api_limit_add_connection(c, &limit),
+	    "there is room for a connection");
 	api_parse_input(c, data, cut);
 	end_requests(c, trace);
 	if (!c->closing && !c->lingering)
@@ -117,6 +120,7 @@
 
 	if (len > INPUT_MAX_BYTES)
 		return 0;
+	api_set_limits("fuzz", MEMORY_BYTES, CONNECTIONS_MAX, 0);
 	uv_loop_init(&loop);
 	feed(&loop, text, len, len, &whole);
 	for (size_t cut = 0; cut < len; cut += 1 + len / 16) {
