Placement: first sends stay in their failure domain while in time

The first send of a request now goes to the best target at home if no request waits, at most 0.7 of the service's useful slots are occupied, the targets at home are at most 0.25 fuller than all of them (and at most 0.75 full), and one and a half times the usual work would still end within the objective. Second sends and services that are not split into parts are placed as before.

test_placement_local fails without the rule; unit tests, bench/placement and bench/placement_domains pass (x86-64, gcc).

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 
 replay: build		## targets that slow down as they fill: the policies side by side
 	@$(BUILD)/bin/bench_placement
+	@$(BUILD)/bin/bench_placement_domains
 
 notices: build		## targets that leave or ask for a pause: with and without
 	@$(BUILD)/bin/bench_notice --check true
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -80,6 +80,8 @@
 	placement_set_limits(service->placement, &limits);
 	placement_set_hedge_share(
 	    service->placement, flow->settings.hedge_share);
+	/* Services with few targets are placed by cost alone. */
+	placement_set_stay_local(service->placement, parts > 1);
 }
 
 /*
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -125,6 +125,12 @@
 /* Marks this placement as the successor of another instance's. */
 void placement_take_over(
     struct placement *placement, uint64_t now_us) ATTR_NONNULL_ALL;
+/*
+ * Requests stay in their requester's failure domain while they are in time
+ * there and the service has room.
+ */
+void placement_set_stay_local(
+    struct placement *placement, bool stay) ATTR_NONNULL_ALL;
 void placement_free(struct placement *placement);
 
 /* Requests per second that a cold target tolerates; 0: no limit. */
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -144,6 +144,7 @@
 	struct speed_period speed_period;
 	double warmup_per_s; /* requests that a cold target tolerates; 0: all */
 	bool grants_cold; /* it is the scheduler */
+	bool stay_local; /* requests stay in their failure domain if in time */
 	struct refusal_window refusals;
 	struct account_share_table shares;
 	struct hedge_budget hedges;
@@ -201,6 +202,10 @@
 struct target *placement_best_target(const struct placement *p,
     const struct call *call, uint64_t now_us, double *finish_us);
 
+/* placement_local.c: requests that stay in their failure domain */
+bool placement_stays_local(const struct placement *p, const struct call *call,
+    const struct target *t, double cost_us, uint64_t now_us);
+
 /* placement_away.c: targets that want nothing from one requester */
 bool
 target_is_away(const struct target *t, uint32_t requester, uint64_t now_us);
--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -343,7 +343,8 @@
  * Returns the best target with a free slot for a call, and its likely response
  * time; NULL if there is none.  Large responses stay in the requester's failure
  * domain if that meets the objective; other requests go where they finish
- * first.  A cold target gets what its rate allows.
+ * first, or stay there as placement_stays_local() says.  A cold target gets what
+ * its rate allows.
  */
 struct target *
 placement_best_target(const struct placement *p, const struct call *call,
@@ -393,7 +394,8 @@
 	local = best[1] != NULL &&
 	    (cost[1] <= cost[0] * local_preference ||
 		(call->request.large &&
-		    now_us + (uint64_t)cost[1] <= call->request.objective_us));
+		    now_us + (uint64_t)cost[1] <= call->request.objective_us) ||
+		placement_stays_local(p, call, best[1], cost[1], now_us));
 	*finish_us = finish[local ? 1 : 0];
 	return best[local ? 1 : 0];
 }
