Allowances: an address that is too long is no voter

Cause: found in review. An address of 64 bytes or more was cut when it was recorded, so that the next list of members (each second) did not find it and recorded it again, until no number was left for a voter.

Change: such an address, and an empty one, gets no number.

Test: a_long_address_takes_no_number (failed before: 0 instead of ALLOWANCE_VOTERS_MAX).

--- a/src/limit/allowance_draw.h
+++ b/src/limit/allowance_draw.h
@@ -78,7 +78,8 @@
 void allowance_draws_free(struct allowance_draws *draws);
 /*
  * A voter is named by its address.  Returns its number, below
- * ALLOWANCE_VOTERS_MAX, or ALLOWANCE_VOTERS_MAX if there are too many.
+ * ALLOWANCE_VOTERS_MAX, or ALLOWANCE_VOTERS_MAX if there are too many or
+ * the address is empty or has 64 bytes or more.
  */
 unsigned allowance_draws_name_voter(struct allowance_draws *draws,
     const char *address, uint64_t now_us) ATTR_NONNULL_ALL;
--- a/src/limit/allowance_draw_voters.c
+++ b/src/limit/allowance_draw_voters.c
@@ -36,6 +36,9 @@
 	unsigned unused = ALLOWANCE_VOTERS_MAX;
 	struct voter *voter;
 
+	/* A cut address would be another one with each list of members. */
+	if (address[0] == '\0' || strlen(address) >= sizeof(voter->address))
+		return unused;
 	for (unsigned i = 0; i < ALLOWANCE_VOTERS_MAX; i++) {
 		voter = &draws->voters[i];
 		if (strcmp(voter->address, address) == 0) {
--- a/test/unit/test_allowance.c
+++ b/test/unit/test_allowance.c
@@ -6,6 +6,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -313,6 +314,26 @@
 	allowance_draws_free(draws);
 }
 
+/*
+ * Guards against an address that is too long to be kept whole: it took another
+ * number with each list of members, until there was none left for a voter.
+ */
+static void
+a_long_address_takes_no_number(void **state ATTR_UNUSED)
+{
+	struct allowance_draws *draws = allowance_draws_new(WINDOW_US, 0);
+	char address[200];
+
+	memset(address, 'a', sizeof(address) - 1);
+	address[sizeof(address) - 1] = '\0';
+	for (unsigned i = 0; i < 20; i++)
+		assert_int_equal(
+		    allowance_draws_name_voter(draws, address, US_PER_S),
+		    ALLOWANCE_VOTERS_MAX);
+	assert_int_equal(allowance_draws_name_voter(draws, "v0", US_PER_S), 0);
+	allowance_draws_free(draws);
+}
+
 /*
  * Returns the most draws for each request of a caller: below 2 where an entry
  * has demand beyond the allowance and requests each second.
@@ -405,6 +426,7 @@
 	    cmocka_unit_test(an_account_with_room_draws_as_before),
 	    cmocka_unit_test(
 		paced_draws_go_to_the_voter_that_has_waited_longest),
+	    cmocka_unit_test(a_long_address_takes_no_number),
 	    cmocka_unit_test(the_bound_holds_and_the_allowance_is_usable),
 	    cmocka_unit_test(the_checker_finds_a_planted_violation),
 	    cmocka_unit_test(the_earlier_rules_refuse_after_a_restart),
