Allowances: requests wait for a voter that is expected soon

Change: a request that no voter can answer waits if a voter has granted, or the entry has started, within 1,500 ms: a fifth of the caller's timeout and 1 s after its arrival at most, and not beyond its objective. It holds no target. It draws again every 100 ms, or when a voter connects or answers another request. At most 1,000 wait, and none while memory is tight. A stop, a withdrawn key and 1,500 ms without a grant end the wait.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -285,6 +285,7 @@
 	flow->on_stopped_ctx = ctx;
 	fleet_invalidate_schedulers(flow);
 	fleet_tick(flow);
+	allowance_on_stop(flow);
 	stop_callers(flow);
 }
 
--- a/src/flow/flow_allowance.c
+++ b/src/flow/flow_allowance.c
@@ -8,8 +8,7 @@
 
 #include "base/logger.h"
 #include "base/memory.h"
-#include "flow/flow_internal.h"
-#include "limit/allowance_draw.h"
+#include "flow/flow_allowance.h"
 
 enum {
 	/* Half of a second: voters may be without a leader for that long. */
@@ -22,32 +21,6 @@
 	LATE_MS = 10
 };
 
-/* The allowance of one request. */
-struct exchange_allowance {
-	struct exchange *exchange;
-	struct allowance_call call;
-	GList link; /* in flow_allowance.waiting while its data is set */
-	uint64_t due_us; /* when the voter that was asked counts as silent */
-	/* A grant of a target that came before the token; NULL: none. */
-	char *target;
-	bool remote;
-	uint64_t expected_us;
-};
-
-struct flow_allowance {
-	struct allowance_draws *draws;
-	GQueue waiting; /* struct exchange_allowance, ordered by due_us */
-	uv_timer_t timer; /* runs while there are accounts with limits */
-	uint64_t tick_due_us;
-	bool was_late; /* the timer was, and the input is read first */
-	struct counter *drawn;
-	struct counter *refused;
-	struct counter *unavailable;
-	struct counter *returned;
-	struct counter *dropped;
-	struct counter *paced;
-};
-
 static void on_timer(uv_timer_t *timer);
 
 /*
@@ -92,11 +65,11 @@
 /*
  * Starts the timer for whatever comes next.
  */
-static void
-start_timer(struct flow_allowance *a, uint64_t now_us)
+void
+allowance_start_timer(struct flow_allowance *a, uint64_t now_us)
 {
-	const struct exchange_allowance *first = g_queue_peek_head(&a->waiting);
-	uint64_t due = a->tick_due_us;
+	const struct exchange_allowance *first = g_queue_peek_head(&a->asking);
+	uint64_t due = MIN(a->tick_due_us, allowance_wait_due_us(a));
 
 	if (first != NULL && first->due_us < due)
 		due = first->due_us;
@@ -105,11 +78,11 @@
 }
 
 static void
-stop_waiting(struct flow_allowance *a, struct exchange_allowance *own)
+stop_asking(struct flow_allowance *a, struct exchange_allowance *own)
 {
 	if (own->link.data == NULL)
 		return;
-	g_queue_unlink(&a->waiting, &own->link);
+	g_queue_unlink(&a->asking, &own->link);
 	own->link.data = NULL;
 }
 
@@ -162,46 +135,93 @@
 		  : "the allowance of the account is unknown");
 }
 
+/*
+ * Ends a request that has waited in vain for a voter.
+ */
+void
+allowance_refuse_unknown(struct exchange_allowance *own)
+{
+	const struct allowance_step step = {
+	    .kind = ALLOWANCE_UNKNOWN,
+	    .call = &own->call,
+	    .account = own->exchange->account->name,
+	};
+
+	refuse(own->exchange, &step);
+}
+
+/*
+ * Uses a token: asks for a target if the request has waited, or sends it to the
+ * one that was granted.
+ */
+static void
+on_token(struct exchange_allowance *own, uint64_t now_us)
+{
+	struct exchange *x = own->exchange;
+	char *target = own->target;
+
+	if (own->wait_since_us != 0) {
+		allowance_wait_served(own, now_us);
+		schedule_ask(x, x->ask_repeat);
+		return;
+	}
+	own->target = NULL;
+	if (target != NULL)
+		exchange_on_grant(x, target, own->remote, own->expected_us);
+	mem_free(target);
+}
+
 /*
  * Does what the decision about a request says.  Returns false if the request
- * has ended, which may have freed it.
+ * asks for no target now: it waits for a voter, or has ended, which may have
+ * freed it.
  */
 static bool
 follow(struct flow *flow, const struct allowance_step *step, uint64_t now_us)
 {
 	struct flow_allowance *a = flow->allowance;
 	struct exchange_allowance *own;
-	char *target;
 
 	if (step->kind == ALLOWANCE_NOTHING)
 		return true;
 	own = step->call->user;
-	stop_waiting(a, own);
+	stop_asking(a, own);
+	allowance_wait_stop(own);
 	if (step->kind == ALLOWANCE_ASK) {
 		own->due_us = now_us + ALLOWANCE_ANSWER_MS * US_PER_MS;
 		own->link.data = own;
-		g_queue_push_tail_link(&a->waiting, &own->link);
+		g_queue_push_tail_link(&a->asking, &own->link);
 		send_draw(flow, step);
-		start_timer(a, now_us);
+		allowance_start_timer(a, now_us);
 		return true;
 	}
-	if (step->kind != ALLOWANCE_GRANTED) {
-		refuse(own->exchange, step);
-		return false;
+	if (step->kind == ALLOWANCE_GRANTED) {
+		on_token(own, now_us);
+		return true;
 	}
-	target = own->target;
-	own->target = NULL;
-	if (target != NULL)
-		exchange_on_grant(
-		    own->exchange, target, own->remote, own->expected_us);
-	mem_free(target);
-	return true;
+	if (step->kind != ALLOWANCE_UNKNOWN ||
+	    !allowance_wait_begin(own, now_us))
+		refuse(own->exchange, step);
+	return false;
+}
+
+/*
+ * Draws again for a request that has waited.
+ */
+void
+allowance_redraw(struct exchange_allowance *own, uint64_t now_us)
+{
+	struct flow *flow = own->exchange->flow;
+	struct allowance_step step = allowance_draws_retry(
+	    flow->allowance->draws, &own->call, connected_voters(flow), now_us);
+
+	(void)follow(flow, &step, now_us);
 }
 
 /*
  * Begins to draw a token for a request that is about to ask for a target, once
- * in its life.  Returns false if the request was refused, which may have freed
- * it.
+ * in its life.  Returns false if the request asks for no target now: it waits
+ * for a voter, or was refused, which may have freed it.
  */
 bool
 allowance_begin(struct exchange *x)
@@ -230,7 +250,7 @@
 	    x->account->name, &limit, connected_voters(flow), now);
 	if (!uv_is_active((uv_handle_t *)&flow->allowance->timer)) {
 		flow->allowance->tick_due_us = now + TICK_MS * US_PER_MS;
-		start_timer(flow->allowance, now);
+		allowance_start_timer(flow->allowance, now);
 	}
 	return follow(flow, &step, now);
 }
@@ -275,7 +295,10 @@
 		sent = sent || x->attempts[i].sent;
 	if (own->target != NULL)
 		exchange_return_grant(x, own->target, own->remote);
-	stop_waiting(x->flow->allowance, own);
+	stop_asking(x->flow->allowance, own);
+	allowance_wait_stop(own);
+	if (own->wait_since_us != 0 && !own->call.has_token)
+		allowance_wait_in_vain(own);
 	allowance_draws_end(
 	    x->flow->allowance->draws, &own->call, sent, clock_boot_us());
 	mem_free(own->target);
@@ -301,6 +324,28 @@
 
 	update_counters(flow->allowance);
 	(void)follow(flow, &step, now);
+	if (result.granted > 0)
+		flow->allowance->voter_us = now;
+	if (!result.unavailable)
+		allowance_wake(flow, now);
+}
+
+/*
+ * A control instance is connected, which may be a voter.
+ */
+void
+allowance_on_connected(struct flow *flow)
+{
+	allowance_wake(flow, clock_boot_us());
+}
+
+/*
+ * Another document is in force: keys may have been withdrawn.
+ */
+void
+allowance_on_document(struct flow *flow)
+{
+	allowance_wake(flow, clock_boot_us());
 }
 
 /*
@@ -319,6 +364,7 @@
 			(void)allowance_draws_name_voter(
 			    draws, m->address[i], now);
 	allowance_draws_expire_voters(draws, now);
+	allowance_wake(flow, now);
 }
 
 static void
@@ -348,7 +394,7 @@
 	struct flow *flow = timer->data;
 	struct flow_allowance *a = flow->allowance;
 	uint64_t now = clock_boot_us();
-	struct exchange_allowance *own = g_queue_peek_head(&a->waiting);
+	struct exchange_allowance *own = g_queue_peek_head(&a->asking);
 	bool active = true;
 
 	if (own != NULL && !a->was_late &&
@@ -358,20 +404,21 @@
 		return;
 	}
 	a->was_late = false;
-	while ((own = g_queue_peek_head(&a->waiting)) != NULL &&
+	while ((own = g_queue_peek_head(&a->asking)) != NULL &&
 	    own->due_us <= now) {
 		struct allowance_step step = allowance_draws_on_silence(
 		    a->draws, &own->call, connected_voters(flow), now);
 
 		(void)follow(flow, &step, now);
 	}
+	allowance_wait_tick(a, now);
 	if (now >= a->tick_due_us) {
 		active = allowance_draws_tick(a->draws, now, give_back, flow);
 		a->tick_due_us = now + TICK_MS * US_PER_MS;
 		update_counters(a);
 	}
 	if (active)
-		start_timer(a, now);
+		allowance_start_timer(a, now);
 }
 
 /*
@@ -402,11 +449,19 @@
 	    {&a->paced, "gypsummill_flow_allowance_paced_total",
 		"Requests refused without a draw, as the account is empty "
 		"(count)"},
+	    {&a->served_late, "gypsummill_flow_allowance_served_late_total",
+		"Requests that waited for a voter and got a token (count)"},
+	    {&a->in_vain, "gypsummill_flow_allowance_in_vain_total",
+		"Requests that waited for a voter and got no token (count)"},
 	};
 
 	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++)
 		*list[i].counter = counter_register(
 		    COUNTER_TOTAL, list[i].name, list[i].help, NULL);
+	a->waiting_now =
+	    counter_register(COUNTER_GAUGE, "gypsummill_flow_allowance_waiting",
+		"Requests that wait for a voter (count)", NULL);
+	allowance_wait_open(a);
 	a->draws =
 	    allowance_draws_new(window_ms * US_PER_MS, flow->started_ms << 20);
 	uv_timer_init(flow->loop, &a->timer);
--- a/src/flow/flow_document.c
+++ b/src/flow/flow_document.c
@@ -248,6 +248,7 @@
 	    (flow_now_us(flow) - flow->opened_us) / US_PER_MS);
 	schedule_fetch(flow);
 	cold_on_document(flow);
+	allowance_on_document(flow);
 }
 
 /*
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -264,7 +264,10 @@
 /* flow_allowance.c: allowances of client accounts */
 void allowance_open(struct flow *flow);
 void allowance_close(struct flow *flow);
-/* Draws a token if one is needed; false if the request was refused. */
+/*
+ * Draws a token if one is needed; false if the request was refused, or waits
+ * and will ask for a target itself.
+ */
 bool allowance_begin(struct exchange *x);
 /* Keeps a grant until the token is there; false if it can be used. */
 bool allowance_keep_grant(
@@ -272,6 +275,9 @@
 void allowance_end(struct exchange *x);
 void allowance_on_result(struct flow *flow, const Fleet__DrawResult *message);
 void allowance_on_members(struct flow *flow, const Fleet__Members *m);
+void allowance_on_connected(struct flow *flow);
+void allowance_on_document(struct flow *flow);
+void allowance_on_stop(struct flow *flow);
 
 /* flow_startup.c */
 uint64_t startup_remaining_us(const struct flow *flow);
--- a/src/limit/allowance_draw.c
+++ b/src/limit/allowance_draw.c
@@ -230,31 +230,40 @@
 }
 
 /*
- * Begins to draw a token for a request: one that is kept, or one of a voter.
+ * Takes a kept token for a call, or asks the first voter.
  */
-struct allowance_step
-allowance_draws_begin(struct allowance_draws *draws,
-    struct allowance_call *call, const char *account,
-    const struct allowance_limit *limit, uint32_t open, uint64_t now_us)
+static struct allowance_step
+draw_first(struct allowance_draws *draws, struct allowance_call *call,
+    uint32_t open, uint64_t now_us)
 {
 	struct allowance_token token;
 
-	call->account = record_request(draws, account, limit, now_us);
-	call->account->users++;
 	call->asked = 0;
 	call->asked_count = 0;
 	call->retry_us = UINT64_MAX;
 	call->request = 0;
 	call->has_token = false;
-	if (allowance_take_token(draws, call->account, now_us, &token)) {
-		give_token(call, &token);
-		return (struct allowance_step){
-		    .kind = ALLOWANCE_GRANTED,
-		    .call = call,
-		    .account = call->account->name,
-		};
-	}
-	return ask_next(draws, call, open, now_us);
+	if (!allowance_take_token(draws, call->account, now_us, &token))
+		return ask_next(draws, call, open, now_us);
+	give_token(call, &token);
+	return (struct allowance_step){
+	    .kind = ALLOWANCE_GRANTED,
+	    .call = call,
+	    .account = call->account->name,
+	};
+}
+
+/*
+ * Begins to draw a token for a request: one that is kept, or one of a voter.
+ */
+struct allowance_step
+allowance_draws_begin(struct allowance_draws *draws,
+    struct allowance_call *call, const char *account,
+    const struct allowance_limit *limit, uint32_t open, uint64_t now_us)
+{
+	call->account = record_request(draws, account, limit, now_us);
+	call->account->users++;
+	return draw_first(draws, call, open, now_us);
 }
 
 /*
@@ -276,6 +285,17 @@
 	}
 }
 
+/*
+ * Draws again for a request.
+ */
+struct allowance_step
+allowance_draws_retry(struct allowance_draws *draws,
+    struct allowance_call *call, uint32_t open, uint64_t now_us)
+{
+	detach(draws, call);
+	return draw_first(draws, call, open, now_us);
+}
+
 /*
  * Gives the tokens of an answer to the call that waits for it; the rest is
  * kept.
--- a/src/limit/allowance_draw.h
+++ b/src/limit/allowance_draw.h
@@ -96,6 +96,13 @@
     struct allowance_call *call, const char *account,
     const struct allowance_limit *limit, uint32_t open,
     uint64_t now_us) ATTR_NONNULL_ALL;
+/*
+ * Draws again for a call that no voter could answer (ALLOWANCE_UNKNOWN).
+ * Answers to its earlier draws that are still to come are for others.
+ */
+struct allowance_step allowance_draws_retry(struct allowance_draws *draws,
+    struct allowance_call *call, uint32_t open,
+    uint64_t now_us) ATTR_NONNULL_ALL;
 /* A voter has answered. */
 struct allowance_step allowance_draws_on_result(struct allowance_draws *draws,
     uint64_t request, const struct allowance_result *result, uint32_t open,
--- a/test/unit/test_flow_account.c
+++ b/test/unit/test_flow_account.c
@@ -11,6 +11,7 @@
 #include <cmocka.h>
 
 #include "base/memory.h"
+#include "flow/flow_allowance.h"
 #include "support_flow.h"
 
 struct withdrawal {
@@ -105,6 +106,57 @@
 	close_withdrawal(&w);
 }
 
+/*
+ * Lets the request wait for a voter of its account's allowance; none is
+ * connected.
+ */
+static void
+wait_for_voter(struct withdrawal *w)
+{
+	((struct account *)w->x->account)->rate_per_s = 10;
+	schedule_ask(w->x, false);
+	assert_false(w->x->ended);
+	assert_int_equal(w->x->attempt_count, 0);
+}
+
+/*
+ * Guards against a request that waits for a voter on behalf of a key that is
+ * withdrawn.
+ */
+static void
+withdrawn_while_it_waits_for_a_voter(void **state ATTR_UNUSED)
+{
+	struct withdrawal w;
+
+	open_withdrawal(&w, false);
+	wait_for_voter(&w);
+	put_in_force(&w);
+	allowance_on_document(w.fixture.flow);
+	flow_fixture_run(&w.fixture, 50);
+	assert_refused(w.x);
+	close_withdrawal(&w);
+}
+
+/*
+ * Guards against a request that waits for a voter although its key has moved to
+ * an account without a limit.
+ */
+static void
+moved_while_it_waits_for_a_voter(void **state ATTR_UNUSED)
+{
+	struct withdrawal w;
+
+	open_withdrawal(&w, false);
+	wait_for_voter(&w);
+	add_key(w.next->accounts, "b", "k1");
+	put_in_force(&w);
+	allowance_on_document(w.fixture.flow);
+	flow_fixture_run(&w.fixture, 50);
+	assert_string_equal(w.x->account->name, "b");
+	assert_int_equal(w.x->attempt_count, 1);
+	close_withdrawal(&w);
+}
+
 static void
 withdrawn_before_the_rejection(void **state ATTR_UNUSED)
 {
@@ -176,6 +228,8 @@
 		struct withdrawal w;
 
 		open_withdrawal(&w, false);
+		/* It is known that no voter is there: nothing waits for one. */
+		w.fixture.flow->allowance->voter_us -= 1500 * US_PER_MS;
 		assert_int_equal(
 		    accounts_add(w.next->accounts, &b, &account), STATUS_OK);
 		assert_int_equal(accounts_add_key(w.next->accounts, account,
@@ -343,6 +397,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(withdrawn_before_the_grant),
 	    cmocka_unit_test(withdrawn_while_the_connection_is_made),
+	    cmocka_unit_test(withdrawn_while_it_waits_for_a_voter),
+	    cmocka_unit_test(moved_while_it_waits_for_a_voter),
 	    cmocka_unit_test(withdrawn_before_the_rejection),
 	    cmocka_unit_test(a_sent_request_ends_as_without_the_withdrawal),
 	    cmocka_unit_test(a_key_that_stays_is_not_refused),
