--- a/src/limit/allowance_draw.h
+++ b/src/limit/allowance_draw.h
@@ -56,6 +56,8 @@
 	uint64_t request;
 	unsigned want;
 	uint64_t retry_us; /* of ALLOWANCE_REFUSED */
+	bool
+	    paced; /* refused without a message, though a voter may have room */
 	const char *account;
 	struct allowance_limit limit;
 };
@@ -65,6 +67,7 @@
 	uint64_t unavailable; /* answers, and voters that gave none */
 	uint64_t returned; /* tokens */
 	uint64_t dropped; /* tokens that became too old */
+	uint64_t paced; /* requests that were refused at once */
 };
 
 struct allowance_draws;
@@ -75,7 +78,8 @@
 void allowance_draws_free(struct allowance_draws *draws);
 /*
  * A voter is named by its address.  Returns its number, below
- * ALLOWANCE_VOTERS_MAX, or ALLOWANCE_VOTERS_MAX if there are too many.
+ * ALLOWANCE_VOTERS_MAX, or ALLOWANCE_VOTERS_MAX if there are too many or
+ * the address is empty or has 64 bytes or more.
  */
 unsigned allowance_draws_name_voter(struct allowance_draws *draws,
     const char *address, uint64_t now_us) ATTR_NONNULL_ALL;
@@ -92,6 +96,13 @@
     struct allowance_call *call, const char *account,
     const struct allowance_limit *limit, uint32_t open,
     uint64_t now_us) ATTR_NONNULL_ALL;
+/*
+ * Draws again for a call that no voter could answer (ALLOWANCE_UNKNOWN).
+ * Answers to its earlier draws that are still to come are for others.
+ */
+struct allowance_step allowance_draws_retry(struct allowance_draws *draws,
+    struct allowance_call *call, uint32_t open,
+    uint64_t now_us) ATTR_NONNULL_ALL;
 /* A voter has answered. */
 struct allowance_step allowance_draws_on_result(struct allowance_draws *draws,
     uint64_t request, const struct allowance_result *result, uint32_t open,
