--- a/test/unit/test_flow_part.c
+++ b/test/unit/test_flow_part.c
@@ -173,6 +173,74 @@
 	bed_close(&bed, x);
 }
 
+/*
+ * Occupies all slots of part 0, which this entry schedules, for another one.
+ */
+static void
+fill_part_0(struct bed *bed)
+{
+	struct sockaddr_in from;
+
+	assert_int_equal(uv_ip4_addr("127.0.7.9", 100, &from), 0);
+	for (uint64_t i = 1; i <= bed->parts[0]->pools->len * 4; i++) {
+		Fleet__Ask ask = FLEET__ASK__INIT;
+
+		ask.request = i;
+		ask.service = bed->parts[0]->name;
+		ask.objective_left_ms = ask.deadline_left_ms = 5000;
+		schedule_on_ask(bed->fixture.flow, &from, &ask);
+	}
+	assert_true(part_load(bed->parts[0]) >= 100);
+}
+
+static void
+own_request_moves_off_an_own_part(void **state ATTR_UNUSED)
+{
+	/* Held with 5 s to its objective, rejected with 1 ms. */
+	static const uint64_t left_us[] = {5 * US_PER_S, US_PER_MS};
+
+	for (size_t i = 0; i < 2; i++) {
+		struct bed bed = {0};
+		struct exchange *x;
+		struct pool *pool;
+
+		bed_open(&bed, false);
+		bed.parts[0]->owner = bed.parts[1]->owner = true;
+		fill_part_0(&bed);
+		(void)fleet_next_part(bed.fixture.flow, "svc");
+		x = flow_fixture_exchange(&bed.fixture);
+		x->objective_us = flow_now_us(bed.fixture.flow) + left_us[i];
+		x->service = bed.parts[0];
+		schedule_ask(x, false);
+		assert_int_equal(x->attempt_count, 1);
+		pool = g_hash_table_lookup(
+		    bed.fixture.flow->pools, x->attempts[0].target);
+		assert_ptr_equal(pool->service_part, bed.parts[1]);
+		assert_false(placement_is_waiting(
+		    bed.parts[0]->placement, &x->requester));
+		bed_close(&bed, x);
+	}
+}
+
+static void
+placing_without_the_scheduler_does_not_move(void **state ATTR_UNUSED)
+{
+	struct bed bed = {0};
+	struct exchange *x;
+
+	bed_open(&bed, false);
+	fill_part_0(&bed);
+	(void)fleet_next_part(bed.fixture.flow, "svc");
+	part_on_load(bed.parts[1], 10);
+	x = flow_fixture_exchange(&bed.fixture);
+	x->service = bed.parts[0];
+	schedule_ask(x, false);
+	assert_ptr_equal(x->service, bed.parts[0]);
+	assert_true(
+	    placement_is_waiting(bed.parts[0]->placement, &x->requester));
+	bed_close(&bed, x);
+}
+
 static void
 number_of_parts_resets_the_loads(void **state ATTR_UNUSED)
 {
@@ -245,6 +313,8 @@
 	    cmocka_unit_test(held_request_moves_once),
 	    cmocka_unit_test(rejected_request_moves_for_lack_of_room_alone),
 	    cmocka_unit_test(sent_or_late_request_does_not_move),
+	    cmocka_unit_test(own_request_moves_off_an_own_part),
+	    cmocka_unit_test(placing_without_the_scheduler_does_not_move),
 	    cmocka_unit_test(number_of_parts_resets_the_loads),
 	    cmocka_unit_test(evacuated_targets_do_not_count),
 	    cmocka_unit_test(loads_are_reported_for_parts_alone),
