Placement: no send that would be cut off by the route's timeout

A request that may not be repeated can't leave a target that turns slow, holds its slot, and ends with 504 at its route's timeout.

Such a request is no longer sent where twice its usual work would not end by its deadline, by the estimate that compares targets. It waits, or is rejected without having run. Requests that may be repeated and services that are not split into parts are placed as before.

The test not_sent_where_it_would_be_cut_off fails without the rule.

--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -82,6 +82,7 @@
 	    service->placement, flow->settings.hedge_share);
 	/* Services with few targets are placed by cost alone. */
 	placement_set_stay_local(service->placement, parts > 1);
+	placement_set_check_timeout(service->placement, parts > 1);
 }
 
 /*
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -207,6 +207,7 @@
 		placement_remove_call(p, call, now_us);
 	call = mem_calloc(1, sizeof(*call));
 	call->request = *request;
+	call->submitted_us = now_us;
 	g_hash_table_insert(p->calls, request->user, call);
 	call->link.data = call;
 	g_queue_push_tail_link(&p->call_order, &call->link);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -131,6 +131,12 @@
  */
 void placement_set_stay_local(
     struct placement *placement, bool stay) ATTR_NONNULL_ALL;
+/*
+ * Requests that may not be repeated are not sent to targets at which they would
+ * probably not end by their deadline; they wait, or are rejected.
+ */
+void placement_set_check_timeout(
+    struct placement *placement, bool check) ATTR_NONNULL_ALL;
 void placement_free(struct placement *placement);
 
 /* Requests per second that a cold target tolerates; 0: no limit. */
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -106,6 +106,7 @@
 	struct send sends[SENDS_MAX];
 	unsigned send_count;
 	GList link; /* in placement->call_order */
+	uint64_t submitted_us;
 	bool waiting;
 	bool admitted; /* accepted into the queue before */
 	bool held_back; /* counted in placement->held_back */
@@ -145,6 +146,7 @@
 	double warmup_per_s; /* requests that a cold target tolerates; 0: all */
 	bool grants_cold; /* it is the scheduler */
 	bool stay_local; /* requests stay in their failure domain if in time */
+	bool check_timeout; /* see placement_timeout.c */
 	struct refusal_window refusals;
 	struct account_share_table shares;
 	struct hedge_budget hedges;
@@ -206,6 +208,10 @@
 bool placement_stays_local(const struct placement *p, const struct call *call,
     const struct target *t, double cost_us, uint64_t now_us);
 
+/* placement_timeout.c: requests that would be cut off by their timeout */
+bool placement_is_cut_off(const struct placement *p, const struct call *call,
+    const struct target *t, uint64_t now_us);
+
 /* placement_away.c: targets that want nothing from one requester */
 bool
 target_is_away(const struct target *t, uint32_t requester, uint64_t now_us);
--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -364,7 +364,8 @@
 		if (!target_takes_requests(p, t, now_us) ||
 		    !target_has_room(p, t, now_us) || is_excluded(call, t) ||
 		    !target_room_is_known(p, t, &call->request, now_us) ||
-		    target_is_away(t, call->request.requester, now_us))
+		    target_is_away(t, call->request.requester, now_us) ||
+		    placement_is_cut_off(p, call, t, now_us))
 			continue;
 		f = target_finish_time(p, t, call, now_us);
 		c = target_mean_time(p, t, work, now_us);
@@ -422,7 +423,8 @@
 		if (!target_takes_requests(p, t, now_us) ||
 		    !target_has_room(p, t, now_us) || is_excluded(call, t) ||
 		    !target_room_is_known(p, t, &call->request, now_us) ||
-		    target_is_away(t, call->request.requester, now_us))
+		    target_is_away(t, call->request.requester, now_us) ||
+		    placement_is_cut_off(p, call, t, now_us))
 			continue;
 		finish = target_finish_time(p, t, call, now_us) +
 		    failure_cost(t, call, now_us);
--- a/test/benchmark/bench_placement_domains.c
+++ b/test/benchmark/bench_placement_domains.c
@@ -10,6 +10,11 @@
  * fails if more than before are late, rejected or cut off (beyond the spread of
  * the seeds without the decision), or if more than half of those that left
  * still leave at a load of 0.3 or 0.5.  --quick plays 0.3, 0.5 and 0.9.
+ *
+ * The second table shows requests that may not be repeated, a fifth and four
+ * fifths of all, on targets of changing speed: in time, those of them in time,
+ * late, rejected and cut off.  With --check, fails if fewer are in time (beyond
+ * the spread).  --quick plays a load of 1.1.
  */
 #include <math.h>
 #include <stdio.h>
@@ -22,7 +27,8 @@
 
 enum {
 	SEEDS_MAX = 9,
-	SECONDS = 6
+	SECONDS = 6,
+	TIMEOUT_ROWS = 6
 };
 
 static const double loads[] = {0.3, 0.5, 0.7, 0.9, 1.1};
@@ -36,6 +42,7 @@
 	double rejected;
 	double cut_off;
 	double left;
+	double once_in_time;
 	double lost_min;
 	double lost_max;
 };
@@ -65,6 +72,7 @@
 		s.rejected += r.rejected / seeds;
 		s.cut_off += r.cut_off / seeds;
 		s.left += r.left / seeds;
+		s.once_in_time += r.once_in_time / seeds;
 		s.lost_min = fmin(s.lost_min, 1 - r.in_time);
 		s.lost_max = fmax(s.lost_max, 1 - r.in_time);
 	}
@@ -79,9 +87,11 @@
 {
 	struct row *r = data;
 
-	r->load.stay_local = false;
+	bool local = r->load.once_share == once_share;
+
 	r->before = play_seeds(r->load, r->seeds);
-	r->load.stay_local = true;
+	r->load.stay_local = local;
+	r->load.check_timeout = !local;
 	r->after = play_seeds(r->load, r->seeds);
 }
 
@@ -105,14 +115,34 @@
 	return holds;
 }
 
+/*
+ * Prints one row of requests that may not be repeated; returns whether no fewer
+ * are in time.
+ */
+static bool
+print_timeout_row(const struct row *r)
+{
+	const struct summary *a = &r->before;
+	const struct summary *b = &r->after;
+	bool holds = lost(b) <= lost(a) + a->lost_max - a->lost_min;
+
+	printf("%-8.1f %4.1f  %6.4f %6.4f %6.4f %6.4f %6.4f  %6.4f %6.4f %6.4f "
+	       "%6.4f %6.4f%s\n",
+	    r->load.once_share, r->load.load, 1 - lost(a), a->once_in_time,
+	    a->late, a->rejected, a->cut_off, 1 - lost(b), b->once_in_time,
+	    b->late, b->rejected, b->cut_off, holds ? "" : "  above");
+	return holds;
+}
+
 int
 main(int argc, char **argv)
 {
-	struct row rows[2 * sizeof(loads) / sizeof(loads[0])];
+	struct row rows[2 * sizeof(loads) / sizeof(loads[0]) + TIMEOUT_ROWS];
 	GThreadPool *pool = g_thread_pool_new(
 	    play_row, NULL, (int)g_get_num_processors(), FALSE, NULL);
 	unsigned seeds = 5;
 	unsigned count = 0;
+	unsigned local;
 	unsigned above = 0;
 	bool check = false;
 	bool quick = false;
@@ -139,12 +169,30 @@
 		    .seeds = seeds};
 		g_thread_pool_push(pool, &rows[count++], NULL);
 	}
+	local = count;
+	for (unsigned i = 0; i < TIMEOUT_ROWS; i++) {
+		if (quick && i % 3 != 2)
+			continue;
+		rows[count] = (struct row){.load = {.load = 0.7 + 0.2 * (i % 3),
+					       .once_share = i < 3 ? 0.2 : 0.8,
+					       .slow = true,
+					       .seconds = SECONDS},
+		    .seeds = seeds};
+		g_thread_pool_push(pool, &rows[count++], NULL);
+	}
 	g_thread_pool_free(pool, FALSE, TRUE);
 	printf("%-8s %4s  %27s  %27s\n%-8s %4s  %5s %6s %6s %6s  %5s %6s %6s "
 	       "%6s  %6s\n",
 	    "", "", "before", "local", "speed", "load", "left", "late",
 	    "reject", "cut", "left", "late", "reject", "cut", "spread");
-	for (unsigned i = 0; i < count; i++)
+	for (unsigned i = 0; i < local; i++)
 		above += print_row(&rows[i]) ? 0 : 1;
+	printf("\n%-8s %4s  %34s  %34s\n%-8s %4s  %6s %6s %6s %6s %6s  %6s %6s "
+	       "%6s %6s %6s\n",
+	    "", "", "before", "timeout checked", "once", "load", "intime",
+	    "once", "late", "reject", "cut", "intime", "once", "late", "reject",
+	    "cut");
+	for (unsigned i = local; i < count; i++)
+		above += print_timeout_row(&rows[i]) ? 0 : 1;
 	return check && above > 0;
 }
--- a/test/unit/support_domain_load.c
+++ b/test/unit/support_domain_load.c
@@ -344,6 +344,8 @@
 		    &callbacks, &limits, (uint64_t)load->seed * PARTS + i, 0);
 	for (unsigned i = 0; i < PARTS; i++)
 		placement_set_stay_local(s->parts[i], load->stay_local);
+	for (unsigned i = 0; i < PARTS; i++)
+		placement_set_check_timeout(s->parts[i], load->check_timeout);
 	add_targets(s);
 	for (s->now_us = MS; s->now_us < end_us; s->now_us += MS) {
 		advance_targets(s);
--- a/test/unit/support_domain_load.h
+++ b/test/unit/support_domain_load.h
@@ -13,6 +13,7 @@
 	double once_share; /* of the requests: may not be repeated */
 	bool slow; /* 30 % of the targets work seven times as long */
 	bool stay_local; /* see placement_set_stay_local() */
+	bool check_timeout; /* see placement_set_check_timeout() */
 	unsigned seconds; /* counted */
 	unsigned seed;
 };
--- a/test/unit/test_placement_local.c
+++ b/test/unit/test_placement_local.c
@@ -121,6 +121,31 @@
 	placement_free(p);
 }
 
+/* Such requests held their slots up to the timeout and got 504. */
+static void
+not_sent_where_it_would_be_cut_off(void **state ATTR_UNUSED)
+{
+	static const struct target_load slow = {.slots = 4, .slowness = 700};
+	static const char *const targets[] = {"home", "a", "b", "c"};
+	struct placement *p = open_placement();
+	struct placement_request r = {
+	    .user = p, .objective_us = 50ULL * MS, .deadline_us = 600ULL * MS};
+
+	for (int i = 0; i < 4; i++)
+		placement_on_probe(p, targets[i], &slow, 2);
+	/* 530 ms with the usual work of 100 ms, 640 with twice of it. */
+	(void)placement_submit(p, &r, 3);
+	assert_string_not_equal(last, "");
+	placement_cancel(p, r.user, 4);
+	placement_set_check_timeout(p, true);
+	(void)placement_submit(p, &r, 5);
+	assert_string_equal(last, "");
+	r.idempotent = true;
+	(void)placement_submit(p, &r, 6);
+	assert_string_not_equal(last, "");
+	placement_free(p);
+}
+
 /*
  * At half the load most requests left their domain.  At least half of them now
  * stay, and no more than five in a thousand are late because of it.
@@ -149,6 +174,7 @@
 	    cmocka_unit_test(stays_while_in_time),
 	    cmocka_unit_test(leaves_if_home_is_fuller),
 	    cmocka_unit_test(leaves_under_pressure),
+	    cmocka_unit_test(not_sent_where_it_would_be_cut_off),
 	    cmocka_unit_test(replay_of_uneven_demand),
 	};
 
