Control: a peer whose output queue overflows ends alone

A send to a peer whose output queue (32 MB) is full closes its channel and frees the peer. send_initial_state() went on to use it. The same loop and those of updates, departures and live lists went forwards, so the peer that took the place of the freed one was left out of that round: it missed an update or a departure.

The loop of live lists has no test of its own.

--- a/src/core/core_liveness.c
+++ b/src/core/core_liveness.c
@@ -80,8 +80,9 @@
 	reported_here = pack_live_list(core, now_us - interval_us, true);
 	all = pack_live_list(
 	    core, now_us - MISSED_LISTS_MAX * interval_us, false);
-	for (guint i = 0; i < core->peers->len; i++) {
-		const struct core_peer *peer = core->peers->pdata[i];
+	/* Backwards: a peer with a full queue is removed. */
+	for (guint i = core->peers->len; i > 0; i--) {
+		const struct core_peer *peer = core->peers->pdata[i - 1];
 		struct packed_frame *packed =
 		    peer->is_control ? reported_here : all;
 
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -15,8 +15,9 @@
 send_to_peers(
     const struct core *core, struct packed_frame *packed, bool to_control)
 {
-	for (guint i = 0; i < core->peers->len; i++) {
-		const struct core_peer *peer = core->peers->pdata[i];
+	/* Backwards: a peer with a full queue is removed. */
+	for (guint i = core->peers->len; i > 0; i--) {
+		const struct core_peer *peer = core->peers->pdata[i - 1];
 
 		if (peer->hello_received && (to_control || !peer->is_control))
 			channel_send_packed(peer->channel, packed);
@@ -347,6 +348,16 @@
 	return packed;
 }
 
+/*
+ * Returns whether a peer is still at its place: a send to one with a full queue
+ * closes its channel, which frees the peer.
+ */
+static bool
+is_still_at(const struct core *core, guint at, const struct core_peer *peer)
+{
+	return at < core->peers->len && core->peers->pdata[at] == peer;
+}
+
 /*
  * Sends the initial state to new peers and to those that have just
  * subscribed.  All peers of one tick get the same packed frames, since after
@@ -358,8 +369,9 @@
 	struct packed_frame *first = NULL;
 	struct packed_frame *last[3] = {NULL, NULL, NULL};
 
-	for (guint i = 0; i < core->peers->len; i++) {
-		struct core_peer *peer = core->peers->pdata[i];
+	/* Backwards: a peer with a full queue is removed. */
+	for (guint i = core->peers->len; i > 0; i--) {
+		struct core_peer *peer = core->peers->pdata[i - 1];
 		struct packed_frame **rest =
 		    &last[peer->is_control ? 2 : peer->wants_all];
 
@@ -372,8 +384,10 @@
 			*rest = pack_targets_and_entries(
 			    core, peer->wants_all, peer->is_control);
 		channel_send_packed(peer->channel, first);
-		core_send_known_document(core, peer);
-		channel_send_packed(peer->channel, *rest);
+		if (is_still_at(core, i - 1, peer))
+			core_send_known_document(core, peer);
+		if (is_still_at(core, i - 1, peer))
+			channel_send_packed(peer->channel, *rest);
 	}
 	for (int i = 0; i < 3; i++) {
 		if (last[i] != NULL)
@@ -398,8 +412,9 @@
 		return;
 	packed = channel_pack_batch(updates);
 	str_buf_clear(updates);
-	for (guint i = 0; i < core->peers->len; i++) {
-		const struct core_peer *peer = core->peers->pdata[i];
+	/* Backwards: a peer with a full queue is removed. */
+	for (guint i = core->peers->len; i > 0; i--) {
+		const struct core_peer *peer = core->peers->pdata[i - 1];
 
 		if (peer->hello_received && peer->wants_all &&
 		    (to_entries || peer->is_control))
--- a/test/unit/test_core_initial_state.c
+++ b/test/unit/test_core_initial_state.c
@@ -17,8 +17,9 @@
 
 #include "base/clock.h"
 #include "base/memory.h"
+#include "base/random.h"
 #include "core/core_internal.h"
-#include "net/channel.h"
+#include "net/channel_internal.h"
 #include "roster/candidate.h"
 
 enum {
@@ -28,6 +29,7 @@
 	PORT_FIRST = 31000,
 	PORT_LAST = 32000,
 	TEST_TIMEOUT_MS = 60000, /* ends the test if it hangs */
+	QUEUE_MAX_BYTES = 32 << 20, /* of a channel */
 	ADDRESS_MAX = 64
 };
 
@@ -453,6 +455,123 @@
 	assert_int_equal(system(command), 0);
 }
 
+/*
+ * Sends frames to a peer that does not read until no more than a few bytes fit
+ * into its output queue.
+ */
+static void
+fill_queue(struct channel *channel)
+{
+	static uint8_t text[1 << 20];
+	struct random random;
+
+	random_seed(&random, 1);
+	for (size_t i = 0; i < sizeof(text); i++)
+		text[i] = (uint8_t)random_next(&random);
+	for (size_t len = sizeof(text);; len /= 4) {
+		Fleet__Frame frame = FLEET__FRAME__INIT;
+		Fleet__Document document = FLEET__DOCUMENT__INIT;
+		struct packed_frame *packed;
+
+		document.text.data = text;
+		document.text.len = len;
+		frame.body_case = FLEET__FRAME__BODY_DOCUMENT;
+		frame.document = &document;
+		packed = channel_pack(&frame);
+		while (uv_stream_get_write_queue_size(
+			   (uv_stream_t *)channel->tcp) +
+			packed->len <=
+		    QUEUE_MAX_BYTES)
+			channel_send_packed(channel, packed);
+		packed_frame_put(packed);
+		if (len == 0)
+			break;
+	}
+	assert_true(channel_is_open(channel));
+}
+
+/*
+ * Guards against the use of a peer after a send has closed its channel, since
+ * the peer reads too slowly, and against others that are left out then.
+ */
+static void
+full_queue_ends_its_peer_alone(void **state ATTR_UNUSED)
+{
+	enum {
+		PEERS = 3
+	};
+	/* What is due: the initial state, an update, or a departure. */
+	enum {
+		STATE,
+		UPDATE,
+		DEPARTURE,
+		CASES
+	};
+
+	for (unsigned i = 2 * PEERS; i < CASES * PEERS; i++) {
+		static struct testbed testbed;
+		const struct roster_departure departure = {
+		    .id = (char *)"target-1", .started_ms = 1};
+		unsigned slow = i % PEERS;
+		struct core_peer *peers[PEERS];
+		uint64_t queued[PEERS];
+		char command[2 * ADDRESS_MAX];
+
+		open_testbed(&testbed);
+		for (unsigned k = 0; k < PEERS; k++) {
+			struct entry *entry = &testbed.entries[k];
+			const struct channel_callbacks callbacks = {
+			    .ctx = entry,
+			    .opened = on_opened,
+			    .message = on_message};
+
+			entry->testbed = &testbed;
+			entry->number = k;
+			entry->channel = channel_dial(
+			    &testbed.loop, testbed.address, &callbacks);
+			while (!entry->synced && !testbed.timed_out)
+				uv_run(&testbed.loop, UV_RUN_ONCE);
+		}
+		assert_int_equal(testbed.core->peers->len, PEERS);
+		for (unsigned k = 0; k < PEERS; k++)
+			peers[k] = testbed.core->peers->pdata[k];
+		core_push_tick(testbed.core);
+		fill_queue(peers[slow]->channel);
+		if (i / PEERS == UPDATE)
+			announce_targets(&testbed);
+		if (i / PEERS == DEPARTURE)
+			core_queue_departure(testbed.core, &departure);
+		for (unsigned k = 0; k < PEERS; k++) {
+			peers[k]->initial_state_due = i / PEERS == STATE;
+			queued[k] = channel_queued(peers[k]->channel);
+		}
+		if (i / PEERS == DEPARTURE)
+			core_push_applied(testbed.core);
+		else
+			core_push_tick(testbed.core);
+		assert_int_equal(testbed.core->peers->len, PEERS - 1);
+		for (unsigned k = 0; k < PEERS; k++) {
+			bool there = g_ptr_array_find(
+			    testbed.core->peers, peers[k], NULL);
+
+			assert_int_equal(there, k != slow);
+			if (there)
+				assert_true(channel_queued(peers[k]->channel) >
+				    queued[k]);
+		}
+		assert_false(testbed.timed_out);
+		for (unsigned k = 0; k < PEERS; k++)
+			channel_close(testbed.entries[k].channel);
+		core_close(testbed.core);
+		uv_close((uv_handle_t *)&testbed.timeout, NULL);
+		uv_run(&testbed.loop, UV_RUN_DEFAULT);
+		core_free(testbed.core);
+		assert_int_equal(uv_loop_close(&testbed.loop), 0);
+		snprintf(command, sizeof(command), "rm -r %s", testbed.folder);
+		assert_int_equal(system(command), 0);
+	}
+}
+
 int
 main(void)
 {
@@ -460,6 +579,7 @@
 	    cmocka_unit_test(all_entries_reconnect_at_once),
 	    cmocka_unit_test(entries_learn_mostly_of_scheduling_candidates),
 	    cmocka_unit_test(hello_with_odd_numbers_is_refused),
+	    cmocka_unit_test(full_queue_ends_its_peer_alone),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
