Testbed of the platform: a bed reserves its ports

In 3 of 20 copies of test_platform_odd_entries at once the target was replaced by that of another copy. A bed drew ports that were free and released them before its processes opened them, so two beds could draw overlapping ranges (20 beds at once: 8.7 % of draws, computed); the later processes then failed to listen, and the bed used those of the other one. Ports above 32768 could also be taken by an outgoing connection.

--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -20,20 +20,30 @@
 ANSWER_TIMEOUT_S = 20
 
 
-def find_free_port_range(ip, count):
-    """Returns the first of count consecutive free ports on an address."""
+PORTS = 10  # of a bed
+# Below the ports that the kernel gives to outgoing connections.
+PORT_FIRST, PORT_END = 20000, 32760
+RESERVATION_IP = "127.0.7.254"
+
+
+def reserve_ports(ip):
+    """Returns the first of PORTS consecutive free ports on an address, and a
+    socket that reserves them until it is closed: a bed whose process finds its
+    port taken would use the processes of the other bed."""
     draw = random.SystemRandom()
-    for _ in range(200):
-        first = draw.randrange(20000, 60000 - count)
+    for _ in range(1000):
+        first = draw.randrange(PORT_FIRST, PORT_END, PORTS)
+        reservation = socket.socket()
         sockets = []
         try:
-            for port in range(first, first + count):
+            reservation.bind((RESERVATION_IP, first))
+            for port in range(first, first + PORTS):
                 one = socket.socket()
                 sockets.append(one)
                 one.bind((ip, port))
-            return first
+            return first, reservation
         except OSError:
-            continue
+            reservation.close()
         finally:
             for one in sockets:
                 one.close()
@@ -291,7 +301,7 @@
         self.heartbeat_ms = heartbeat_ms
         self.grace_s = grace_s
         self.folder = tempfile.mkdtemp(prefix="gypsummill-platform-")
-        self.port = find_free_port_range("127.0.7.1", 10)
+        self.port, self.reservation = reserve_ports("127.0.7.1")
         self.seeds = ["127.0.7.%d" % (i + 1) for i in range(min(cores, 3))]
         self.instances = [
             Instance(self, i, i < cores + relays, i < cores)
@@ -416,4 +426,5 @@
                 one.kill(role)
         for target in self.targets:
             target.close()
+        self.reservation.close()
         shutil.rmtree(self.folder, ignore_errors=True)
