Grants: a public request without its key needs no token

The key of a request on a public route is withdrawn while its draw is open: the grant made it a request without an account, but it kept waiting for the token. When no voter could say, it began to wait for one, and the entry used the missing account and crashed. It now ends its draw and asks again, unless a send of it is open.

--- a/src/flow/flow_grant.c
+++ b/src/flow/flow_grant.c
@@ -204,9 +204,13 @@
 		account_refuse_withdrawn(x);
 		return;
 	}
-	if (x->account != account && x->account != NULL &&
-	    (x->allowance != NULL || x->account->rate_per_s > 0)) {
-		/* The token, if any, is of the account that had the key. */
+	if (x->account != account && !exchange_has_open_attempt(x) &&
+	    (x->allowance != NULL ||
+		(x->account != NULL && x->account->rate_per_s > 0))) {
+		/*
+		 * The token, if any, is of the account that had the key.  On a
+		 * public route there may be no account now.
+		 */
 		return_grant(x, target, remote);
 		allowance_end(x);
 		schedule_ask(x, x->ask_repeat);
--- a/test/unit/test_flow_allowance.c
+++ b/test/unit/test_flow_allowance.c
@@ -11,7 +11,7 @@
 #include <cmocka.h>
 
 #include "flow/flow_allowance.h"
-#include "support_flow.h"
+#include "support_flow_peer.h"
 
 static struct account account = {
     .name = (char *)"acct",
@@ -410,6 +410,43 @@
 	close_limited(&fixture, &voter, NULL);
 }
 
+/*
+ * Guards against the use of an account that a request on a public route has
+ * lost: the entry crashed when the request began to wait for a voter.
+ */
+static void
+a_public_request_goes_on_without_a_withdrawn_key(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct flow_peer peer;
+	struct voter voter;
+	struct exchange *x = open_limited(&fixture, &voter);
+	struct routes *next = routes_new(2);
+
+	flow_peer_open(&peer, &fixture);
+	x->route->public = true;
+	schedule_ask(x, false);
+	flow_peer_wait_ask(&peer, x);
+	wait_for(&fixture, &voter.draws, 1);
+	next->accounts = accounts_new();
+	routes_put(fixture.flow->routes);
+	fixture.flow->routes = next;
+	flow_peer_grant(&peer, x, "t1", 0);
+	assert_int_equal(x->attempt_count, 0);
+	/* It is asked for again, without the account. */
+	flow_peer_wait_ask(&peer, x);
+	send_result(&voter, 0, 0, true);
+	flow_fixture_run(&fixture, 50);
+	assert_null(x->account);
+	assert_null(x->allowance);
+	assert_int_equal(fixture.flow->allowance->waiting.length, 0);
+	assert_int_equal(peer.ask->ask->account, 0);
+	flow_peer_grant(&peer, x, "t1", 0);
+	assert_int_equal(x->attempt_count, 1);
+	flow_peer_close(&peer);
+	close_limited(&fixture, &voter, x);
+}
+
 /*
  * Guards against a cost for documents without accounts.
  */
@@ -443,6 +480,7 @@
 	    cmocka_unit_test(the_requests_that_wait_are_bounded),
 	    cmocka_unit_test(a_silent_voter_is_no_refusal),
 	    cmocka_unit_test(the_token_of_an_unsent_request_is_returned),
+	    cmocka_unit_test(a_public_request_goes_on_without_a_withdrawn_key),
 	    cmocka_unit_test(without_a_limit_nothing_is_drawn),
 	};
 
