Parts: a request that has waited asks at a current part

A request that waits for a voter kept the part that it got before. When the service was split meanwhile, as after a start of all processes, that part had no targets left, and the request got 503 with its token. The part is now brought up to date before each ask.

--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -165,12 +165,15 @@
 schedule_ask(struct exchange *x, bool repeat)
 {
 	struct flow *flow = x->flow;
-	struct peer_entry *scheduler = fleet_scheduler(flow, x->service);
-	uint64_t away_us = away_service_left_us(x->service);
+	struct peer_entry *scheduler;
+	uint64_t away_us;
 
 	schedule_cancel(x);
 	if (!allowance_begin(x))
 		return;
+	part_update(x);
+	scheduler = fleet_scheduler(flow, x->service);
+	away_us = away_service_left_us(x->service);
 	x->held = false;
 	x->ask_repeat = repeat;
 	x->ask_tries = 0;
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -75,6 +75,11 @@
 void service_size_free(void *value);
 /* The part of a service for its next request. */
 struct service *fleet_next_part(struct flow *flow, const char *name);
+/*
+ * Gives a request that has no open ask or send another part if the number of
+ * parts has changed.
+ */
+void part_update(struct exchange *x);
 /* The load of a part on this entry, for a message; 0: it is a whole service. */
 uint32_t part_load(const struct service *service);
 /* The scheduler of a part has reported its load. */
--- a/src/flow/flow_part.c
+++ b/src/flow/flow_part.c
@@ -126,6 +126,20 @@
 	return size->part_services[part];
 }
 
+/*
+ * Gives a request a part of the current number.  While it waited, e.g. for a
+ * voter, the service may have been split, and its part has no targets then.
+ */
+void
+part_update(struct exchange *x)
+{
+	const struct service_size *size =
+	    g_hash_table_lookup(x->flow->service_sizes, x->service->whole_name);
+
+	if (size != NULL && size->parts != x->service->parts)
+		x->service = fleet_next_part(x->flow, x->service->whole_name);
+}
+
 /*
  * Returns the load of a part in the placement of this entry, for a message; 0
  * for a service that has only one part.
--- a/test/unit/test_flow_allowance.c
+++ b/test/unit/test_flow_allowance.c
@@ -286,6 +286,30 @@
 	close_limited(&fixture, &voter, x);
 }
 
+/*
+ * Guards against 503 after a wait in which the service was split: the request
+ * asked for a target of the whole service, which has none any more.
+ */
+static void
+a_wait_ends_at_a_current_part(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct voter voter;
+	struct exchange *x = open_waiting(&fixture, &voter);
+	Fleet__DrawResult result = FLEET__DRAW_RESULT__INIT;
+
+	wait_for(&fixture, &voter.draws, 2);
+	flow_fixture_announce_many(&fixture, 0, 100);
+	assert_int_equal(fleet_service_size(fixture.flow, "svc")->parts, 2);
+	/* At once: probes find that nothing listens at the new ones. */
+	result.request = voter.request;
+	result.granted = 1;
+	allowance_on_result(fixture.flow, &result);
+	assert_int_equal(x->attempt_count, 1);
+	assert_int_equal(x->service->parts, 2);
+	close_limited(&fixture, &voter, x);
+}
+
 /*
  * Guards against a wait for more than a fifth of the caller's time, or beyond
  * the request's objective, and against 429 at its end.
@@ -475,6 +499,7 @@
 	    cmocka_unit_test(an_empty_account_is_refused_at_once),
 	    cmocka_unit_test(a_request_waits_for_a_voter),
 	    cmocka_unit_test(a_grant_to_another_request_ends_the_wait),
+	    cmocka_unit_test(a_wait_ends_at_a_current_part),
 	    cmocka_unit_test(a_wait_ends_in_time),
 	    cmocka_unit_test(a_stop_ends_the_wait),
 	    cmocka_unit_test(the_requests_that_wait_are_bounded),
