Ended asks: a rejected ask that was sent twice is named

An ask is repeated after 20 ms, or 60 ms while it is held. If the repetition and a rejection cross, the scheduler places the repetition as a new call. The entry ignored its grant and neither cancelled nor named it, so that a slot stayed occupied until a second after the deadline.

--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -226,6 +226,7 @@
 	x->ask_id = 0;
 	x->scheduler_done = false;
 	x->ask_rejected = false;
+	x->ask_repeated = false;
 }
 
 /*
@@ -240,6 +241,7 @@
 	struct peer_entry *peer_entry;
 
 	if (x->ask_tries++ < 1) {
+		x->ask_repeated = true;
 		send_ask(x, x->ask_repeat);
 		uv_timer_start(timer, on_answer_timeout, ANSWER_TIMEOUT_MS, 0);
 		return;
@@ -348,8 +350,8 @@
 
 	if (x == NULL)
 		return;
-	x->scheduler_done = true;
-	x->ask_rejected = true;
+	/* A repetition that crosses the rejection is placed as a new call. */
+	x->scheduler_done = x->ask_rejected = !x->ask_repeated;
 	part_on_load(x->service, reject->load);
 	if (reject->reason == REJECT_NO_ROOM && part_move(x))
 		return;
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -257,6 +257,7 @@
 	bool placed_locally;
 	bool part_moved; /* its first part had no room */
 	bool ask_repeat;
+	bool ask_repeated; /* the open ask was sent more than once */
 	bool scheduler_done; /* the scheduler has removed it */
 	bool ask_rejected; /* and has said so itself */
 	bool held;
--- a/test/unit/test_flow_ended.c
+++ b/test/unit/test_flow_ended.c
@@ -89,6 +89,39 @@
 	flow_fixture_close(&fixture, NULL);
 }
 
+/*
+ * Guards against a slot that stays occupied when a rejection and the repetition
+ * of its ask cross: the scheduler places the repetition as a new call.
+ */
+static void
+rejected_ask_that_was_repeated_is_named(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct flow_peer peer;
+	struct exchange *rejected, *next;
+	uint64_t id;
+
+	flow_fixture_open(&fixture, REPEAT_NEVER);
+	flow_peer_open(&peer, &fixture);
+	rejected = flow_fixture_exchange(&fixture);
+	schedule_ask(rejected, false);
+	id = rejected->ask_id;
+	while (peer.asks < 2)
+		(void)uv_run(&fixture.loop, UV_RUN_ONCE);
+	uv_timer_stop(&rejected->ask_timer);
+	flow_peer_reject(&peer, rejected, REJECT_NO_ROOM, 0);
+	assert_true(rejected->ended);
+	next = ask_peer(&fixture, &peer);
+	assert_int_equal(peer.cancels, 1);
+	assert_int_equal(peer.cancelled, id);
+	assert_int_equal(peer.ask->ask->n_ended, 1);
+	assert_int_equal(peer.ask->ask->ended[0], id);
+	exchange_free(next);
+	exchange_free(rejected);
+	flow_peer_close(&peer);
+	flow_fixture_close(&fixture, NULL);
+}
+
 /*
  * Lets another entry ask for a target of the service.
  */
@@ -184,6 +217,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(ids_are_named_three_times_within_two_seconds),
 	    cmocka_unit_test(asks_name_ended_ones_and_no_others),
+	    cmocka_unit_test(rejected_ask_that_was_repeated_is_named),
 	    cmocka_unit_test(slot_is_free_after_the_next_ask),
 	    cmocka_unit_test(id_of_the_ask_itself_frees_it_before_it_is_placed),
 	    cmocka_unit_test(ids_start_at_random_and_fit),
