Allowances: a wake draws once for each request that waits

With many requests waiting, those that began to wait again came before others whose draw was due later, and were taken again in the same wake. A request of a withdrawn key could wait until its own draw, up to a second, for its 401.

--- a/src/flow/flow_allowance_wait.c
+++ b/src/flow/flow_allowance_wait.c
@@ -259,6 +259,11 @@
 		a->wake_due_us = UINT64_MAX;
 		a->woken_us = now_us;
 		a->last_redraw_us = 0;
+		/* Those that go on waiting come behind the others. */
+		for (GList *l = a->waiting.head; l != NULL; l = l->next) {
+			own = l->data;
+			own->redraw_us = now_us;
+		}
 	}
 	while (left-- > 0 && (own = g_queue_peek_head(&a->waiting)) != NULL &&
 	    (all || own->redraw_us <= now_us))
--- a/test/unit/test_flow_account.c
+++ b/test/unit/test_flow_account.c
@@ -137,6 +137,42 @@
 	close_withdrawal(&w);
 }
 
+/*
+ * Guards against a wake that draws for some requests several times instead of
+ * for all of them once: one of a withdrawn key waits on.
+ */
+static void
+all_that_wait_for_a_voter_are_woken(void **state ATTR_UNUSED)
+{
+	struct withdrawal w;
+	struct exchange *others[50];
+	struct flow_allowance *a;
+
+	open_withdrawal(&w, false);
+	a = w.fixture.flow->allowance;
+	add_key(w.next->accounts, "a", "k2");
+	((struct account *)w.x->account)->rate_per_s = 10;
+	for (unsigned i = 0; i < 50; i++) {
+		others[i] = flow_fixture_exchange(&w.fixture);
+		/* Their key stays in force. */
+		assert_true(head_append_name(
+		    &others[i]->head, STR_LITERAL("authorization")));
+		assert_true(head_append_value(
+		    &others[i]->head, STR_LITERAL("bEARER k2")));
+		others[i]->account = w.x->account;
+		schedule_ask(others[i], false);
+	}
+	wait_for_voter(&w);
+	assert_int_equal(a->waiting.length, 51);
+	put_in_force(&w);
+	allowance_on_document(w.fixture.flow);
+	allowance_wait_tick(a, a->wake_due_us);
+	assert_refused(w.x);
+	for (unsigned i = 0; i < 50; i++)
+		exchange_free(others[i]);
+	close_withdrawal(&w);
+}
+
 /*
  * Guards against a request that waits for a voter although its key has moved to
  * an account without a limit.
@@ -398,6 +434,7 @@
 	    cmocka_unit_test(withdrawn_before_the_grant),
 	    cmocka_unit_test(withdrawn_while_the_connection_is_made),
 	    cmocka_unit_test(withdrawn_while_it_waits_for_a_voter),
+	    cmocka_unit_test(all_that_wait_for_a_voter_are_woken),
 	    cmocka_unit_test(moved_while_it_waits_for_a_voter),
 	    cmocka_unit_test(withdrawn_before_the_rejection),
 	    cmocka_unit_test(a_sent_request_ends_as_without_the_withdrawal),
