--- a/src/flow/flow_allowance_wait.c
+++ b/src/flow/flow_allowance_wait.c
@@ -204,7 +204,7 @@
 
 	if (a->waiting.length == 0 || a->wake_due_us != UINT64_MAX)
 		return;
-	a->wake_due_us = MAX(now_us, a->woken_us + REDRAW_GAP_MS * US_PER_MS);
+	a->wake_due_us = MAX(now_us, a->woken_us + REDRAW_MS * US_PER_MS);
 	allowance_start_timer(a, now_us);
 }
 
--- a/test/unit/test_flow_allowance.c
+++ b/test/unit/test_flow_allowance.c
@@ -310,6 +310,24 @@
 	close_limited(&fixture, &voter, x);
 }
 
+/*
+ * Guards against a draw of each request that waits with each answer of a voter:
+ * all of them draw at most once in 100 ms for that.
+ */
+static void
+wakes_are_bounded(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct voter voter;
+	struct exchange *x = open_waiting(&fixture, &voter);
+	struct flow_allowance *a = fixture.flow->allowance;
+
+	a->woken_us = clock_boot_us();
+	allowance_wake(fixture.flow, a->woken_us + 1);
+	assert_int_equal(a->wake_due_us - a->woken_us, 100 * US_PER_MS);
+	close_limited(&fixture, &voter, x);
+}
+
 /*
  * Guards against a wait for more than a fifth of the caller's time, or beyond
  * the request's objective, and against 429 at its end.
@@ -500,6 +518,7 @@
 	    cmocka_unit_test(a_request_waits_for_a_voter),
 	    cmocka_unit_test(a_grant_to_another_request_ends_the_wait),
 	    cmocka_unit_test(a_wait_ends_at_a_current_part),
+	    cmocka_unit_test(wakes_are_bounded),
 	    cmocka_unit_test(a_wait_ends_in_time),
 	    cmocka_unit_test(a_stop_ends_the_wait),
 	    cmocka_unit_test(the_requests_that_wait_are_bounded),
