Allowances: a wait leaves time for the request's work

Without a connected voter a request begins to wait before it has a target, and nothing was left of its objective for the work: it was sent when it had to be late. The usual work of its route is now left.

--- a/src/flow/flow_allowance_wait.c
+++ b/src/flow/flow_allowance_wait.c
@@ -59,11 +59,11 @@
 	uint64_t now = flow_now_us(x->flow);
 	uint64_t wait_ms = exchange_caller_timeout_ms(x) / WAIT_TIMEOUT_DIVISOR;
 	uint64_t end = x->arrival_us + MIN(wait_ms, WAIT_MAX_MS) * US_PER_MS;
+	uint64_t expected_us =
+	    own->target != NULL ? own->expected_us : part_work_us(x);
 
-	/* What the granted target takes comes after the wait. */
-	end = MIN(end,
-	    x->objective_us -
-		MIN(x->objective_us, own->target ? own->expected_us : 0));
+	/* What the granted target, or any one, takes comes after the wait. */
+	end = MIN(end, x->objective_us - MIN(x->objective_us, expected_us));
 	return end > now ? now_us + end - now : now_us;
 }
 
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -80,6 +80,8 @@
  * parts has changed.
  */
 void part_update(struct exchange *x);
+/* The usual work of a request at its part in microseconds; 0: not known. */
+uint64_t part_work_us(const struct exchange *x);
 /* The load of a part on this entry, for a message; 0: it is a whole service. */
 uint32_t part_load(const struct service *service);
 /* The scheduler of a part has reported its load. */
--- a/src/flow/flow_part.c
+++ b/src/flow/flow_part.c
@@ -184,6 +184,18 @@
 		    flow_now_us(service->flow));
 }
 
+/*
+ * Returns the usual work of a request in microseconds, 0 if it is not known.
+ */
+uint64_t
+part_work_us(const struct exchange *x)
+{
+	struct placement_model model;
+
+	placement_get_model(x->service->placement, &x->route->id, &model);
+	return model.route_count > 0 ? model.work_us[0] : 0;
+}
+
 /*
  * Returns whether a request may be asked at another part: it was not sent, it
  * was not moved before, and it can still be answered within its objective.
@@ -191,16 +203,10 @@
 static bool
 may_move(const struct exchange *x)
 {
-	struct placement_model model;
-	uint64_t work_us = 0;
-
 	if (x->ended || x->part_moved || x->attempt_count > 0 ||
 	    allowance_has_grant(x))
 		return false;
-	placement_get_model(x->service->placement, &x->route->id, &model);
-	if (model.route_count > 0)
-		work_us = model.work_us[0];
-	return flow_now_us(x->flow) + work_us < x->objective_us;
+	return flow_now_us(x->flow) + part_work_us(x) < x->objective_us;
 }
 
 static void
--- a/test/unit/test_flow_allowance.c
+++ b/test/unit/test_flow_allowance.c
@@ -328,6 +328,33 @@
 	close_limited(&fixture, &voter, x);
 }
 
+/*
+ * Guards against a request that waits until its objective without a granted
+ * target, and is then sent although it must be late.
+ */
+static void
+a_wait_leaves_time_for_the_work(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct voter voter;
+	struct exchange *x = open_limited(&fixture, &voter);
+	struct placement_model model = {
+	    .route_count = 1,
+	    .route = {x->route->id},
+	    .work_us = {300 * 1000},
+	};
+
+	placement_adopt_model(x->service->placement, &model);
+	allowance_draws_expire_voters(
+	    fixture.flow->allowance->draws, clock_boot_us() + 60 * US_PER_S);
+	x->objective_us = flow_now_us(fixture.flow) + 400 * US_PER_MS;
+	schedule_ask(x, false);
+	assert_int_equal(fixture.flow->allowance->waiting.length, 1);
+	assert_true(x->allowance->wait_end_us - x->allowance->wait_since_us <=
+	    100 * US_PER_MS);
+	close_limited(&fixture, &voter, x);
+}
+
 /*
  * Guards against a wait for more than a fifth of the caller's time, or beyond
  * the request's objective, and against 429 at its end.
@@ -519,6 +546,7 @@
 	    cmocka_unit_test(a_grant_to_another_request_ends_the_wait),
 	    cmocka_unit_test(a_wait_ends_at_a_current_part),
 	    cmocka_unit_test(wakes_are_bounded),
+	    cmocka_unit_test(a_wait_leaves_time_for_the_work),
 	    cmocka_unit_test(a_wait_ends_in_time),
 	    cmocka_unit_test(a_stop_ends_the_wait),
 	    cmocka_unit_test(the_requests_that_wait_are_bounded),
