--- a/src/placement/placement_local.c
+++ b/src/placement/placement_local.c
@@ -1,7 +1,7 @@
 /*
- * Requests that stay in their requester's failure domain.  Answers a service
- * whose requests nearly all leave their domain, because some target elsewhere
- * is a little faster, although those at home would be in time as well.
+ * Requests that stay in their requester's failure domain.  Addresses the load in
+ * which nearly all requests of a service leave their domain, because some target
+ * elsewhere is a little faster, although local ones would be in time as well.
  */
 #include "placement/placement_defs.h"
 
@@ -28,6 +28,9 @@
 	double useful;
 };
 
+/*
+ * Sets whether requests stay in their failure domain if they are in time there.
+ */
 void
 placement_set_stay_local(struct placement *p, bool stay)
 {
