Allowances: no further voter is asked after a wait

A draw at the end of a wait asked up to five silent voters one after the other, 25 ms each, so that the wait took up to 125 ms more than its bound.

--- a/src/flow/flow_allowance.c
+++ b/src/flow/flow_allowance.c
@@ -415,8 +415,12 @@
 	a->was_late = false;
 	while ((own = g_queue_peek_head(&a->asking)) != NULL &&
 	    own->due_us <= now) {
-		struct allowance_step step = allowance_draws_on_silence(
-		    a->draws, &own->call, connected_voters(flow), now);
+		/* After its wait a request asks no further voter. */
+		uint32_t open = allowance_wait_is_over(own, now)
+		    ? 0
+		    : connected_voters(flow);
+		struct allowance_step step =
+		    allowance_draws_on_silence(a->draws, &own->call, open, now);
 
 		(void)follow(flow, &step, now);
 	}
--- a/src/flow/flow_allowance.h
+++ b/src/flow/flow_allowance.h
@@ -60,6 +60,9 @@
 void allowance_wait_open(struct flow_allowance *a);
 /* Lets a request wait; false if a voter is not expected in its time. */
 bool allowance_wait_begin(struct exchange_allowance *own, uint64_t now_us);
+/* Whether a request has waited, and may not wait any longer. */
+bool
+allowance_wait_is_over(const struct exchange_allowance *own, uint64_t now_us);
 void allowance_wait_stop(struct exchange_allowance *own);
 /* The request has its token. */
 void allowance_wait_served(struct exchange_allowance *own, uint64_t now_us);
--- a/src/flow/flow_allowance_wait.c
+++ b/src/flow/flow_allowance_wait.c
@@ -48,6 +48,16 @@
 	return MIN(own->wait_end_us, a->voter_us + VOTER_MS * US_PER_MS);
 }
 
+/*
+ * Returns whether the wait of a request has ended; false if it has not waited.
+ */
+bool
+allowance_wait_is_over(const struct exchange_allowance *own, uint64_t now_us)
+{
+	return own->wait_since_us != 0 &&
+	    now_us >= end_us(own->exchange->flow->allowance, own);
+}
+
 /*
  * Returns until when a request may wait, by the boot-time clock.  The time
  * before, also that of the startup, counts.
--- a/test/unit/test_flow_allowance.c
+++ b/test/unit/test_flow_allowance.c
@@ -355,6 +355,35 @@
 	close_limited(&fixture, &voter, x);
 }
 
+/*
+ * Guards against a wait that grows by the time of each silent voter.
+ */
+static void
+no_further_voter_is_asked_after_the_wait(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct voter voter;
+	struct exchange *x = open_waiting(&fixture, &voter);
+	GHashTable *controls = fixture.flow->controls;
+	char other[] = "other";
+
+	/* The same control instance as a second voter. */
+	assert_int_not_equal(
+	    allowance_draws_name_voter(
+		fixture.flow->allowance->draws, other, clock_boot_us()),
+	    ALLOWANCE_VOTERS_MAX);
+	g_hash_table_insert(controls, other,
+	    g_hash_table_lookup(controls, voter.control.address));
+	wait_for(&fixture, &voter.draws, 2);
+	x->allowance->wait_end_us = clock_boot_us();
+	wait_for_end(&fixture, x);
+	flow_fixture_run(&fixture, 20);
+	assert_int_equal(voter.draws, 2);
+	assert_memory_equal(x->out.data, "HTTP/1.1 503", 12);
+	assert_true(g_hash_table_steal(controls, other));
+	close_limited(&fixture, &voter, x);
+}
+
 /*
  * Guards against a wait for more than a fifth of the caller's time, or beyond
  * the request's objective, and against 429 at its end.
@@ -547,6 +576,7 @@
 	    cmocka_unit_test(a_wait_ends_at_a_current_part),
 	    cmocka_unit_test(wakes_are_bounded),
 	    cmocka_unit_test(a_wait_leaves_time_for_the_work),
+	    cmocka_unit_test(no_further_voter_is_asked_after_the_wait),
 	    cmocka_unit_test(a_wait_ends_in_time),
 	    cmocka_unit_test(a_stop_ends_the_wait),
 	    cmocka_unit_test(the_requests_that_wait_are_bounded),
