Grants: a second grant does not end the draw of an open send

The key of a request moved to another account while the connection for its first send was made. A second grant then asked again and began a wait for a voter beside the open send; the wait could end with "not run" for a request that was sent. The second grant is now returned.

--- a/src/flow/flow_grant.c
+++ b/src/flow/flow_grant.c
@@ -204,7 +204,7 @@
 		account_refuse_withdrawn(x);
 		return;
 	}
-	if (x->account != account && !exchange_has_open_attempt(x) &&
+	if (x->account != account &&
 	    (x->allowance != NULL ||
 		(x->account != NULL && x->account->rate_per_s > 0))) {
 		/*
@@ -212,6 +212,8 @@
 		 * public route there may be no account now.
 		 */
 		return_grant(x, target, remote);
+		if (exchange_has_open_attempt(x))
+			return;
 		allowance_end(x);
 		schedule_ask(x, x->ask_repeat);
 		return;
--- a/test/unit/test_flow_account.c
+++ b/test/unit/test_flow_account.c
@@ -193,6 +193,32 @@
 	close_withdrawal(&w);
 }
 
+/*
+ * Guards against a request that waits for a voter, which may end with "not
+ * run", while a connection for its first send is made.
+ */
+static void
+moved_before_a_second_grant(void **state ATTR_UNUSED)
+{
+	struct withdrawal w;
+	struct account *next;
+
+	open_withdrawal(&w, false);
+	flow_fixture_announce(&w.fixture, "t2", "127.0.7.250:20");
+	exchange_on_grant(w.x, "t1", false, 0);
+	assert_int_equal(w.x->attempt_count, 1);
+	add_key(w.next->accounts, "b", "k1");
+	next =
+	    (struct account *)accounts_find(w.next->accounts, str_from("k1"));
+	next->rate_per_s = 10;
+	put_in_force(&w);
+	exchange_on_grant(w.x, "t2", false, 0);
+	assert_int_equal(w.fixture.flow->allowance->waiting.length, 0);
+	assert_int_equal(w.x->attempt_count, 1);
+	assert_false(w.x->ended);
+	close_withdrawal(&w);
+}
+
 static void
 withdrawn_before_the_rejection(void **state ATTR_UNUSED)
 {
@@ -436,6 +462,7 @@
 	    cmocka_unit_test(withdrawn_while_it_waits_for_a_voter),
 	    cmocka_unit_test(all_that_wait_for_a_voter_are_woken),
 	    cmocka_unit_test(moved_while_it_waits_for_a_voter),
+	    cmocka_unit_test(moved_before_a_second_grant),
 	    cmocka_unit_test(withdrawn_before_the_rejection),
 	    cmocka_unit_test(a_sent_request_ends_as_without_the_withdrawal),
 	    cmocka_unit_test(a_key_that_stays_is_not_refused),
