--- a/src/flow/flow_allowance_wait.c
+++ b/src/flow/flow_allowance_wait.c
@@ -48,6 +48,16 @@
 	return MIN(own->wait_end_us, a->voter_us + VOTER_MS * US_PER_MS);
 }
 
+/*
+ * Returns whether the wait of a request has ended; false if it has not waited.
+ */
+bool
+allowance_wait_is_over(const struct exchange_allowance *own, uint64_t now_us)
+{
+	return own->wait_since_us != 0 &&
+	    now_us >= end_us(own->exchange->flow->allowance, own);
+}
+
 /*
  * Returns until when a request may wait, by the boot-time clock.  The time
  * before, also that of the startup, counts.
@@ -59,11 +69,11 @@
 	uint64_t now = flow_now_us(x->flow);
 	uint64_t wait_ms = exchange_caller_timeout_ms(x) / WAIT_TIMEOUT_DIVISOR;
 	uint64_t end = x->arrival_us + MIN(wait_ms, WAIT_MAX_MS) * US_PER_MS;
+	uint64_t expected_us =
+	    own->target != NULL ? own->expected_us : part_work_us(x);
 
-	/* What the granted target takes comes after the wait. */
-	end = MIN(end,
-	    x->objective_us -
-		MIN(x->objective_us, own->target ? own->expected_us : 0));
+	/* What the granted target, or any one, takes comes after the wait. */
+	end = MIN(end, x->objective_us - MIN(x->objective_us, expected_us));
 	return end > now ? now_us + end - now : now_us;
 }
 
@@ -204,7 +214,7 @@
 
 	if (a->waiting.length == 0 || a->wake_due_us != UINT64_MAX)
 		return;
-	a->wake_due_us = MAX(now_us, a->woken_us + REDRAW_GAP_MS * US_PER_MS);
+	a->wake_due_us = MAX(now_us, a->woken_us + REDRAW_MS * US_PER_MS);
 	allowance_start_timer(a, now_us);
 }
 
@@ -259,6 +269,11 @@
 		a->wake_due_us = UINT64_MAX;
 		a->woken_us = now_us;
 		a->last_redraw_us = 0;
+		/* Those that go on waiting come behind the others. */
+		for (GList *l = a->waiting.head; l != NULL; l = l->next) {
+			own = l->data;
+			own->redraw_us = now_us;
+		}
 	}
 	while (left-- > 0 && (own = g_queue_peek_head(&a->waiting)) != NULL &&
 	    (all || own->redraw_us <= now_us))
--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -165,12 +165,15 @@
 schedule_ask(struct exchange *x, bool repeat)
 {
 	struct flow *flow = x->flow;
-	struct peer_entry *scheduler = fleet_scheduler(flow, x->service);
-	uint64_t away_us = away_service_left_us(x->service);
+	struct peer_entry *scheduler;
+	uint64_t away_us;
 
 	schedule_cancel(x);
 	if (!allowance_begin(x))
 		return;
+	part_update(x);
+	scheduler = fleet_scheduler(flow, x->service);
+	away_us = away_service_left_us(x->service);
 	x->held = false;
 	x->ask_repeat = repeat;
 	x->ask_tries = 0;
@@ -223,6 +226,7 @@
 	x->ask_id = 0;
 	x->scheduler_done = false;
 	x->ask_rejected = false;
+	x->ask_repeated = false;
 }
 
 /*
@@ -237,6 +241,7 @@
 	struct peer_entry *peer_entry;
 
 	if (x->ask_tries++ < 1) {
+		x->ask_repeated = true;
 		send_ask(x, x->ask_repeat);
 		uv_timer_start(timer, on_answer_timeout, ANSWER_TIMEOUT_MS, 0);
 		return;
@@ -345,8 +350,8 @@
 
 	if (x == NULL)
 		return;
-	x->scheduler_done = true;
-	x->ask_rejected = true;
+	/* A repetition that crosses the rejection is placed as a new call. */
+	x->scheduler_done = x->ask_rejected = !x->ask_repeated;
 	part_on_load(x->service, reject->load);
 	if (reject->reason == REJECT_NO_ROOM && part_move(x))
 		return;
--- a/test/unit/test_flow_allowance.c
+++ b/test/unit/test_flow_allowance.c
@@ -11,7 +11,7 @@
 #include <cmocka.h>
 
 #include "flow/flow_allowance.h"
-#include "support_flow.h"
+#include "support_flow_peer.h"
 
 static struct account account = {
     .name = (char *)"acct",
@@ -295,6 +295,104 @@
 	return x->allowance->wait_end_us - x->allowance->wait_since_us;
 }
 
+/*
+ * Guards against 503 after a wait in which the service was split: the request
+ * asked for a target of the whole service, which has none any more.
+ */
+static void
+a_wait_ends_at_a_current_part(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct voter voter;
+	struct exchange *x = open_waiting(&fixture, &voter);
+	Fleet__DrawResult result = FLEET__DRAW_RESULT__INIT;
+
+	wait_for(&fixture, &voter.draws, 2);
+	flow_fixture_announce_many(&fixture, 0, 100);
+	assert_int_equal(fleet_service_size(fixture.flow, "svc")->parts, 2);
+	/* At once: probes find that nothing listens at the new ones. */
+	result.request = voter.request;
+	result.granted = 1;
+	allowance_on_result(fixture.flow, &result);
+	assert_int_equal(x->attempt_count, 1);
+	assert_int_equal(x->service->parts, 2);
+	close_limited(&fixture, &voter, x);
+}
+
+/*
+ * Guards against a draw of each request that waits with each answer of a voter:
+ * all of them draw at most once in 100 ms for that.
+ */
+static void
+wakes_are_bounded(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct voter voter;
+	struct exchange *x = open_waiting(&fixture, &voter);
+	struct flow_allowance *a = fixture.flow->allowance;
+
+	a->woken_us = clock_boot_us();
+	allowance_wake(fixture.flow, a->woken_us + 1);
+	assert_int_equal(a->wake_due_us - a->woken_us, 100 * US_PER_MS);
+	close_limited(&fixture, &voter, x);
+}
+
+/*
+ * Guards against a request that waits until its objective without a granted
+ * target, and is then sent although it must be late.
+ */
+static void
+a_wait_leaves_time_for_the_work(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct voter voter;
+	struct exchange *x = open_limited(&fixture, &voter);
+	struct placement_model model = {
+	    .route_count = 1,
+	    .route = {x->route->id},
+	    .work_us = {300 * 1000},
+	};
+
+	placement_adopt_model(x->service->placement, &model);
+	allowance_draws_expire_voters(
+	    fixture.flow->allowance->draws, clock_boot_us() + 60 * US_PER_S);
+	x->objective_us = flow_now_us(fixture.flow) + 400 * US_PER_MS;
+	schedule_ask(x, false);
+	assert_int_equal(fixture.flow->allowance->waiting.length, 1);
+	assert_true(x->allowance->wait_end_us - x->allowance->wait_since_us <=
+	    100 * US_PER_MS);
+	close_limited(&fixture, &voter, x);
+}
+
+/*
+ * Guards against a wait that grows by the time of each silent voter.
+ */
+static void
+no_further_voter_is_asked_after_the_wait(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct voter voter;
+	struct exchange *x = open_waiting(&fixture, &voter);
+	GHashTable *controls = fixture.flow->controls;
+	char other[] = "other";
+
+	/* The same control instance as a second voter. */
+	assert_int_not_equal(
+	    allowance_draws_name_voter(
+		fixture.flow->allowance->draws, other, clock_boot_us()),
+	    ALLOWANCE_VOTERS_MAX);
+	g_hash_table_insert(controls, other,
+	    g_hash_table_lookup(controls, voter.control.address));
+	wait_for(&fixture, &voter.draws, 2);
+	x->allowance->wait_end_us = clock_boot_us();
+	wait_for_end(&fixture, x);
+	flow_fixture_run(&fixture, 20);
+	assert_int_equal(voter.draws, 2);
+	assert_memory_equal(x->out.data, "HTTP/1.1 503", 12);
+	assert_true(g_hash_table_steal(controls, other));
+	close_limited(&fixture, &voter, x);
+}
+
 /*
  * Guards against a wait for more than a fifth of the caller's time, or beyond
  * the request's objective, and against 429 at its end.
@@ -426,6 +524,43 @@
 	close_limited(&fixture, &voter, NULL);
 }
 
+/*
+ * Guards against the use of an account that a request on a public route has
+ * lost: the entry crashed when the request began to wait for a voter.
+ */
+static void
+a_public_request_goes_on_without_a_withdrawn_key(void **state ATTR_UNUSED)
+{
+	struct flow_fixture fixture;
+	struct flow_peer peer;
+	struct voter voter;
+	struct exchange *x = open_limited(&fixture, &voter);
+	struct routes *next = routes_new(2);
+
+	flow_peer_open(&peer, &fixture);
+	x->route->public = true;
+	schedule_ask(x, false);
+	flow_peer_wait_ask(&peer, x);
+	wait_for(&fixture, &voter.draws, 1);
+	next->accounts = accounts_new();
+	routes_put(fixture.flow->routes);
+	fixture.flow->routes = next;
+	flow_peer_grant(&peer, x, "t1", 0);
+	assert_int_equal(x->attempt_count, 0);
+	/* It is asked for again, without the account. */
+	flow_peer_wait_ask(&peer, x);
+	send_result(&voter, 0, 0, true);
+	flow_fixture_run(&fixture, 50);
+	assert_null(x->account);
+	assert_null(x->allowance);
+	assert_int_equal(fixture.flow->allowance->waiting.length, 0);
+	assert_int_equal(peer.ask->ask->account, 0);
+	flow_peer_grant(&peer, x, "t1", 0);
+	assert_int_equal(x->attempt_count, 1);
+	flow_peer_close(&peer);
+	close_limited(&fixture, &voter, x);
+}
+
 /*
  * Guards against a cost for documents without accounts.
  */
@@ -454,11 +589,16 @@
 	    cmocka_unit_test(an_empty_account_is_refused_at_once),
 	    cmocka_unit_test(a_request_waits_for_a_voter),
 	    cmocka_unit_test(a_grant_to_another_request_ends_the_wait),
+	    cmocka_unit_test(a_wait_ends_at_a_current_part),
+	    cmocka_unit_test(wakes_are_bounded),
+	    cmocka_unit_test(a_wait_leaves_time_for_the_work),
+	    cmocka_unit_test(no_further_voter_is_asked_after_the_wait),
 	    cmocka_unit_test(a_wait_ends_in_time),
 	    cmocka_unit_test(a_stop_ends_the_wait),
 	    cmocka_unit_test(the_requests_that_wait_are_bounded),
 	    cmocka_unit_test(a_silent_voter_is_no_refusal),
 	    cmocka_unit_test(the_token_of_an_unsent_request_is_returned),
+	    cmocka_unit_test(a_public_request_goes_on_without_a_withdrawn_key),
 	    cmocka_unit_test(without_a_limit_nothing_is_drawn),
 	};
 
