Test the limit of second sends with two schedulers

Two schedulers of one service share its requests, and one of them is lost at random times (once in 1, 2 or 4 s on average). After each millisecond all second sends together must be at most the share (0.01 to 0.2) of all answers, also with all targets slow for 2 s.

--- a/test/unit/test_placement_hedge.c
+++ b/test/unit/test_placement_hedge.c
@@ -48,6 +48,39 @@
 	}
 }
 
+/*
+ * Two schedulers of one service, of which one is lost at random times: its
+ * successor begins without credit, and nobody gets credit for what the lost
+ * one has granted.  Guards against a share that holds for each scheduler but
+ * not for their sum.  Checked after each millisecond.
+ */
+static void
+share_holds_for_two_schedulers(void **state ATTR_UNUSED)
+{
+	static const double shares[] = {0.01, 0.02, 0.05, 0.2};
+	unsigned hedges = 0;
+	unsigned losses = 0;
+
+	for (uint64_t seed = 1; seed <= 6 * SEEDS; seed++) {
+		const struct hedge_load load = {.policy = HEDGE_POLICY_RULE,
+		    .share = shares[seed % 4],
+		    .per_s = 50 + 50 * (double)(seed / 4 % 3),
+		    .stuck = 0.1,
+		    .all_slow_ms = seed / 12 % 2 == 1 ? 10000 : 0,
+		    .all_slow_end_ms = 12000,
+		    .lost_ms = 1000 << seed % 3};
+		struct hedge_load_result o = hedge_load_replay(&load, seed);
+
+		assert_int_equal(o.exceeded, 0);
+		assert_true(o.answered > o.requests / 2);
+		hedges += o.hedges;
+		losses += o.losses;
+	}
+	/* The property says nothing without them. */
+	assert_true(losses > 100);
+	assert_true(hedges > 300);
+}
+
 /*
  * Second sends of a service whose targets are all slow would slow them further.
  */
@@ -119,6 +152,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(share_holds_over_replaced_schedulers),
+	    cmocka_unit_test(share_holds_for_two_schedulers),
 	    cmocka_unit_test(no_second_sends_without_idle_room),
 	    cmocka_unit_test(no_second_sends_where_not_allowed),
 	    cmocka_unit_test(quantile_is_learnt),
