--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -225,6 +225,8 @@
                       "retry_slack=62,ttl_max_s=5,probe_per_s=60" %
                       self.bed.grace_s,
         }
+        if self.bed.hedge_share is not None:
+            lines["bounds"] += ",hedge_share=%g" % self.bed.hedge_share
         if role == "core" and self.disk:
             lines["data_dir"] = self.data
         path = os.path.join(self.folder, role + ".conf")
@@ -288,6 +290,7 @@
                  memory_mb=260, max_fds=1024, relays=0):
         self.memory_mb = memory_mb
         self.max_fds = max_fds
+        self.hedge_share = None
         self.heartbeat_ms = heartbeat_ms
         self.grace_s = grace_s
         self.folder = tempfile.mkdtemp(prefix="gypsummill-platform-")
