Allowances: tokens that are returned do not add to new ones of one moment

A bucket bounds its level and the live tokens together, whatever their age. With returns of old tokens, all that it allows could be granted at one moment: 115 tokens of a share of 100 a second with a capacity of 100 and a window of 1 s. If the process ends just then, the next one fills its bucket while all of them are live, and a window that starts before they expire may get what accrues in the life of a token in addition. The argument in docs/design/allowances.md did not cover this.

At a return the bucket now checks the same bound for each shorter time, and cuts its level.

--- a/src/limit/allowance_bucket.c
+++ b/src/limit/allowance_bucket.c
@@ -138,6 +138,35 @@
 	bucket->level = fmax(fmin(bucket->level, fmin(full, with_live)), 0);
 }
 
+/*
+ * Cuts the level so that for any time until now, the tokens drawn since and the
+ * level together do not exceed the capacity, what accrues in that time, and
+ * ALLOWANCE_EXCESS.  Only a return can lead beyond that.  After a restart the
+ * live tokens are unknown, and the bucket fills while they expire one by one:
+ * their ages matter then.
+ */
+static void
+cut_level_by_age(
+    const struct allowance_table *table, struct bucket *bucket, uint64_t now_us)
+{
+	double room =
+	    capacity(table, bucket) + ALLOWANCE_EXCESS / table->shares;
+	unsigned live = 0;
+
+	for (const GList *node = bucket->draws.tail; node != NULL;
+	     node = node->prev) {
+		const struct recent_draw *draw = node->data;
+
+		live += draw->live;
+		bucket->level = fmin(bucket->level,
+		    room +
+			share_rate(table, bucket) *
+			    seconds(now_us - draw->at_us) -
+			live);
+	}
+	bucket->level = fmax(bucket->level, 0);
+}
+
 /*
  * Forgets draws whose tokens are no longer live, and adds what has accrued.
  */
@@ -285,6 +314,7 @@
 	bucket->spare -= spare;
 	bucket->level += count;
 	cut_level(table, bucket);
+	cut_level_by_age(table, bucket, now_us);
 	return count;
 }
 
--- a/test/unit/test_allowance.c
+++ b/test/unit/test_allowance.c
@@ -98,6 +98,37 @@
 	allowance_table_free(table);
 }
 
+/*
+ * Guards against a share that grants more at one moment than its capacity and
+ * the excess, since old tokens were returned for it: if its process ends then,
+ * the next one fills its bucket while all of them are still live.
+ */
+static void
+returned_tokens_do_not_add_to_new_ones(void **state ATTR_UNUSED)
+{
+	/* A token lives for 100 ms, in which 10 accrue. */
+	struct allowance_table *table = allowance_table_new(1, US_PER_S, 0);
+	uint64_t now = 10 * US_PER_S;
+	unsigned fresh = 0;
+
+	for (uint64_t round = 1; round <= 6; round++) {
+		unsigned old = fresh;
+
+		now += 99 * US_PER_MS;
+		for (fresh = 0; fresh < 15; fresh++)
+			assert_int_equal(draw(table, 100, 100, 1,
+					     round * 1000 + fresh, 1, now),
+			    1);
+		for (unsigned i = 0; i < old; i++)
+			(void)allowance_table_return(
+			    table, "a", 1, (round - 1) * 1000 + i, 1, now);
+	}
+	while (draw(table, 100, 100, 1, 9000 + fresh, 1, now) == 1)
+		fresh++;
+	assert_in_range(fresh, 100, 100 + ALLOWANCE_EXCESS);
+	allowance_table_free(table);
+}
+
 /*
  * Guards against spare tokens beyond a quarter of the rest, or beyond the sum
  * that may be unspent at a time.
@@ -267,6 +298,7 @@
 	    cmocka_unit_test(a_bucket_holds_what_has_accrued_since_the_start),
 	    cmocka_unit_test(the_limit_of_the_newest_document_counts),
 	    cmocka_unit_test(a_token_is_returned_once_and_in_time),
+	    cmocka_unit_test(returned_tokens_do_not_add_to_new_ones),
 	    cmocka_unit_test(spare_tokens_are_few),
 	    cmocka_unit_test(an_entry_uses_each_token_once_and_in_time),
 	    cmocka_unit_test(all_voters_are_asked_before_a_refusal),
