Allowances: buckets can start at a floor after a restart (decision and model)

After a restart a bucket starts with one token and loses the burst, which the callers need who return at once. limit/allowance_floor decides on floors: levels that a bucket does not go below while a file may say so. A floor is half of the capacity, raised when the level was at three quarters for a second, lowered to none when a draw finds or leaves less than five eighths. Only what is above the highest floor that may be on disk is granted; a write that fails or stalls leaves the other half of the capacity to grant the rate from. Nothing writes the file yet: control behaves as before.

--- a/src/limit/allowance_bucket.c
+++ b/src/limit/allowance_bucket.c
@@ -2,49 +2,23 @@
 
 #include <math.h>
 
-#include <glib.h>
-
 #include "base/clock.h"
 #include "base/memory.h"
+#include "limit/allowance_bucket_defs.h"
 
 enum {
 	UNUSED_KEPT_MS = 10 * 60 * 1000,
 	/* Draws of a bucket that are remembered; later ones wait for room. */
 	DRAWS_MAX = 4096,
 	/* At most one of this many remaining tokens is a spare one. */
-	SPARE_PART = 4
+	SPARE_PART = 4,
+	/* About as long as a write of lower floors takes. */
+	FLOOR_RETRY_MS = 100
 };
 
 /* Spare tokens that may be unspent at a time, of a share of the window. */
 static const double spare_ratio = 0.02;
 
-/* A draw whose tokens may still be used or returned. */
-struct recent_draw {
-	uint64_t holder;
-	uint64_t request;
-	uint64_t at_us;
-	unsigned live; /* granted and not returned */
-	unsigned spare; /* of live */
-};
-
-struct bucket {
-	struct allowance_limit limit;
-	double level;
-	uint64_t updated_us; /* time of level */
-	uint64_t used_us;
-	GQueue draws; /* struct recent_draw, oldest first */
-	unsigned live; /* sums over draws */
-	unsigned spare;
-};
-
-struct allowance_table {
-	GHashTable *buckets; /* account -> struct bucket */
-	double shares;
-	uint64_t window_us;
-	uint64_t token_us;
-	uint64_t started_us;
-};
-
 /*
  * Returns the life of a token: short against the window, since what lives
  * longer than its window adds to the next one.
@@ -75,6 +49,8 @@
 
 	table->buckets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, bucket_free);
+	table->floors =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, mem_free);
 	table->shares = shares > 0 ? shares : 1;
 	table->window_us = window_us;
 	table->token_us = allowance_token_us(window_us);
@@ -91,15 +67,18 @@
 	if (table == NULL)
 		return;
 	g_hash_table_destroy(table->buckets);
+	g_hash_table_destroy(table->floors);
 	mem_free(table);
 }
 
 /*
- * Forgets what was granted, as after a start.
+ * Forgets what was granted, as after a start without a file.  What the file may
+ * hold is not valid any more, and withheld until it has been removed.
  */
 void
 allowance_table_reset(struct allowance_table *table, uint64_t now_us)
 {
+	allowance_table_keep_floors(table);
 	g_hash_table_remove_all(table->buckets);
 	table->started_us = now_us;
 }
@@ -110,8 +89,12 @@
 	return bucket->limit.rate_per_s / table->shares;
 }
 
-static double
-capacity(const struct allowance_table *table, const struct bucket *bucket)
+/*
+ * Returns the capacity of a bucket in tokens.
+ */
+double
+allowance_bucket_capacity(
+    const struct allowance_table *table, const struct bucket *bucket)
 {
 	return fmax(
 	    fmax(bucket->limit.burst, ALLOWANCE_CAPACITY_MIN) / table->shares,
@@ -130,7 +113,7 @@
 static void
 cut_level(const struct allowance_table *table, struct bucket *bucket)
 {
-	double full = capacity(table, bucket);
+	double full = allowance_bucket_capacity(table, bucket);
 	double with_live = full +
 	    share_rate(table, bucket) * seconds(table->token_us) +
 	    ALLOWANCE_EXCESS / table->shares - bucket->live;
@@ -149,8 +132,8 @@
 cut_level_by_age(
     const struct allowance_table *table, struct bucket *bucket, uint64_t now_us)
 {
-	double room =
-	    capacity(table, bucket) + ALLOWANCE_EXCESS / table->shares;
+	double room = allowance_bucket_capacity(table, bucket) +
+	    ALLOWANCE_EXCESS / table->shares;
 	unsigned live = 0;
 
 	for (const GList *node = bucket->draws.tail; node != NULL;
@@ -170,8 +153,8 @@
 /*
  * Forgets draws whose tokens are no longer live, and adds what has accrued.
  */
-static void
-update(
+void
+allowance_bucket_update(
     const struct allowance_table *table, struct bucket *bucket, uint64_t now_us)
 {
 	struct recent_draw *draw;
@@ -209,6 +192,7 @@
 	bucket->limit = *limit;
 	bucket->level = 1;
 	bucket->updated_us = table->started_us;
+	allowance_bucket_take_floor(table, account, bucket);
 	g_queue_init(&bucket->draws);
 	g_hash_table_insert(table->buckets, g_strdup(account), bucket);
 	return bucket;
@@ -227,13 +211,41 @@
 		    bucket->limit.burst) /
 		table->shares +
 	    1 - bucket->spare;
-	double most = fmin(allowed, bucket->level / SPARE_PART);
+	double most = fmin(
+	    allowed, allowance_bucket_available(table, bucket) / SPARE_PART);
 
 	if (most < 1)
 		return 0;
 	return most < want - 1 ? (unsigned)most : want - 1;
 }
 
+/*
+ * Notes for the next write of floors what a draw has left or found.
+ */
+static void
+note_level(struct allowance_table *table, struct bucket *bucket)
+{
+	if (allowance_floor_on_draw(&bucket->floor, bucket->level,
+		allowance_bucket_capacity(table, bucket)))
+		table->floors_due = true;
+}
+
+/*
+ * Returns the time until the next token accrues, in microseconds; less if only
+ * the floor withholds it, which is being lowered.
+ */
+static uint64_t
+retry_us(const struct allowance_table *table, const struct bucket *bucket)
+{
+	double missing = fmax(1 - allowance_bucket_available(table, bucket), 0);
+	double wait = missing / share_rate(table, bucket);
+	uint64_t us = wait < seconds(3600 * US_PER_S)
+	    ? (uint64_t)ceil(wait * US_PER_S) + 1
+	    : 3600 * US_PER_S;
+
+	return bucket->level >= 1 ? MIN(us, FLOOR_RETRY_MS * US_PER_MS) : us;
+}
+
 /*
  * Draws tokens.  The limit of the newest document counts.
  */
@@ -249,21 +261,17 @@
 	if (bucket == NULL)
 		return (struct allowance_result){.unavailable = true};
 	/* What has accrued until now accrued at the earlier rate. */
-	update(table, bucket, now_us);
+	allowance_bucket_update(table, bucket, now_us);
 	if (limit->document_index > bucket->limit.document_index) {
 		bucket->limit = *limit;
 		cut_level(table, bucket);
 	}
 	bucket->used_us = now_us;
-	if (bucket->level < 1 || want == 0 ||
+	if (allowance_bucket_available(table, bucket) < 1 || want == 0 ||
 	    g_queue_get_length(&bucket->draws) >= DRAWS_MAX) {
-		double missing = fmax(1 - bucket->level, 0);
-		double wait = missing / share_rate(table, bucket);
-
+		note_level(table, bucket);
 		return (struct allowance_result){
-		    .retry_us = wait < seconds(3600 * US_PER_S)
-			? (uint64_t)ceil(wait * US_PER_S) + 1
-			: 3600 * US_PER_S,
+		    .retry_us = retry_us(table, bucket),
 		};
 	}
 	bucket->level -= 1;
@@ -280,6 +288,7 @@
 	g_queue_push_tail(&bucket->draws, draw);
 	bucket->live += draw->live;
 	bucket->spare += spare;
+	note_level(table, bucket);
 	return (struct allowance_result){.granted = draw->live};
 }
 
@@ -296,7 +305,7 @@
 
 	if (bucket == NULL)
 		return 0;
-	update(table, bucket, now_us);
+	allowance_bucket_update(table, bucket, now_us);
 	for (GList *node = bucket->draws.tail; node != NULL && draw == NULL;
 	     node = node->prev) {
 		struct recent_draw *one = node->data;
@@ -331,10 +340,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct bucket *bucket = value;
 
-		if (now_us - bucket->used_us < UNUSED_KEPT_MS * US_PER_MS)
+		/* What may be on disk of it must not be forgotten. */
+		if (bucket->floor.held > 0 ||
+		    now_us - bucket->used_us < UNUSED_KEPT_MS * US_PER_MS)
 			continue;
-		update(table, bucket, now_us);
-		if (bucket->level >= capacity(table, bucket))
+		allowance_bucket_update(table, bucket, now_us);
+		if (bucket->level >= allowance_bucket_capacity(table, bucket))
 			g_hash_table_iter_remove(&iter);
 	}
 }
--- a/src/limit/allowance_bucket.h
+++ b/src/limit/allowance_bucket.h
@@ -2,7 +2,8 @@
  * Decisions of a voter of the control group on the allowances of client
  * accounts.  Each of the voters holds an equal share of an account's rate and
  * burst in a token bucket and never asks another one, so that the sum holds
- * whatever is cut off.  The state is lost at a restart.
+ * whatever is cut off.
+ * Of the state only floors outlive a restart.
  *
  * A token that was granted is live until it is used, returned or
  * ALLOWANCE_TOKEN_MS old.  A bucket counts the tokens that it granted within
@@ -18,6 +19,7 @@
 #include <stdint.h>
 
 #include "base/attr.h"
+#include "limit/allowance_floor.h"
 
 enum {
 	/* Longest life of a token, from the question to its use or return. */
@@ -62,7 +64,7 @@
 struct allowance_table *
 allowance_table_new(unsigned shares, uint64_t window_us, uint64_t now_us);
 void allowance_table_free(struct allowance_table *table);
-/* Forgets all buckets; they start again with one token. */
+/* Forgets all buckets; they start again with one token, without floors. */
 void allowance_table_reset(
     struct allowance_table *table, uint64_t now_us) ATTR_NONNULL_ALL;
 /*
@@ -79,6 +81,23 @@
 unsigned allowance_table_return(struct allowance_table *table,
     const char *account, uint64_t holder, uint64_t request, unsigned count,
     uint64_t now_us) ATTR_NONNULL_ALL;
+/*
+ * Takes over the floors of a file, before any draw.  They are withheld, and
+ * buckets start at them once allowance_table_use_floors() says that they are
+ * valid: the share is the one that it was when the file was written.
+ */
+void allowance_table_load_floors(
+    struct allowance_table *table, const GPtrArray *lines) ATTR_NONNULL_ALL;
+void allowance_table_use_floors(struct allowance_table *table) ATTR_NONNULL_ALL;
+/*
+ * Returns the lines of a write that is due now, possibly none, and counts them
+ * as being written; NULL if the file would not change.
+ */
+GPtrArray *allowance_table_begin_write(
+    struct allowance_table *table, uint64_t now_us) ATTR_NONNULL_ALL;
+/* The write that began last has ended, before the next one begins. */
+void allowance_table_end_write(struct allowance_table *table,
+    enum allowance_write outcome) ATTR_NONNULL_ALL;
 /* Discards buckets that are full and have not been used for ten minutes. */
 void allowance_table_sweep(
     struct allowance_table *table, uint64_t now_us) ATTR_NONNULL_ALL;
--- a/test/benchmark/bench_allowance.c
+++ b/test/benchmark/bench_allowance.c
@@ -2,6 +2,7 @@
  * Prints how much of an account's allowance can be used, and how many windows
  * are above the bound, by pattern of demand and faults, in virtual time.
  */
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,12 +18,16 @@
 	    : 5;
 	unsigned above = 0;
 
-	printf("%-24s %9s %9s %9s %7s %7s %7s %9s %6s\n", "pattern",
+	printf("%-24s %9s %9s %9s %7s %7s %7s %9s %6s %6s\n", "pattern",
 	    "least use", "windows", "above", "most", "bound", "unknown",
-	    "asks/req", "soon");
+	    "asks/req", "soon", "first");
 	for (const struct allowance_model *m = allowance_models;
 	     m->name != NULL; m++) {
-		struct allowance_outcome sum = {.usable = 10, .soon = 10};
+		struct allowance_outcome sum = {
+		    .usable = 10,
+		    .soon = 10,
+		    .first = UINT_MAX,
+		};
 
 		for (unsigned seed = 1; seed <= seeds; seed++) {
 			struct allowance_outcome o =
@@ -31,6 +36,7 @@
 			sum.usable =
 			    o.usable < sum.usable ? o.usable : sum.usable;
 			sum.soon = o.soon < sum.soon ? o.soon : sum.soon;
+			sum.first = o.first < sum.first ? o.first : sum.first;
 			sum.windows += o.windows;
 			sum.above += o.above;
 			sum.most = o.most > sum.most ? o.most : sum.most;
@@ -40,10 +46,10 @@
 			sum.sent += o.sent;
 		}
 		above += sum.above;
-		printf("%-24s %9.3f %9u %9u %7u %7.0f %7u %9.2f %6.3f\n",
+		printf("%-24s %9.3f %9u %9u %7u %7.0f %7u %9.2f %6.3f %6u\n",
 		    m->name, sum.usable, sum.windows, sum.above, sum.most,
 		    sum.bound, sum.unknown, (double)sum.draws / sum.sent,
-		    sum.soon);
+		    sum.soon, sum.first);
 	}
 	return above == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/test/unit/support_allowance.c
+++ b/test/unit/support_allowance.c
@@ -103,6 +103,9 @@
 		send_message(w, &message, true);
 		return;
 	case ALLOWANCE_GRANTED:
+		if (w->first_grant_ms != 0 &&
+		    w->now_ms < w->first_grant_ms + FIRST_MS)
+			w->outcome.first++;
 		if (w->first_grant_ms != 0 &&
 		    w->now_ms >= w->first_grant_ms + SOON_FROM_MS &&
 		    request->sent_ms < w->first_grant_ms + SOON_FROM_MS)
@@ -309,6 +312,7 @@
 
 	w->model = model;
 	random_seed(&w->random, seed);
+	random_seed(&w->disk_random, seed + 1000);
 	w->limit = (struct allowance_limit){model->rate_per_s, model->burst, 1};
 	w->runs = g_array_new(FALSE, FALSE, sizeof(struct run_time));
 	for (unsigned e = 0; e < ALLOWANCE_MODEL_ENTRIES; e++)
@@ -348,6 +352,8 @@
 	for (unsigned v = 0; v < ALLOWANCE_MODEL_VOTERS; v++) {
 		free_inbox(&w->voters[v].node);
 		allowance_table_free(w->voters[v].table);
+		str_buf_free(&w->voters[v].disk.file);
+		str_buf_free(&w->voters[v].disk.next);
 	}
 	g_queue_clear_full(&w->visits, mem_free);
 	g_array_free(w->runs, TRUE);
@@ -470,10 +476,12 @@
 		allowance_model_restart(w);
 		draw_return_visits(w);
 		draw_arrivals(w);
-		for (unsigned v = 0; v < ALLOWANCE_MODEL_VOTERS; v++)
-			if (w->voters[v].node.frozen_until_ms <= w->now_ms)
-				read_inbox(
-				    w, &w->voters[v].node, on_voter_message);
+		for (unsigned v = 0; v < ALLOWANCE_MODEL_VOTERS; v++) {
+			if (w->voters[v].node.frozen_until_ms > w->now_ms)
+				continue;
+			allowance_model_disk_tick(w, &w->voters[v]);
+			read_inbox(w, &w->voters[v].node, on_voter_message);
+		}
 		for (unsigned e = 0; e < ALLOWANCE_MODEL_ENTRIES; e++)
 			run_entry(w, e);
 	}
--- a/test/unit/support_allowance.h
+++ b/test/unit/support_allowance.h
@@ -23,6 +23,15 @@
 	ALLOWANCE_RESTART_VOTERS /* all voters, every 2 s */
 };
 
+/* Where the voters keep their floors. */
+enum allowance_disk {
+	ALLOWANCE_DISK_NONE,
+	ALLOWANCE_DISK_GOOD,
+	ALLOWANCE_DISK_BAD, /* late, stalled, failing and torn writes */
+	/* After a restart the file holds a floor of half of the burst. */
+	ALLOWANCE_DISK_PLANTED
+};
+
 struct allowance_model {
 	const char *name;
 	double rate_per_s;
@@ -41,6 +50,7 @@
 	enum allowance_restart restart; /* refused callers come back then */
 	/* Voters wait after a restart, and buckets fill only then. */
 	bool earlier_rules;
+	enum allowance_disk disk;
 };
 
 struct allowance_outcome {
@@ -63,6 +73,7 @@
 	unsigned soon_refused;
 	unsigned soon_earlier; /* sent before, and granted then */
 	unsigned soon_asked;
+	unsigned first; /* granted in the second after the first grant */
 	double soon; /* served, of the smaller of asked and allowance */
 };
 
--- a/test/unit/support_allowance_defs.h
+++ b/test/unit/support_allowance_defs.h
@@ -19,7 +19,8 @@
 	UNKNOWN_RETRY_MS = 500,
 	/* When allowances must be usable after the first grant. */
 	SOON_FROM_MS = 1000,
-	SOON_MS = 2000
+	SOON_MS = 2000,
+	FIRST_MS = 1000 /* the second after the first grant */
 };
 
 struct message {
@@ -60,9 +61,18 @@
 	GQueue arrivals; /* sent_ms of requests while frozen */
 };
 
+/* The file of a voter's floors. */
+struct disk {
+	struct str_buf file; /* empty: none */
+	struct str_buf next; /* of the write under way */
+	uint64_t ends_ms; /* of that write; 0: none is under way */
+	uint64_t next_write_ms;
+};
+
 struct voter {
 	struct node node;
 	struct allowance_table *table;
+	struct disk disk;
 	uint64_t grants_from_ms;
 	uint64_t grants_until_ms;
 	uint64_t table_from_ms; /* when its buckets begin to fill; 0: now */
@@ -82,6 +92,7 @@
 struct world {
 	const struct allowance_model *model;
 	struct random random;
+	struct random disk_random; /* so that disks do not change the rest */
 	struct allowance_limit limit;
 	uint64_t now_ms;
 	struct entry entries[ALLOWANCE_MODEL_ENTRIES];
@@ -114,4 +125,10 @@
 /* Restarts processes as the model says. */
 void allowance_model_restart(struct world *w);
 
+/* support_allowance_disk.c */
+/* Begins and ends the writes of a voter. */
+void allowance_model_disk_tick(struct world *w, struct voter *voter);
+/* Ends a process, and starts the next one with what the disk holds. */
+void allowance_model_new_table(struct world *w, struct voter *voter);
+
 #endif
--- a/test/unit/support_allowance_faults.c
+++ b/test/unit/support_allowance_faults.c
@@ -61,7 +61,7 @@
 		break;
 	case 2: /* one voter restarts; its connections are lost */
 		g_queue_clear_full(&w->voters[v].node.inbox, mem_free);
-		allowance_table_reset(w->voters[v].table, now_us(w));
+		allowance_model_new_table(w, &w->voters[v]);
 		break;
 	case 3: /* each half is cut off from other voters */
 		for (unsigned i = 0; i < ALLOWANCE_MODEL_ENTRIES; i++) {
@@ -163,6 +163,6 @@
 		    w->now_ms < voter->table_from_ms)
 			continue;
 		voter->table_from_ms = 0;
-		allowance_table_reset(voter->table, now_us(w));
+		allowance_model_new_table(w, voter);
 	}
 }
--- a/test/unit/test_allowance.c
+++ b/test/unit/test_allowance.c
@@ -272,7 +272,7 @@
 {
 	const struct allowance_model whole = {"whole rate at each voter", 100,
 	    50, 5000, 7, 141, 0, 10, 0, 0, false, 0, 1, ALLOWANCE_RESTART_NONE,
-	    false};
+	    false, ALLOWANCE_DISK_GOOD};
 
 	assert_true(allowance_model_run(&whole, 1).above > 0);
 }
@@ -286,7 +286,7 @@
 {
 	const struct allowance_model all = {"all restart, earlier rules", 100,
 	    50, 5000, 0.6, 141, 0, 20, 0, 0, false, 0, 0, ALLOWANCE_RESTART_ALL,
-	    true};
+	    true, ALLOWANCE_DISK_NONE};
 
 	assert_true(allowance_model_run(&all, 1).soon < 0.95);
 }
