Control: floors of allowances are written, and outlive a restart

core_floors writes the file 'floors' beside 'share', on another thread, at most once in 200 ms and only if a floor has changed. A write that fails removes the file, so that a full disk withholds nothing; if that fails, too, either file counts as present, and the bucket grants its rate from the other half of its capacity. Floors count only if the share is the one that was held before; otherwise the file is removed before 'share' is written, which would make them count after the next restart. core_replace_file() is shared with core_share.

Not measured on a deployment.

--- a/src/core/core_allowance.c
+++ b/src/core/core_allowance.c
@@ -58,6 +58,7 @@
 	a->started_us = clock_boot_us();
 	a->table = allowance_table_new(
 	    a->shares, window_ms * US_PER_MS, a->started_us);
+	core_floors_open(core);
 }
 
 /*
@@ -66,6 +67,7 @@
 void
 core_allowance_close(struct core *core)
 {
+	core_floors_close(core);
 	core_share_close(core);
 	allowance_table_free(core->allowance.table);
 	core->allowance.table = NULL;
@@ -89,6 +91,7 @@
 	a->granting = false;
 	a->wait_us = first ? 0 : SUCCESSION_MS * US_PER_MS;
 	a->share_index = core_share_read(core);
+	core_floors_on_opened(core);
 }
 
 /*
@@ -223,12 +226,16 @@
 		a->granting = held;
 		if (a->wait_us > 0)
 			allowance_table_reset(a->table, now_us);
+		if (held)
+			core_floors_on_granting(
+			    core, a->wait_us == 0 && has_kept_share(core));
 		log_info("allowance_share",
 		    "instance=%s holder=%d shares=%u waited_ms=%" PRIu64,
 		    core->settings.instance, held, a->shares,
 		    a->wait_us / US_PER_MS);
 	}
 	core_share_tick(core, now_us);
+	core_floors_tick(core, now_us);
 	if (now_us < a->next_sweep_us)
 		return;
 	a->next_sweep_us = now_us + SWEEP_MS * US_PER_MS;
--- a/src/core/core_folder.c
+++ b/src/core/core_folder.c
@@ -64,6 +64,38 @@
 	return error == 0 ? STATUS_OK : status_set_errno(STATUS_IO, path);
 }
 
+/*
+ * Replaces a file in a folder durably, or not at all; may run on another
+ * thread.  After a failure the folder may hold either file.
+ */
+bool
+core_replace_file(const char *folder, const char *name, struct str text)
+{
+	char temporary[CORE_PATH_BYTES + 16];
+	char final[CORE_PATH_BYTES + 16];
+	bool good;
+	int fd;
+
+	snprintf(temporary, sizeof(temporary), "%s/%s.new", folder, name);
+	snprintf(final, sizeof(final), "%s/%s", folder, name);
+	fd = open(temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+	good = fd >= 0;
+	while (good && text.len > 0) {
+		ssize_t n = write(fd, text.data, text.len);
+
+		good = n > 0;
+		if (good)
+			text = str_of(text.data + n, text.len - (size_t)n);
+	}
+	good = good && fsync(fd) == 0;
+	if (fd >= 0)
+		(void)close(fd);
+	if (!good)
+		(void)unlink(temporary);
+	return good && rename(temporary, final) == 0 &&
+	    core_sync_folder(folder) == STATUS_OK;
+}
+
 /*
  * Writes the id durably, before the replica is used.
  */
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -84,12 +84,20 @@
 	uint64_t share_index;
 	struct core_share_write *write; /* under way; NULL: none */
 	uint64_t next_write_us;
+	/* The floors in the file may be used; nothing was granted yet. */
+	bool floors_usable;
+	bool floors_read;
+	bool floors_failed; /* the last write of them */
+	struct core_floors_write *floors_write; /* under way; NULL: none */
+	uint64_t next_floors_us;
 	uint64_t next_sweep_us;
 	struct counter *granted;
 	struct counter *refused;
 	struct counter *unavailable;
 	struct counter *returned;
 	struct counter *buckets;
+	struct counter *floors_written;
+	struct counter *floors_not_written;
 };
 
 /* A document with its text. */
@@ -182,6 +190,9 @@
 void
 core_path(const struct core *core, const char *name, char out[CORE_PATH_BYTES]);
 enum status core_sync_folder(const char *path);
+/* Returns whether the file was replaced durably. */
+bool core_replace_file(
+    const char *folder, const char *name, struct str text) ATTR_UNUSED_RESULT;
 enum status
 core_read_id(const struct core *core, uint64_t *id) ATTR_UNUSED_RESULT;
 enum status core_write_id(const struct core *core, uint64_t id);
@@ -288,6 +299,15 @@
 void core_share_tick(struct core *core, uint64_t now_us);
 /* Waits until a write that is under way has ended. */
 void core_share_close(struct core *core);
+/* core_floors.c: the file of levels that buckets have not gone below */
+void core_floors_open(struct core *core);
+void core_floors_close(struct core *core);
+/* A replica was opened: reads its file, once in a process. */
+void core_floors_on_opened(struct core *core);
+/* The share is granted from; kept: as before the restart. */
+void core_floors_on_granting(struct core *core, bool kept);
+/* Writes changed floors on another thread, while the share is granted from. */
+void core_floors_tick(struct core *core, uint64_t now_us);
 /* Whether member number i of info.members holds a share. */
 bool core_allowance_is_holder(const struct core *core, unsigned i);
 void core_on_draw(
--- a/src/core/core_share.c
+++ b/src/core/core_share.c
@@ -3,11 +3,9 @@
  * that it need not wait as a successor after a restart.  A lost or torn file
  * costs that wait.
  */
-#include <fcntl.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
 #include <xxhash.h>
 
@@ -91,24 +89,9 @@
 {
 	struct core_share_write *w = work->data;
 	char text[96];
-	char temporary[CORE_PATH_BYTES + 16];
-	char final[CORE_PATH_BYTES + 16];
-	size_t len;
-	bool good;
-	int fd;
 
 	format(text, sizeof(text), w->replica_id, w->index, w->shares);
-	len = strlen(text);
-	snprintf(
-	    temporary, sizeof(temporary), "%s/%s.new", w->folder, share_file);
-	snprintf(final, sizeof(final), "%s/%s", w->folder, share_file);
-	fd = open(temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
-	good =
-	    fd >= 0 && write(fd, text, len) == (ssize_t)len && fsync(fd) == 0;
-	if (fd >= 0)
-		(void)close(fd);
-	w->failed = !good || rename(temporary, final) != 0 ||
-	    core_sync_folder(w->folder) != STATUS_OK;
+	w->failed = !core_replace_file(w->folder, share_file, str_from(text));
 }
 
 static void
@@ -135,7 +118,8 @@
  * replica that is opened again knows only that its list was in effect at its
  * last snapshot, so that a newer snapshot is a newer index.  The first members
  * have index 0, which stands for no file; they are in effect at the first
- * entry, too, since that is a leader's no-op.
+ * entry, too, since that is a leader's no-op.  Floors of an earlier share are
+ * removed before, since this file says that they count.
  */
 void
 core_share_tick(struct core *core, uint64_t now_us)
@@ -149,7 +133,8 @@
 		index = 1;
 	if (!a->granting || !core->info.members_committed ||
 	    index <= a->share_index || a->write != NULL ||
-	    now_us < a->next_write_us)
+	    now_us < a->next_write_us ||
+	    allowance_table_has_stale_floors(a->table))
 		return;
 	a->next_write_us = now_us + WRITE_RETRY_MS * US_PER_MS;
 	w = mem_calloc(1, sizeof(*w));
--- a/src/limit/allowance_bucket.h
+++ b/src/limit/allowance_bucket.h
@@ -89,6 +89,8 @@
 void allowance_table_load_floors(
     struct allowance_table *table, const GPtrArray *lines) ATTR_NONNULL_ALL;
 void allowance_table_use_floors(struct allowance_table *table) ATTR_NONNULL_ALL;
+bool allowance_table_has_stale_floors(
+    const struct allowance_table *table) ATTR_NONNULL_ALL;
 /*
  * Returns the lines of a write that is due now, possibly none, and counts them
  * as being written; NULL if the file would not change.
--- a/src/limit/allowance_bucket_defs.h
+++ b/src/limit/allowance_bucket_defs.h
@@ -40,6 +40,9 @@
 	 */
 	GHashTable *floors;
 	bool floors_valid; /* buckets may start at them */
+	/* The file may hold floors that were not taken over, nor earned. */
+	bool floors_stale;
+	bool stale_end; /* ends with the write under way */
 	bool floors_due; /* one should be lowered, or a write has failed */
 	uint64_t next_scan_us;
 };
--- a/src/limit/allowance_bucket_floor.c
+++ b/src/limit/allowance_bucket_floor.c
@@ -78,6 +78,7 @@
 
 		keep(table, line->account, &floor);
 	}
+	table->floors_stale = lines->len > 0;
 	table->floors_due = true;
 }
 
@@ -88,6 +89,17 @@
 allowance_table_use_floors(struct allowance_table *table)
 {
 	table->floors_valid = true;
+	table->floors_stale = false;
+}
+
+/*
+ * Returns whether the file may hold floors that count for no bucket: nothing
+ * may say that the share was kept since they were written.
+ */
+bool
+allowance_table_has_stale_floors(const struct allowance_table *table)
+{
+	return table->floors_stale;
 }
 
 /*
@@ -109,6 +121,8 @@
 			keep(table, account, &bucket->floor);
 	}
 	table->floors_valid = false;
+	table->floors_stale = g_hash_table_size(table->floors) > 0;
+	table->stale_end = false;
 	table->floors_due = true;
 }
 
@@ -205,8 +219,10 @@
 		allowance_floor_begin(one->floor, one->wanted);
 	}
 	g_array_free(list, TRUE);
+	table->stale_end = true;
 	if (changed)
 		return lines;
+	table->floors_stale = false;
 	g_ptr_array_unref(lines);
 	return NULL;
 }
@@ -237,4 +253,6 @@
 	}
 	if (outcome == ALLOWANCE_WRITE_UNKNOWN)
 		table->floors_due = true;
+	else if (table->stale_end)
+		table->floors_stale = false;
 }
