--- a/test/unit/support_hedge_load.c
+++ b/test/unit/support_hedge_load.c
@@ -7,17 +7,19 @@
 #include "placement/placement_defs.h"
 
 enum {
-	MS = 1000,
 	TARGETS = 8,
 	SLOTS = 4,
 	REQUESTS = 6000,
 	SCHEDULERS = 2,
 	/* The sign of a start reaches the entry, and its cancel the target. */
-	SIGN_US = 1 * MS,
+	SIGN_US = 1000,
 	PROBE_MS = 50,
-	WORK_US = 100 * MS /* mean */
+	WORK_US = 100 * 1000, /* mean */
+	REPEAT_WINDOW_US = 10 * 1000 * 1000
 };
 
+static const uint64_t us_per_ms = 1000;
+
 struct send_run {
 	int target; /* -1: none */
 	uint64_t sent_us;
@@ -65,9 +67,9 @@
 	const struct hedge_load *load = replay->load;
 
 	return load->all_slow_ms > 0 &&
-	    replay->now_us > load->all_slow_ms * MS &&
+	    replay->now_us > load->all_slow_ms * us_per_ms &&
 	    (load->all_slow_end_ms == 0 ||
-		replay->now_us <= load->all_slow_end_ms * MS);
+		replay->now_us <= load->all_slow_end_ms * us_per_ms);
 }
 
 static void
@@ -88,8 +90,8 @@
 	struct request_run *run = user;
 	struct send_run *send = &run->sends[0];
 	bool slow = all_are_slow(replay);
-	uint64_t took =
-	    (uint64_t)((90 + 20 * random_unit(&replay->random)) * MS);
+	uint64_t took = (uint64_t)((90 + 20 * random_unit(&replay->random)) *
+	    (double)us_per_ms);
 	uint64_t delay = 0;
 
 	if (run->granted && run->sends[0].target < 0 &&
@@ -141,13 +143,13 @@
 	    .reject = on_reject,
 	    .hedge = on_hedge};
 	static const struct repeat_limits limits = {
-	    .ratio = 0.5, .slack = 100, .window_us = 10 * 1000 * MS};
+	    .ratio = 0.5, .slack = 100, .window_us = REPEAT_WINDOW_US};
 	const struct hedge_load *load = replay->load;
 	unsigned generation = scheduler->generation;
 	uint64_t seed = replay->seed;
 
 	if (generation > 0)
-		seed += replay->now_us / MS;
+		seed += replay->now_us / us_per_ms;
 	*scheduler = (struct scheduler){.generation = generation,
 	    .placement =
 		placement_new(&callbacks, &limits, seed, replay->now_us),
@@ -196,8 +198,8 @@
 	const struct placement_request request = {.route = 1,
 	    .idempotent = !load->once,
 	    .sends_left = 1,
-	    .objective_us = run->arrival_us + 5000 * MS,
-	    .deadline_us = run->arrival_us + 8000 * MS,
+	    .objective_us = run->arrival_us + 5000 * us_per_ms,
+	    .deadline_us = run->arrival_us + 8000 * us_per_ms,
 	    .user = run};
 	unsigned at =
 	    load->lost_ms > 0 ? (unsigned)random_below(&replay->faults, 2) : 0;
@@ -247,8 +249,8 @@
 
 		lose_scheduler(s);
 		replay->result.losses++;
-		s->back_us =
-		    replay->now_us + random_below(&replay->faults, 1500 * MS);
+		s->back_us = replay->now_us +
+		    random_below(&replay->faults, 1500 * us_per_ms);
 		for (unsigned i = replay->first; i < replay->count; i++) {
 			struct request_run *run = &replay->runs[i];
 
@@ -302,19 +304,19 @@
 	for (int i = 0; i < 2; i++) {
 		struct send_run *send = &run->sends[i];
 		char name[] = {'t', (char)('0' + send->target), 0};
-		bool late =
-		    replay->now_us - run->arrival_us > HEDGE_LOAD_LATE_MS * MS;
+		bool late = replay->now_us - run->arrival_us >
+		    HEDGE_LOAD_LATE_MS * us_per_ms;
 
 		if (send->target < 0 || send->end_us > replay->now_us)
 			continue;
 		result->answered++;
 		result->late += late ? 1 : 0;
 		result->late_from_send += replay->now_us - run->first_sent_us >
-			HEDGE_LOAD_LATE_MS * MS
+			HEDGE_LOAD_LATE_MS * us_per_ms
 		    ? 1
 		    : 0;
 		if (replay->load->all_slow_end_ms > 0 &&
-		    run->arrival_us > replay->load->all_slow_end_ms * MS)
+		    run->arrival_us > replay->load->all_slow_end_ms * us_per_ms)
 			result->late_after += late ? 1 : 0;
 		if (p != NULL)
 			learn(replay, run, i);
@@ -370,14 +372,14 @@
 
 	switch (replay->load->policy) {
 	case HEDGE_POLICY_DELAY:
-		return took >= HEDGE_LOAD_DELAY_MS * MS;
+		return took >= HEDGE_LOAD_DELAY_MS * us_per_ms;
 	case HEDGE_POLICY_PERCENTILE:
 		return latency_quantile_exceeds(
 		    &s->latency, 0, (double)took, &left);
 	case HEDGE_POLICY_TIED:
 	case HEDGE_POLICY_START:
 	case HEDGE_POLICY_START_WORK:
-		return took <= MS;
+		return took <= us_per_ms;
 	default:
 		return false;
 	}
@@ -445,7 +447,8 @@
 		if (p == NULL)
 			continue;
 		for (int i = 0;
-		     i < TARGETS && replay->now_us / MS % PROBE_MS == 0; i++) {
+		     i < TARGETS && replay->now_us / us_per_ms % PROBE_MS == 0;
+		     i++) {
 			char name[] = {'t', (char)('0' + i), 0};
 			const struct target_load report = {
 			    .running = replay->running[i],
@@ -475,11 +478,11 @@
 	random_seed(&replay->faults, seed + 1000);
 	for (int i = 0; i < (load->lost_ms > 0 ? 2 : 1); i++)
 		open_scheduler(replay, &replay->schedulers[i]);
-	for (replay->now_us = MS;
-	     replay->now_us < (uint64_t)HEDGE_LOAD_SECONDS * 1000 * MS;
-	     replay->now_us += MS) {
+	for (replay->now_us = us_per_ms;
+	     replay->now_us < (uint64_t)HEDGE_LOAD_SECONDS * 1000 * us_per_ms;
+	     replay->now_us += us_per_ms) {
 		if (load->takeover_ms > 0 &&
-		    replay->now_us / MS % load->takeover_ms == 0) {
+		    replay->now_us / us_per_ms % load->takeover_ms == 0) {
 			lose_scheduler(&replay->schedulers[0]);
 			open_scheduler(replay, &replay->schedulers[0]);
 		}
--- a/test/unit/test_placement_hedge.c
+++ b/test/unit/test_placement_hedge.c
@@ -18,7 +18,8 @@
 #include "support_hedge_load.h"
 
 enum {
-	SEEDS = 8
+	SEEDS = 8,
+	LOSS_SEEDS = 48
 };
 
 /*
@@ -61,14 +62,14 @@
 	unsigned hedges = 0;
 	unsigned losses = 0;
 
-	for (uint64_t seed = 1; seed <= 6 * SEEDS; seed++) {
+	for (uint64_t seed = 1; seed <= LOSS_SEEDS; seed++) {
 		const struct hedge_load load = {.policy = HEDGE_POLICY_RULE,
 		    .share = shares[seed % 4],
 		    .per_s = 50 + 50 * (double)(seed / 4 % 3),
 		    .stuck = 0.1,
 		    .all_slow_ms = seed / 12 % 2 == 1 ? 10000 : 0,
 		    .all_slow_end_ms = 12000,
-		    .lost_ms = 1000 << seed % 3};
+		    .lost_ms = 1000U << seed % 3};
 		struct hedge_load_result o = hedge_load_replay(&load, seed);
 
 		assert_int_equal(o.exceeded, 0);
