Floors: a file that could not be read does not count at a later start

A process that could not read `floors` (no free descriptor, I/O error) left it on disk and granted from buckets of one token. If a bucket filled and was used up with no write in between, the next process read the file and started the bucket at its floor again. The largest floor that the file may hold is now withheld until it has been replaced or removed.

--- a/src/core/core_floors.c
+++ b/src/core/core_floors.c
@@ -58,8 +58,8 @@
 }
 
 /*
- * Appends a file, of at most FILE_BYTES_MAX.  Returns false if there is none,
- * or it can't be read.
+ * Appends a file, of at most FILE_BYTES_MAX; nothing if there is none.  Returns
+ * false if it can't be read.
  */
 static bool
 read_file(const char *path, struct str_buf *text)
@@ -70,11 +70,11 @@
 	bool good;
 
 	if (file == NULL)
-		return false;
+		return errno == ENOENT;
 	while (text->len <= FILE_BYTES_MAX &&
 	    (n = fread(block, 1, sizeof(block), file)) > 0)
 		str_buf_append(text, str_of(block, n));
-	good = ferror(file) == 0 && text->len <= FILE_BYTES_MAX;
+	good = ferror(file) == 0;
 	(void)fclose(file);
 	return good;
 }
@@ -95,9 +95,15 @@
 		return;
 	a->floors_read = true;
 	core_path(core, floors_file, path);
-	if (read_file(path, &text))
+	if (read_file(path, &text)) {
 		lines = allowance_floor_parse(
 		    str_buf_view(&text), core->replica_id, a->shares);
+	} else {
+		/* It may be read, and count, at the next start. */
+		log_warn(
+		    "floors_not_read", "instance=%s", core->settings.instance);
+		allowance_table_miss_floors(a->table);
+	}
 	str_buf_free(&text);
 	if (lines == NULL)
 		return;
--- a/src/limit/allowance_bucket.h
+++ b/src/limit/allowance_bucket.h
@@ -88,6 +88,13 @@
  */
 void allowance_table_load_floors(
     struct allowance_table *table, const GPtrArray *lines) ATTR_NONNULL_ALL;
+/*
+ * Says instead that there is a file that could not be read.  The largest floor
+ * that it may hold for a bucket is withheld until the file has been replaced or
+ * removed.
+ */
+void
+allowance_table_miss_floors(struct allowance_table *table) ATTR_NONNULL_ALL;
 void allowance_table_use_floors(struct allowance_table *table) ATTR_NONNULL_ALL;
 bool allowance_table_has_stale_floors(
     const struct allowance_table *table) ATTR_NONNULL_ALL;
--- a/src/limit/allowance_bucket_defs.h
+++ b/src/limit/allowance_bucket_defs.h
@@ -44,6 +44,9 @@
 	/* The file may hold floors that were not taken over, nor earned. */
 	bool floors_stale;
 	bool stale_end; /* ends with the write under way */
+	/* The file may hold any floors until the next write of it has ended. */
+	bool floors_unknown;
+	bool unknown_end; /* ends with the write under way */
 	bool floors_due; /* one should be lowered, or a write has failed */
 	uint64_t next_scan_us;
 };
--- a/src/limit/allowance_bucket_floor.c
+++ b/src/limit/allowance_bucket_floor.c
@@ -28,9 +28,10 @@
 allowance_bucket_available(
     const struct allowance_table *table, const struct bucket *bucket)
 {
-	return bucket->level -
-	    allowance_floor_limit(
-		bucket->floor.held, allowance_bucket_capacity(table, bucket));
+	double capacity = allowance_bucket_capacity(table, bucket);
+	double held = table->floors_unknown ? capacity : bucket->floor.held;
+
+	return bucket->level - allowance_floor_limit(held, capacity);
 }
 
 /*
@@ -82,6 +83,17 @@
 	table->floors_due = true;
 }
 
+/*
+ * Notes that there is a file that could not be read.
+ */
+void
+allowance_table_miss_floors(struct allowance_table *table)
+{
+	table->floors_unknown = true;
+	table->floors_stale = true;
+	table->floors_due = true;
+}
+
 /*
  * The share is the one that was held when the file was written.
  */
@@ -121,7 +133,8 @@
 			keep(table, account, &bucket->floor);
 	}
 	table->floors_valid = false;
-	table->floors_stale = g_hash_table_size(table->floors) > 0;
+	table->floors_stale =
+	    table->floors_unknown || g_hash_table_size(table->floors) > 0;
 	table->stale_end = false;
 	table->floors_due = true;
 }
@@ -192,7 +205,7 @@
 	bool may_raise = now_us >= table->next_scan_us;
 	GPtrArray *lines;
 	GArray *list;
-	bool changed = false;
+	bool changed = table->floors_unknown;
 
 	if (!may_raise && !table->floors_due)
 		return NULL;
@@ -220,6 +233,7 @@
 	}
 	g_array_free(list, TRUE);
 	table->stale_end = true;
+	table->unknown_end = table->floors_unknown;
 	if (changed)
 		return lines;
 	table->floors_stale = false;
@@ -251,8 +265,12 @@
 		if (floor->held <= 0)
 			g_hash_table_iter_remove(&iter);
 	}
-	if (outcome == ALLOWANCE_WRITE_UNKNOWN)
+	if (outcome == ALLOWANCE_WRITE_UNKNOWN) {
 		table->floors_due = true;
-	else if (table->stale_end)
+		return;
+	}
+	if (table->unknown_end)
+		table->floors_unknown = false;
+	if (table->stale_end)
 		table->floors_stale = false;
 }
--- a/test/unit/test_allowance_floor.c
+++ b/test/unit/test_allowance_floor.c
@@ -165,6 +165,39 @@
 	str_buf_free(&file);
 }
 
+/*
+ * Guards against a bucket that grants what an unread file may promise to the
+ * next process, and against one that a stalled disk stops from granting its
+ * rate.
+ */
+static void
+a_file_that_was_not_read_is_withheld(void **state ATTR_UNUSED)
+{
+	uint64_t now = US_PER_S;
+	struct allowance_table *table = allowance_table_new(1, WINDOW_US, now);
+	struct str_buf file;
+
+	allowance_table_miss_floors(table);
+	assert_true(allowance_table_has_stale_floors(table));
+	assert_int_equal(draw_all(table, "a", now), 0);
+	file = begin(table, now);
+	assert_non_null(file.data);
+	str_buf_free(&file);
+	now += 2 * US_PER_S;
+	assert_int_equal(draw_all(table, "a", now), BURST / 2);
+	now += US_PER_S / 2;
+	assert_int_equal(draw_all(table, "a", now), RATE / 2);
+	allowance_table_end_write(table, ALLOWANCE_WRITE_UNKNOWN);
+	assert_int_equal(draw_all(table, "a", now), 0);
+	file = begin(table, now);
+	assert_non_null(file.data);
+	str_buf_free(&file);
+	allowance_table_end_write(table, ALLOWANCE_WRITE_DONE);
+	assert_false(allowance_table_has_stale_floors(table));
+	assert_int_equal(draw_all(table, "a", now), BURST / 2);
+	allowance_table_free(table);
+}
+
 /*
  * Guards against floors that count although the share was lost in between, and
  * against grants above them before the file is gone.
@@ -488,6 +521,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_floor_is_granted_once),
 	    cmocka_unit_test(a_bucket_grants_its_rate_without_a_disk),
+	    cmocka_unit_test(a_file_that_was_not_read_is_withheld),
 	    cmocka_unit_test(floors_of_an_earlier_share_are_withheld),
 	    cmocka_unit_test(a_lower_limit_cuts_the_floor),
 	    cmocka_unit_test(only_a_whole_own_file_counts),
--- a/test/unit/test_core_floors.c
+++ b/test/unit/test_core_floors.c
@@ -215,6 +215,28 @@
 	core_fixture_close(&fixture.core);
 }
 
+/*
+ * Guards against a file that could not be read at one start, stays on disk while
+ * the bucket is used up, and counts at the next start.
+ */
+static void
+a_file_that_could_not_be_read_is_removed(void **state ATTR_UNUSED)
+{
+	struct fixture fixture;
+	char path[CORE_PATH_BYTES];
+	char target[8];
+
+	init(&fixture);
+	core_path(fixture.core.core, "floors", path);
+	/* Opening a link to itself fails, also for root. */
+	assert_int_equal(symlink("floors", path), 0);
+	restart(&fixture);
+	core_fixture_run_until(&fixture.core, has_ended_write, &fixture);
+	assert_int_equal(readlink(path, target, sizeof(target)), -1);
+	assert_in_range(draw(&fixture, BURST, clock_boot_us()), 1, 10);
+	core_fixture_close(&fixture.core);
+}
+
 /*
  * Guards against a disk that takes no file, as a full one, and stops a bucket
  * from granting what it holds.
@@ -247,6 +269,7 @@
 	    cmocka_unit_test(a_floor_outlives_a_restart),
 	    cmocka_unit_test(a_torn_or_foreign_file_counts_as_none),
 	    cmocka_unit_test(floors_without_a_share_file_are_removed),
+	    cmocka_unit_test(a_file_that_could_not_be_read_is_removed),
 	    cmocka_unit_test(a_failed_write_withholds_nothing),
 	};
 
