Placement: a route without samples is tried although its timeout is short

Without samples a route's work is assumed to be 100 ms, or the mean of the other routes. A route with a shorter timeout was rejected each time on an idle service and never learnt. Such a request now goes to an idle target, one at a time.

--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -209,6 +209,8 @@
     const struct target *t, double cost_us, uint64_t now_us);
 
 /* placement_timeout.c: requests that would be cut off by their timeout */
+bool placement_is_untried(
+    const struct placement *p, const struct call *call) ATTR_NONNULL_ALL;
 bool placement_is_cut_off(const struct placement *p, const struct call *call,
     const struct target *t, uint64_t now_us);
 
--- a/src/placement/placement_queue.c
+++ b/src/placement/placement_queue.c
@@ -261,6 +261,18 @@
 	return wait <= (call->admitted ? slack : admission_wait_share * slack);
 }
 
+/*
+ * Returns whether a call that is not expected to end by its deadline is sent
+ * nevertheless, to learn its route's work at an idle target.
+ */
+static bool
+may_try(const struct placement *p, const struct call *call,
+    const struct target *t, uint64_t now_us)
+{
+	return t != NULL && t->in_flight == 0 &&
+	    call->request.deadline_us > now_us && placement_is_untried(p, call);
+}
+
 /*
  * Grants a call, leaves it queued, or rejects it.  A call waits for a faster
  * slot only while that slot could still meet its objective.  A call that can't
@@ -271,10 +283,12 @@
     struct placement *p, struct call *call, uint64_t now_us)
 {
 	const struct placement_request *r = &call->request;
-	double finish;
+	double finish = 0;
 	bool room = has_room(p, now_us);
 	struct target *best =
 	    room ? placement_best_target(p, call, now_us, &finish) : NULL;
+	double untried_finish = finish;
+	struct target *untried = best;
 
 	if (best != NULL && now_us + (uint64_t)finish <= r->objective_us) {
 		placement_grant(p, call, best, finish, now_us);
@@ -291,6 +305,10 @@
 	}
 	if (room)
 		best = placement_slowest_target(p, call, now_us, &finish);
+	if (best == NULL && may_try(p, call, untried, now_us)) {
+		best = untried;
+		finish = untried_finish;
+	}
 	if (best != NULL) {
 		placement_grant(p, call, best, finish, now_us);
 		return;
--- a/src/placement/placement_timeout.c
+++ b/src/placement/placement_timeout.c
@@ -25,6 +25,21 @@
 	p->check_timeout = check;
 }
 
+/*
+ * Returns whether the time of a request is shorter than the work that is assumed
+ * for its route, of which there are no samples.  It would never get one if that
+ * assumption counted.
+ */
+bool
+placement_is_untried(const struct placement *p, const struct call *call)
+{
+	const struct placement_request *r = &call->request;
+
+	return !service_time_is_known(&p->work, r->route) &&
+	    (double)r->deadline_us - (double)call->submitted_us <
+	    service_time_estimate(&p->work, r->route);
+}
+
 /*
  * Returns whether a request that may not be repeated would probably be cut off
  * at a target by its deadline.
@@ -36,7 +51,7 @@
 	const struct placement_request *r = &call->request;
 	double work, time;
 
-	if (!p->check_timeout || r->idempotent)
+	if (!p->check_timeout || r->idempotent || placement_is_untried(p, call))
 		return false;
 	work = service_time_estimate(&p->work, r->route);
 	time = margin_time_share *
--- a/src/placement/service_time.c
+++ b/src/placement/service_time.c
@@ -41,6 +41,12 @@
 	return table->count > 0 ? sum / table->count : ESTIMATE_DEFAULT_WORK_US;
 }
 
+bool
+service_time_is_known(const struct service_time_table *table, uint32_t route)
+{
+	return route_index(table, route) >= 0;
+}
+
 /*
  * Returns the long-run time of a route at full speed in microseconds, or 0 while
  * it has few samples: the first answers are those of short requests.
--- a/src/placement/service_time.h
+++ b/src/placement/service_time.h
@@ -5,6 +5,7 @@
 #ifndef PLACEMENT_SERVICE_TIME_H
 #define PLACEMENT_SERVICE_TIME_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/attr.h"
@@ -30,6 +31,9 @@
 
 double service_time_estimate(
     const struct service_time_table *table, uint32_t route) ATTR_NONNULL_ALL;
+/* Whether a route has an average of its own. */
+bool service_time_is_known(
+    const struct service_time_table *table, uint32_t route) ATTR_NONNULL_ALL;
 /* Long-run time at full speed in microseconds; 0: too few samples. */
 double service_time_full_speed(
     const struct service_time_table *table, uint32_t route) ATTR_NONNULL_ALL;
--- a/test/unit/test_placement_queue.c
+++ b/test/unit/test_placement_queue.c
@@ -144,6 +144,52 @@
 	placement_free(p);
 }
 
+/*
+ * Guards against a route that is never learnt: its timeout is below the work
+ * that is assumed without samples, so that each request was rejected on an idle
+ * service.  Requests that find the target occupied are rejected.
+ */
+static void
+unknown_route_is_tried_at_an_idle_target(void **state ATTR_UNUSED)
+{
+	struct placement *p = open_placement();
+	char users[2];
+	struct placement_request request = {
+	    .user = &users[0],
+	    .objective_us = SECOND_US + 20 * 1000,
+	    .deadline_us = SECOND_US + 50 * 1000,
+	};
+
+	placement_set_check_timeout(p, true);
+	(void)placement_submit(p, &request, SECOND_US);
+	assert_int_equal(granted, 1);
+	request.user = &users[1];
+	(void)placement_submit(p, &request, SECOND_US);
+	assert_int_equal(granted, 1);
+	assert_int_equal(rejected, 1);
+	placement_free(p);
+}
+
+/*
+ * Guards against a request that is sent after its deadline.
+ */
+static void
+unknown_route_is_not_tried_after_its_deadline(void **state ATTR_UNUSED)
+{
+	struct placement *p = open_placement();
+	char user;
+	struct placement_request request = {
+	    .user = &user,
+	    .objective_us = SECOND_US,
+	    .deadline_us = SECOND_US,
+	};
+
+	(void)placement_submit(p, &request, SECOND_US);
+	assert_int_equal(granted, 0);
+	assert_int_equal(rejected, 1);
+	placement_free(p);
+}
+
 int
 main(void)
 {
@@ -151,6 +197,8 @@
 	    cmocka_unit_test(arrival_visits_each_waiting_call_a_few_times),
 	    cmocka_unit_test(calls_of_the_best_rank_are_granted_first),
 	    cmocka_unit_test(late_call_is_granted_after_answers_in_no_time),
+	    cmocka_unit_test(unknown_route_is_tried_at_an_idle_target),
+	    cmocka_unit_test(unknown_route_is_not_tried_after_its_deadline),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
