Connection share: IPv4 addresses and IPv6 networks have different keys

2001:db8::/64 had the key of 32.1.13.184, so that the two shared one count. The hash of a key was its lower half, the same for all networks of a provider.

--- a/src/base/connection_share.c
+++ b/src/base/connection_share.c
@@ -6,7 +6,9 @@
 enum {
 	DEFAULT_DIVISOR = 2, /* part of all connections for one address */
 	MAPPED_OFFSET = 12, /* of an IPv4 address in an IPv6 address */
-	PREFIX_BYTES = 8
+	PREFIX_BYTES = 8,
+	IPV4_BYTES = 4,
+	HALF_BITS = 32 /* of a key */
 };
 
 void
@@ -34,24 +36,45 @@
 	share->counts = NULL;
 }
 
+/*
+ * Returns the key of an IPv6 prefix.  The hash of a key in the table is its lower
+ * half: without the other one, all networks of a provider would have the same.
+ */
+static uint64_t
+key_of_prefix(const void *bytes)
+{
+	uint64_t prefix;
+
+	memcpy(&prefix, bytes, PREFIX_BYTES);
+	return prefix ^ prefix >> HALF_BITS;
+}
+
+/*
+ * Returns the key of an IPv4 address: it begins with a byte that only multicast
+ * addresses of IPv6 begin with, which no peer has.
+ */
+static uint64_t
+key_of_ipv4(const void *address)
+{
+	uint8_t bytes[PREFIX_BYTES] = {0xff};
+
+	memcpy(bytes + PREFIX_BYTES - IPV4_BYTES, address, IPV4_BYTES);
+	return key_of_prefix(bytes);
+}
+
 uint64_t
 connection_share_key(const struct sockaddr *peer)
 {
 	const struct sockaddr_in6 *six = (const struct sockaddr_in6 *)peer;
-	uint64_t prefix = 0;
-	uint32_t address = 0;
 
 	if (peer->sa_family == AF_INET)
-		return ((const struct sockaddr_in *)peer)->sin_addr.s_addr;
+		return key_of_ipv4(
+		    &((const struct sockaddr_in *)peer)->sin_addr);
 	if (peer->sa_family != AF_INET6)
 		return 0;
-	if (IN6_IS_ADDR_V4MAPPED(&six->sin6_addr)) {
-		memcpy(&address, six->sin6_addr.s6_addr + MAPPED_OFFSET,
-		    sizeof(address));
-		return address;
-	}
-	memcpy(&prefix, six->sin6_addr.s6_addr, PREFIX_BYTES);
-	return prefix;
+	if (IN6_IS_ADDR_V4MAPPED(&six->sin6_addr))
+		return key_of_ipv4(six->sin6_addr.s6_addr + MAPPED_OFFSET);
+	return key_of_prefix(six->sin6_addr.s6_addr);
 }
 
 static unsigned
--- a/test/unit/test_connection_share.c
+++ b/test/unit/test_connection_share.c
@@ -96,6 +96,8 @@
 	assert_int_not_equal(key_of("10.0.0.1"), key_of("10.0.0.2"));
 	assert_int_equal(key_of("2001:db8::1"), key_of("2001:db8::ffff:2"));
 	assert_int_not_equal(key_of("2001:db8::1"), key_of("2001:db8:0:1::1"));
+	/* Both begin with the same four bytes. */
+	assert_int_not_equal(key_of("2001:db8::1"), key_of("32.1.13.184"));
 }
 
 /* Accepted channels that have no socket. */
