Connection guard: a duplicate of a closing connection does not count

The pool of lingering connections duplicates a descriptor before CivetWeb shuts its connection down. A check in between counted the duplicate as one that waits for a thread, or as one above its address's share, and shut down another one.

--- a/src/base/connection_guard.c
+++ b/src/base/connection_guard.c
@@ -133,6 +133,24 @@
 	return entry;
 }
 
+/*
+ * Returns whether another descriptor of the same socket is closing.  A
+ * connection that lingers is a duplicate, and still open for a moment.
+ */
+static bool
+is_closing_duplicate(
+    const struct connection_guard *guard, const struct guarded *entry)
+{
+	for (unsigned fd = 0; fd < guard->table_size; fd++) {
+		const struct guarded *other = &guard->table[fd];
+
+		if (other != entry && other->closing &&
+		    other->cookie == entry->cookie)
+			return true;
+	}
+	return false;
+}
+
 static uint64_t
 peer_key(int fd)
 {
@@ -166,6 +184,8 @@
 	entry = find_entry(guard, fd);
 	if (entry == NULL)
 		return;
+	if (entry->checks == 0 && is_closing_duplicate(guard, entry))
+		entry->closing = true;
 	acked = info.tcpi_bytes_acked;
 	if (socket_unacknowledged_bytes(fd) > 0 &&
 	    (entry->checks == 0 || acked == entry->acked))
--- a/test/unit/test_connection_guard.c
+++ b/test/unit/test_connection_guard.c
@@ -21,7 +21,8 @@
 enum {
 	THREADS = 2,
 	PAIRS = 3,
-	WAIT_MS = 20 * 1000 /* only guards against a hang */
+	WAIT_MS = 20 * 1000, /* only guards against a hang */
+	QUIET_MS = 3000 /* silent connections are shut down after 1 s */
 };
 
 /* A server that serves THREADS of its connections. */
@@ -177,6 +178,30 @@
 	close_server(&server);
 }
 
+/*
+ * Guards against a connection that closes, of which the pool of lingering ones
+ * has a duplicate, and that counts as one that waits for a thread.
+ */
+static void
+duplicate_of_a_closing_one_does_not_wait(void **state ATTR_UNUSED)
+{
+	struct server server;
+	int same;
+
+	open_server(&server);
+	for (unsigned i = 0; i < PAIRS; i++)
+		connect_caller(&server, i);
+	assert_false(
+	    connection_guard_closing(server.guard, server.accepted[0]));
+	same = dup(server.accepted[0]);
+	assert_true(same >= 0);
+	start_guard(&server);
+	assert_false(is_shut(&server, 1, QUIET_MS));
+	assert_false(is_shut(&server, 2, 0));
+	close(same);
+	close_server(&server);
+}
+
 static void
 caller_that_reads_nothing_is_shut(void **state ATTR_UNUSED)
 {
@@ -282,6 +307,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(oldest_silent_one_is_shut_for_one_that_waits),
+	    cmocka_unit_test(duplicate_of_a_closing_one_does_not_wait),
 	    cmocka_unit_test(caller_that_reads_nothing_is_shut),
 	    cmocka_unit_test(waiting_at_the_listener_counts),
 	    cmocka_unit_test(descriptor_of_another_socket_is_not_shut),
