--- a/src/base/connection_guard.h
+++ b/src/base/connection_guard.h
@@ -40,7 +40,8 @@
     struct connection_guard *guard, int fd) ATTR_NONNULL_ALL;
 /*
  * Before the owner closes a connection: it is not shut down from now on.  Must
- * be called for each one with a request.  fd may be -1.  Returns whether it has been shut down by the guard.
+ * be called for each one with a request.  fd may be -1.  Returns whether the
+ * guard has shut it down.
  */
 bool connection_guard_closing(
     struct connection_guard *guard, int fd) ATTR_NONNULL_ALL;
