Placement: answers held up by a pause of an entry teach no work

An entry that was frozen for 7.5 s and schedules the service recorded its own answers with 7 s each. The usual work of the route rose to 0.9 to 1.1 s, above its timeout of 1 s; so each request was rejected on arrival, and no further sample came. The value is also passed on to other entries with grants and estimates.

A send that ends after its deadline is no longer recorded: without a pause it would have been cut off.

The new test failed before.

--- a/src/placement/placement_feedback.c
+++ b/src/placement/placement_feedback.c
@@ -106,7 +106,9 @@
 
 /*
  * Learns the usual work of the route and the occupancy curve from an answered
- * send.
+ * send.  One that ended after its deadline was held up by a pause of the entry:
+ * some of 7 s would raise the usual work above the timeout of the route, which
+ * then gets no further send, and so no further sample.
  */
 void
 placement_record_service_time(struct placement *p, const struct call *call,
@@ -119,6 +121,8 @@
 	double work;
 
 	target_advance(p, t, target_slowness(p, t, now_us), now_us);
+	if (send->granted_us + took_us > call->request.deadline_us)
+		return;
 	exposure = target_exposure_since(t, send);
 	/* The grant and the completion message take time, too. */
 	for (unsigned i = 0; i < OCCUPANCY_LEVELS && took_us < since_grant; i++)
--- a/test/unit/test_placement_queue.c
+++ b/test/unit/test_placement_queue.c
@@ -190,6 +190,39 @@
 	placement_free(p);
 }
 
+/*
+ * Guards against a usual work above the route's timeout after a pause of an
+ * entry, whose answers end seconds late: each request of the route was rejected
+ * from then on, with nearly all slots free.
+ */
+static void
+answers_held_up_by_a_pause_do_not_count(void **state ATTR_UNUSED)
+{
+	struct placement *p = open_placement();
+	static char users[2];
+	struct placement_request request = {
+	    .idempotent = true,
+	};
+	uint64_t now = SECOND_US;
+
+	for (unsigned i = 0; i < 50; i++) {
+		bool held_up = i >= 20;
+		uint64_t took = held_up ? 7 * SECOND_US : SECOND_US / 10;
+
+		request.user = &users[0];
+		request.objective_us = now + SECOND_US / 2;
+		request.deadline_us = now + SECOND_US;
+		(void)placement_submit(p, &request, now);
+		assert_int_equal(granted, i + 1);
+		now += took;
+		placement_complete(
+		    p, &users[0], "t1", OUTCOME_ANSWERED, took, NULL, now);
+		now += SECOND_US;
+	}
+	assert_int_equal(rejected, 0);
+	placement_free(p);
+}
+
 int
 main(void)
 {
@@ -197,6 +230,7 @@
 	    cmocka_unit_test(arrival_visits_each_waiting_call_a_few_times),
 	    cmocka_unit_test(calls_of_the_best_rank_are_granted_first),
 	    cmocka_unit_test(late_call_is_granted_after_answers_in_no_time),
+	    cmocka_unit_test(answers_held_up_by_a_pause_do_not_count),
 	    cmocka_unit_test(unknown_route_is_tried_at_an_idle_target),
 	    cmocka_unit_test(unknown_route_is_not_tried_after_its_deadline),
 	};
