--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -261,7 +261,8 @@
 	message.slots = target->slots;
 	if (target->warmup_end_us > now)
 		message.warm_in_ms =
-		    (uint32_t)((target->warmup_end_us - now) / US_PER_MS);
+		    (uint32_t)((target->warmup_end_us - now + US_PER_MS - 1) /
+			US_PER_MS);
 	frame.body_case = FLEET__FRAME__BODY_ANNOUNCEMENT;
 	frame.announcement = &message;
 	channel_batch_append(batch, &frame);
--- a/src/core/core_warm_start.c
+++ b/src/core/core_warm_start.c
@@ -70,6 +70,7 @@
 	Fleet__Announcement *space;
 	Fleet__Announcement **list;
 	size_t count;
+	uint64_t now_us;
 };
 
 /*
@@ -89,6 +90,14 @@
 	to->started_ms = target->started_ms;
 	to->sequence = target->sequence;
 	to->slots = target->slots;
+	/*
+	 * The time in between is unknown: a target that was cold when the cache
+	 * was written is cold for as long again, or until its next report.
+	 */
+	if (target->warmup_end_us > s->now_us)
+		to->warm_in_ms = (uint32_t)((target->warmup_end_us - s->now_us +
+						US_PER_MS - 1) /
+		    US_PER_MS);
 	s->list[s->count++] = to;
 }
 
@@ -116,7 +125,7 @@
 {
 	Fleet__Cache cache = FLEET__CACHE__INIT;
 	Fleet__Document document = core_latest_document(core);
-	struct snapshot s = {0};
+	struct snapshot s = {.now_us = clock_boot_us()};
 	GPtrArray *estimates;
 	size_t count = 0;
 
--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -141,6 +141,9 @@
 		"Answers 503 of targets with a Retry-After (count)"},
 	    {&flow->refused_grants, "gypsummill_flow_refused_grants_total",
 		"Grants of targets that want nothing at the time (count)"},
+	    {&flow->cold_held_back, "gypsummill_flow_cold_held_back_total",
+		"Requests that the rate of a cold target kept from it at first "
+		"(count)"},
 	    {&flow->scanned, "gypsummill_flow_visits_total",
 		"Targets, entries and parts scanned by timers (count)"},
 	    {&flow->announcements_refused,
@@ -173,6 +176,11 @@
 	flow->controls_open =
 	    counter_register(COUNTER_GAUGE, "gypsummill_flow_controls_open",
 		"Connected control instances (count)", NULL);
+	flow->cold_targets =
+	    counter_register(COUNTER_GAUGE, "gypsummill_flow_cold_targets",
+		"Targets that get requests at the rate of their warm-up only "
+		"(count)",
+		NULL);
 }
 
 /*
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -25,6 +25,11 @@
 	const char *load_header;
 	/* "1" in the answers of a target that leaves */
 	const char *leaving_header;
+	/*
+	 * In the answers to probes: milliseconds until the end of the warm-up;
+	 * NULL: none.
+	 */
+	const char *warmup_header;
 	bool (*read_load)(struct str value, struct target_load *load);
 	enum status (*read_document)(struct str text, struct routes **routes);
 };
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -93,6 +93,8 @@
 		    flow->settings.instance, service->name, owner,
 		    fleet_other_entry_count(flow), service->pools->len);
 		service->owner = owner;
+		placement_set_scheduler(
+		    service->placement, owner, flow_now_us(flow));
 		if (owner)
 			placement_take_over(
 			    service->placement, flow_now_us(flow));
@@ -229,6 +231,7 @@
 	updates_check_lateness(flow, now);
 	leaving_tick(flow);
 	away_tick(flow);
+	cold_tick(flow);
 	fleet_ping_suspects(flow, now);
 	expire_targets(flow, now);
 }
@@ -243,6 +246,7 @@
 	    .ctx = flow,
 	    .added = service_on_added,
 	    .removed = service_on_removed,
+	    .warmup = cold_on_report,
 	};
 
 	flow->own_address_hash =
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -287,6 +287,19 @@
 void away_on_added(struct pool *pool);
 void away_tick(struct flow *flow);
 
+/* flow_cold.c: targets in their warm-up */
+/* A document came into force. */
+void cold_on_document(struct flow *flow);
+void cold_on_service(struct service *service);
+/* Evaluates the answer to a probe. */
+void cold_on_probe(struct pool *pool, const struct head *head);
+void
+cold_on_report(void *ctx, struct roster_target *target, uint64_t before_us);
+void cold_on_added(struct pool *pool);
+/* The target was without requests, e.g. in an evacuation. */
+void cold_assume(struct pool *pool);
+void cold_tick(struct flow *flow);
+
 /* flow_response.c: parsing of targets' responses */
 extern const http_parser_settings response_settings;
 /* A response is complete; stray is true if more bytes follow it. */
--- a/src/flow/flow_response.c
+++ b/src/flow/flow_response.c
@@ -274,6 +274,7 @@
 		schedule_on_probe(pool, NULL);
 		return;
 	}
+	cold_on_probe(pool, &up->head);
 	upstream_release(up);
 	/*
 	 * The health status can be wrong in both directions; any response shows
--- a/src/flow/flow_service.c
+++ b/src/flow/flow_service.c
@@ -168,6 +168,24 @@
 	return flow->entries > known + 1 ? flow->entries - 1 : known;
 }
 
+/*
+ * Parses the name of a part, NAME#PART/PARTS or just NAME, and returns the
+ * number of parts.
+ */
+static unsigned
+parse_part_name(const char *text, char name[PART_NAME_BYTES])
+{
+	const char *mark = strrchr(text, '#');
+	const char *slash = mark != NULL ? strchr(mark, '/') : NULL;
+	uint64_t parts = 1;
+
+	snprintf(name, PART_NAME_BYTES, "%.*s",
+	    slash != NULL ? (int)(mark - text) : (int)strlen(text), text);
+	if (slash != NULL && !str_to_u64(str_from(slash + 1), &parts))
+		parts = 1;
+	return parts > 0 && parts <= FLEET_PARTS_MAX ? (unsigned)parts : 1;
+}
+
 /*
  * Frees a service; a GDestroyNotify.
  */
@@ -178,6 +196,7 @@
 
 	placement_free(service->placement);
 	g_ptr_array_free(service->pools, TRUE);
+	mem_free(service->whole_name);
 	mem_free(service->name);
 	mem_free(service);
 }
@@ -189,17 +208,21 @@
 fleet_service(struct flow *flow, const char *name)
 {
 	struct service *service = g_hash_table_lookup(flow->services, name);
+	char whole_name[PART_NAME_BYTES];
 
 	if (service != NULL)
 		return service;
+	(void)parse_part_name(name, whole_name);
 	service = mem_calloc(1, sizeof(*service));
 	service->flow = flow;
 	service->name = str_dup(str_from(name));
+	service->whole_name = str_dup(str_from(whole_name));
 	service->name_hash = str_hash(str_from(name));
 	service->scheduler_generation = flow->fleet_generation - 1;
 	service->pools = g_ptr_array_new();
 	service->placement = schedule_placement(service);
 	g_hash_table_insert(flow->services, service->name, service);
+	cold_on_service(service);
 	fleet_invalidate_schedulers(flow);
 	return service;
 }
@@ -265,6 +288,7 @@
 		    pool->failure_domain, target->slots, target->warmup_end_us,
 		    flow_now_us(flow));
 	away_on_added(pool);
+	cold_on_added(pool);
 }
 
 static void
@@ -346,24 +370,6 @@
 	return size->parts;
 }
 
-/*
- * Parses the name of a part, NAME#PART/PARTS or just NAME, and returns the
- * number of parts.
- */
-static unsigned
-parse_part_name(const char *text, char name[PART_NAME_BYTES])
-{
-	const char *mark = strrchr(text, '#');
-	const char *slash = mark != NULL ? strchr(mark, '/') : NULL;
-	uint64_t parts = 1;
-
-	snprintf(name, PART_NAME_BYTES, "%.*s",
-	    slash != NULL ? (int)(mark - text) : (int)strlen(text), text);
-	if (slash != NULL && !str_to_u64(str_from(slash + 1), &parts))
-		parts = 1;
-	return parts > 0 && parts <= FLEET_PARTS_MAX ? (unsigned)parts : 1;
-}
-
 /*
  * Returns the number of the part in a part's name, 0 for a whole service;
  * UINT_MAX if it can't be read.
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -141,6 +141,9 @@
 	GSequenceIter *probe_iter;
 	uint64_t probe_due_us; /* position in the probe queue */
 	uint64_t probed_us; /* time of the last probe; 0: never */
+	/* when a probe's answer told the rest of the warm-up; 0: never */
+	uint64_t warmup_heard_us;
+	bool assumed_cold; /* until its next probe is answered */
 	unsigned probe_failures;
 };
 
@@ -233,6 +236,7 @@
 struct service {
 	struct flow *flow;
 	char *name;
+	char *whole_name; /* of the service of which it is a part */
 	struct placement *placement;
 	GPtrArray *pools; /* struct pool of each target */
 	uint64_t name_hash;
@@ -244,6 +248,7 @@
 	bool busy; /* in flow->busy_services: it has calls */
 	uint64_t log_due_us; /* time of the next line on its placement */
 	uint64_t estimate_due_us; /* time of the next estimate to control */
+	uint64_t held_back; /* of the placement, as counted in the metrics */
 };
 
 /* Number of targets of a service and of the parts they are split into. */
@@ -315,6 +320,8 @@
 	struct roster *roster;
 	struct leavings *leavings; /* departures that control does not know */
 	struct aways *aways; /* targets that want nothing from this entry */
+	bool limits_warmup; /* the document names a rate for cold targets */
+	uint64_t cold_count_due_us; /* time of the next count of cold targets */
 	/* route id -> struct caller_timeouts */
 	GHashTable *route_caller_timeouts;
 	/* route id -> struct answer_sizes */
@@ -392,6 +399,8 @@
 	struct counter *departures_asked;
 	struct counter *aways_heard;
 	struct counter *refused_grants;
+	struct counter *cold_targets;
+	struct counter *cold_held_back;
 	struct counter *scanned;
 	struct counter *announcements_refused;
 	struct counter *loads_refused;
--- a/src/flow/flow_updates.c
+++ b/src/flow/flow_updates.c
@@ -240,6 +240,7 @@
 	    flow->named_index,
 	    (flow_now_us(flow) - flow->opened_us) / US_PER_MS);
 	schedule_fetch(flow);
+	cold_on_document(flow);
 }
 
 /*
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -122,7 +122,7 @@
 	}
 	t->failure_domain = failure_domain;
 	t->slots = slots;
-	t->warmup_end_us = warmup_end_us;
+	target_set_warmup_end(t, warmup_end_us, now_us);
 	t->failure_rate_us = now_us;
 }
 
@@ -383,6 +383,7 @@
 	    .waiting = p->waiting->len,
 	    .repeats = p->budget.repeat_sum,
 	    .requests = p->budget.request_sum,
+	    .held_back = p->held_back,
 	    .mean_slowness = p->mean_slowness,
 	    .occupancy = p->occupancy,
 	};
@@ -390,7 +391,8 @@
 		const struct target *t = p->order->pdata[i];
 
 		figures->in_flight += t->in_flight;
-		if (!target_is_usable(p, t, now_us))
+		figures->cold += target_is_cold(p, t, now_us) ? 1 : 0;
+		if (!target_takes_requests(p, t, now_us))
 			continue;
 		figures->usable++;
 		figures->slots += t->slots;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -101,6 +101,19 @@
     struct placement *placement, uint64_t now_us) ATTR_NONNULL_ALL;
 void placement_free(struct placement *placement);
 
+/* Requests per second that a cold target tolerates; 0: no limit. */
+void placement_set_warmup_rate(struct placement *placement, double per_s,
+    uint64_t now_us) ATTR_NONNULL_ALL;
+/* Only the scheduler of a service grants its cold targets. */
+void placement_set_scheduler(struct placement *placement, bool scheduler,
+    uint64_t now_us) ATTR_NONNULL_ALL;
+/* Returns whether the target has become cold by the new end of its warm-up. */
+bool placement_set_warmup_end(struct placement *placement, const char *target,
+    uint64_t end_us, uint64_t now_us) ATTR_NONNULL_ALL;
+/* An evacuated target gets no requests; those that run there end there. */
+void placement_set_evacuated(struct placement *placement, const char *target,
+    bool evacuated) ATTR_NONNULL_ALL;
+
 void placement_add_target(struct placement *placement, const char *id,
     uint32_t failure_domain, uint32_t slots, uint64_t warmup_end_us,
     uint64_t now_us) ATTR_NONNULL_ALL;
@@ -173,6 +186,7 @@
 struct placement_stats {
 	unsigned targets;
 	unsigned usable;
+	unsigned cold;
 	unsigned slots;
 	/* slots that add to what the targets complete */
 	unsigned useful_slots;
@@ -180,6 +194,8 @@
 	unsigned waiting;
 	uint64_t repeats; /* in the current window */
 	uint64_t requests;
+	/* requests kept from a cold target by its rate */
+	uint64_t held_back;
 	double mean_slowness;
 	/* speed of a request by its target's occupancy, and its samples */
 	struct occupancy_curve occupancy;
--- a/src/placement/placement_away.c
+++ b/src/placement/placement_away.c
@@ -94,7 +94,7 @@
 		const struct target *t = p->order->pdata[i];
 		uint64_t until = away_until(t, requester);
 
-		if (until > now_us && target_is_usable(p, t, now_us) &&
+		if (until > now_us && target_takes_requests(p, t, now_us) &&
 		    (first == 0 || until < first))
 			first = until;
 	}
--- a/src/placement/placement_defs.h
+++ b/src/placement/placement_defs.h
@@ -11,6 +11,7 @@
 #include "placement/placement.h"
 #include "placement/service_time.h"
 #include "placement/speed_period.h"
+#include "placement/warmup_budget.h"
 
 enum {
 	SENDS_MAX = 4,
@@ -47,6 +48,8 @@
 	uint32_t failure_domain;
 	uint32_t slots;
 	uint64_t warmup_end_us;
+	struct warmup_budget warmup; /* in force while it is cold */
+	bool evacuated; /* its failure domain gets no requests */
 	unsigned in_flight;
 	/* requests of other entries, by the last probe */
 	unsigned others_in_flight;
@@ -89,6 +92,7 @@
 	GList link; /* in placement->call_order */
 	bool waiting;
 	bool admitted; /* accepted into the queue before */
+	bool held_back; /* counted in placement->held_back */
 	uint64_t round; /* of the dispatch that has considered it last */
 };
 
@@ -113,6 +117,9 @@
 	struct service_time_table work;
 	struct occupancy_curve occupancy;
 	struct speed_period speed_period;
+	double warmup_per_s; /* requests that a cold target tolerates; 0: all */
+	bool grants_cold; /* it is the scheduler */
+	uint64_t held_back; /* requests kept from a cold target by its rate */
 	struct random random;
 	GHashTable *targets; /* id -> struct target */
 	GPtrArray *order; /* the same targets, for fast iteration */
@@ -148,6 +155,9 @@
 double exposure_sum(const struct occupancy_exposure *exposure);
 bool target_is_usable(
     const struct placement *p, const struct target *t, uint64_t now_us);
+/* Whether it has a slot for a request that its rate may still forbid. */
+bool target_has_slot(
+    const struct placement *p, const struct target *t, uint64_t now_us);
 bool target_has_room(
     const struct placement *p, const struct target *t, uint64_t now_us);
 double target_finish_time(const struct placement *p, const struct target *t,
@@ -167,6 +177,20 @@
 uint64_t placement_away_until(
     const struct placement *p, uint32_t requester, uint64_t now_us);
 
+/* placement_cold.c: cold targets and those of evacuated failure domains */
+bool target_is_cold(
+    const struct placement *p, const struct target *t, uint64_t now_us);
+/* Whether it is usable, and may get further requests from this placement. */
+bool target_takes_requests(
+    const struct placement *p, const struct target *t, uint64_t now_us);
+bool target_rate_allows(
+    const struct placement *p, const struct target *t, uint64_t now_us);
+void target_record_cold_send(
+    const struct placement *p, struct target *t, uint64_t now_us);
+void target_set_warmup_end(struct target *t, uint64_t end_us, uint64_t now_us);
+void placement_count_held_back(
+    struct placement *p, struct call *call, uint64_t now_us);
+
 /* placement.c */
 /* Removes a call and releases the slots of its sends. */
 void
--- a/src/placement/placement_queue.c
+++ b/src/placement/placement_queue.c
@@ -6,6 +6,7 @@
  */
 #include <math.h>
 
+#include "base/clock.h"
 #include "placement/placement_defs.h"
 
 /* Part of its slack that a newly arrived request may spend waiting. */
@@ -35,7 +36,7 @@
 is_usable_for(const struct placement *p, const struct target *t,
     uint32_t requester, uint64_t now_us)
 {
-	return target_is_usable(p, t, now_us) &&
+	return target_takes_requests(p, t, now_us) &&
 	    !target_is_away(t, requester, now_us);
 }
 
@@ -52,9 +53,15 @@
 	for (guint i = 0; i < p->order->len; i++) {
 		const struct target *t = p->order->pdata[i];
 
-		if (is_usable_for(p, t, requester, now_us))
-			sum += target_useful_slots(p, t) /
-			    target_likely_time(p, t, work_us, now_us);
+		double rate;
+
+		if (!is_usable_for(p, t, requester, now_us))
+			continue;
+		rate = target_useful_slots(p, t) /
+		    target_likely_time(p, t, work_us, now_us);
+		if (target_is_cold(p, t, now_us))
+			rate = fmin(rate, p->warmup_per_s / (double)US_PER_S);
+		sum += rate;
 	}
 	return sum;
 }
@@ -74,7 +81,7 @@
 		const struct target *t = p->order->pdata[i];
 
 		p->visits++;
-		room = target_is_usable(p, t, now_us) &&
+		room = target_takes_requests(p, t, now_us) &&
 		    target_has_room(p, t, now_us);
 	}
 	cache->has_room = cache->usable;
@@ -183,6 +190,7 @@
 	    .exposure = t->exposure,
 	};
 	t->in_flight++;
+	target_record_cold_send(p, t, now_us);
 	target_record_use(t, call->request.requester, now_us);
 	p->callbacks.grant(
 	    p->callbacks.ctx, call->request.user, t->id, (uint64_t)finish_us);
@@ -239,6 +247,7 @@
 		placement_grant(p, call, best, finish, now_us);
 		return;
 	}
+	placement_count_held_back(p, call, now_us);
 	if (!has_usable_target(p, call, now_us)) {
 		placement_reject(p, call, REJECT_NO_TARGET, now_us);
 		return;
--- a/src/placement/placement_target.c
+++ b/src/placement/placement_target.c
@@ -152,7 +152,7 @@
  * Returns whether a further request adds to what a target completes.
  */
 bool
-target_has_room(
+target_has_slot(
     const struct placement *p, const struct target *t, uint64_t now_us)
 {
 	unsigned turn = t->hash + (unsigned)(now_us / EXPLORER_TURN_US);
@@ -162,6 +162,18 @@
 	    occupancy_curve_limit(&p->occupancy, t->slots, turn);
 }
 
+/*
+ * Returns whether a target has a slot, and its rate allows a request while it
+ * is cold.
+ */
+bool
+target_has_room(
+    const struct placement *p, const struct target *t, uint64_t now_us)
+{
+	return target_has_slot(p, t, now_us) &&
+	    target_rate_allows(p, t, now_us);
+}
+
 /*
  * Updates the exposure of the requests at a target, before their number
  * changes or after a load report.  slowness_before is the slowness expected
@@ -307,19 +319,37 @@
 	    t->granted_us < best->granted_us;
 }
 
+/*
+ * Returns whether a first send goes to a cold target although another one is
+ * faster, since a target that only got what the others can't take would stay
+ * without requests until they are busy.  It has to be in time there.
+ */
+static bool
+is_due_cold_target(const struct placement *p, const struct target *t,
+    const struct call *call, double finish_us, uint64_t now_us)
+{
+	const struct placement_request *r = &call->request;
+
+	return target_is_cold(p, t, now_us) && call->send_count == 0 &&
+	    (!r->large || t->failure_domain == r->failure_domain) &&
+	    now_us + (uint64_t)(finish_us + failure_cost(t, call, now_us)) <=
+	    r->objective_us;
+}
+
 /*
  * Returns the best target with a free slot for a call, and its likely response
  * time; NULL if there is none.  Large responses stay in the requester's failure
  * domain if that meets the objective; other requests go where they finish
- * first.
+ * first.  A cold target gets what its rate allows.
  */
 struct target *
 placement_best_target(const struct placement *p, const struct call *call,
     uint64_t now_us, double *finish_us)
 {
-	struct target *best[2] = {NULL, NULL}; /* any, same failure domain */
-	double cost[2] = {INFINITY, INFINITY};
-	double finish[2] = {INFINITY, INFINITY};
+	/* any, same failure domain, cold */
+	struct target *best[3] = {NULL, NULL, NULL};
+	double cost[3] = {INFINITY, INFINITY, INFINITY};
+	double finish[3] = {INFINITY, INFINITY, INFINITY};
 	double work = service_time_estimate(&p->work, call->request.route);
 	bool local;
 
@@ -327,7 +357,7 @@
 		struct target *t = p->order->pdata[i];
 		double f, c;
 
-		if (!target_is_usable(p, t, now_us) ||
+		if (!target_takes_requests(p, t, now_us) ||
 		    !target_has_room(p, t, now_us) || is_excluded(call, t) ||
 		    target_is_away(t, call->request.requester, now_us))
 			continue;
@@ -339,10 +369,12 @@
 				: 1 + new_connection_penalty) +
 		    harm_to_others(p, t, c, now_us) +
 		    failure_cost(t, call, now_us);
-		for (int k = 0; k < 2; k++) {
+		for (int k = 0; k < 3; k++) {
 			if ((k == 1 &&
 				t->failure_domain !=
 				    call->request.failure_domain) ||
+			    (k == 2 &&
+				!is_due_cold_target(p, t, call, f, now_us)) ||
 			    !is_better_target(t, c, best[k], cost[k]))
 				continue;
 			best[k] = t;
@@ -350,6 +382,10 @@
 			finish[k] = f;
 		}
 	}
+	if (best[2] != NULL) {
+		*finish_us = finish[2];
+		return best[2];
+	}
 	local = best[1] != NULL &&
 	    (cost[1] <= cost[0] * local_preference ||
 		(call->request.large &&
@@ -377,7 +413,7 @@
 		struct target *t = p->order->pdata[i];
 		double finish;
 
-		if (!target_is_usable(p, t, now_us) ||
+		if (!target_takes_requests(p, t, now_us) ||
 		    !target_has_room(p, t, now_us) || is_excluded(call, t) ||
 		    target_is_away(t, call->request.requester, now_us))
 			continue;
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -4,9 +4,19 @@
 #include <ctype.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/memory.h"
 #include "base/settings.h"
 
+enum {
+	/*
+	 * The end of a warm-up is computed from the time left and is later by
+	 * what a report took to arrive.  A smaller difference is no change,
+	 * since each change is passed on to all instances.
+	 */
+	WARMUP_TOLERANCE_MS = 250
+};
+
 struct roster {
 	struct roster_callbacks callbacks;
 	GHashTable *targets; /* id -> struct roster_target */
@@ -115,6 +125,26 @@
 	    strcmp(a->failure_domain, b->failure_domain) == 0;
 }
 
+/*
+ * Returns whether a newer report changes when a target's warm-up ends: it has
+ * become cold again, or is not cold any more.
+ */
+static bool
+changes_warmup(
+    const struct roster_target *known, const struct roster_target *from)
+{
+	uint64_t now = from->last_seen_us;
+	uint64_t left =
+	    known->warmup_end_us > now ? known->warmup_end_us - now : 0;
+	uint64_t said =
+	    from->warmup_end_us > now ? from->warmup_end_us - now : 0;
+	uint64_t change = left > said ? left - said : said - left;
+
+	return from->sequence > known->sequence &&
+	    (change > WARMUP_TOLERANCE_MS * US_PER_MS ||
+		(left == 0) != (said == 0));
+}
+
 /*
  * Returns whether text is a name of 1 to ROSTER_NAME_BYTES - 1 bytes without
  * control characters, quotes and the characters in excluded.
@@ -198,12 +228,20 @@
 	    address_holder->started_ms > from->started_ms)
 		return false;
 	if (known != NULL && is_unchanged(known, from)) {
+		bool warmup = changes_warmup(known, from);
+		uint64_t before_us = known->warmup_end_us;
+
+		if (warmup)
+			known->warmup_end_us = from->warmup_end_us;
 		known->sequence = from->sequence;
 		if (from->last_seen_us > known->last_seen_us)
 			known->last_seen_us = from->last_seen_us;
 		if (from->reported_us > known->reported_us)
 			known->reported_us = from->reported_us;
-		return false;
+		if (warmup && roster->callbacks.warmup != NULL)
+			roster->callbacks.warmup(
+			    roster->callbacks.ctx, known, before_us);
+		return warmup;
 	}
 	if (known != NULL)
 		remove_target(roster, known);
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -40,11 +40,17 @@
 	uint64_t recorded_ms; /* wall clock of the log leader */
 };
 
-/* removed is called before the removal, added after an addition or a change. */
+/*
+ * removed is called before the removal, added after an addition or a change.
+ * warmup is called after a newer report has changed the end of a target's
+ * warm-up, which was before_us; it may set another one.
+ */
 struct roster_callbacks {
 	void *ctx;
 	void (*added)(void *ctx, struct roster_target *target);
 	void (*removed)(void *ctx, struct roster_target *target);
+	void (*warmup)(
+	    void *ctx, struct roster_target *target, uint64_t before_us);
 };
 
 typedef void roster_target_visitor(void *ctx, struct roster_target *target);
