--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -418,6 +418,29 @@
 	}
 }
 
+/*
+ * Returns the load for the choice of a part.  Only usable targets count: those
+ * that are down add neither slots nor requests.
+ */
+uint32_t
+placement_get_load(const struct placement *p, uint64_t now_us)
+{
+	uint64_t calls = p->waiting->len;
+	uint64_t slots = 0;
+
+	for (guint i = 0; i < p->order->len; i++) {
+		const struct target *t = p->order->pdata[i];
+
+		if (!target_takes_requests(p, t, now_us))
+			continue;
+		calls += t->in_flight;
+		slots += target_useful_slots(p, t);
+	}
+	if (slots == 0)
+		return FLEET_LOAD_MAX;
+	return fleet_clamp(MAX(calls * 100 / slots, 1), FLEET_LOAD_MAX);
+}
+
 /*
  * Writes what was learnt of the service.
  */
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -243,5 +243,11 @@
 
 void placement_get_stats(const struct placement *placement, uint64_t now_us,
     struct placement_stats *figures) ATTR_NONNULL_ALL;
+/*
+ * Occupied slots and waiting requests in hundredths of the useful slots: 1 to
+ * FLEET_LOAD_MAX, which also stands for no usable target.
+ */
+uint32_t placement_get_load(
+    const struct placement *placement, uint64_t now_us) ATTR_NONNULL_ALL;
 
 #endif
