Review: disks lost in turn around a restart of control lose all that was acknowledged

Cause: a voter that has lost its disk is replaced only after 3 s of silence by the clock of the leader, and a new leader counts anew; with an election the group is whole 3.7 to 4.6 s after a restart of control, later than catch_up_s. The next lost disk then takes the majority for good.

Three deployments side by side: a disk is lost right after an acknowledgement, control is killed and is back at once, 4.0 s later the next one that acknowledges loses its disk.

--- a/review/bed2.py
+++ b/review/bed2.py
@@ -68,7 +68,7 @@
     def __init__(self, site, number, roles):
         self.site = site
         self.ip = "%s.%d" % (site.network, number + 1)
-        self.name = "edge-%d" % (number + 1)
+        self.name = "%sedge-%d" % (site.prefix, number + 1)
         self.roles = roles
         self.bootstrap = True
         self.folder = os.path.join(site.folder, self.name)
@@ -170,12 +170,13 @@
 class Site:
     """Machines, the first ones with a disk and control."""
 
-    def __init__(self, folder, machines=4, cores=4):
+    def __init__(self, folder, machines=4, cores=4, record=None, name=""):
         self.commands = commands()
         for command in self.commands.values():
             if not os.access(os.path.join(ROOT, command[0]), os.X_OK):
                 raise CannotRun("%s was not built" % command[0])
-        self.record = Record(folder)
+        self.record = record or Record(folder)
+        self.prefix = name
         draw = random.SystemRandom()
         self.network = "127.%d.%d" % (draw.randrange(20, 250),
                                       draw.randrange(1, 250))
