--- a/src/base/str.c
+++ b/src/base/str.c
@@ -133,6 +133,39 @@
 	return true;
 }
 
+/*
+ * Reads a decimal number in millionths.
+ */
+bool
+str_to_micros(struct str s, uint64_t max, uint64_t *value)
+{
+	uint64_t unit = 1000000;
+	uint64_t sum = 0;
+	bool fraction = false;
+	bool digits = false;
+
+	for (size_t i = 0; i < s.len; i++) {
+		char c = s.data[i];
+
+		if (c == '.' && digits && !fraction) {
+			fraction = true;
+			continue;
+		}
+		if (c < '0' || c > '9')
+			return false;
+		digits = true;
+		if (fraction)
+			unit /= 10;
+		else
+			sum *= 10;
+		sum += (uint64_t)(c - '0') * unit;
+		if (sum > max)
+			sum = max;
+	}
+	*value = sum;
+	return digits;
+}
+
 /*
  * Returns a NUL-terminated copy, to be released by mem_free().
  */
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -37,6 +37,12 @@
 str_split(struct str *rest, char separator, struct str *head) ATTR_NONNULL_ALL;
 bool
 str_to_u64(struct str s, uint64_t *value) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
+/*
+ * Reads digits with an optional fraction, without sign or exponent, in
+ * millionths; a number above max counts as max.
+ */
+bool str_to_micros(struct str s, uint64_t max,
+    uint64_t *value) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
 char *str_dup(struct str s) ATTR_UNUSED_RESULT;
 uint64_t str_hash(struct str s);
 int str_compare(struct str a, struct str b);
