--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -139,6 +139,8 @@
 		"Departures that control was asked to record (count)"},
 	    {&flow->aways_heard, "gypsummill_flow_aways_total",
 		"Answers 503 of targets with a Retry-After (count)"},
+	    {&flow->rates_heard, "gypsummill_flow_rate_limits_total",
+		"Targets that began to name the rate that they take (count)"},
 	    {&flow->refused_grants, "gypsummill_flow_refused_grants_total",
 		"Grants of targets that want nothing at the time (count)"},
 	    {&flow->calls_freed, "gypsummill_flow_calls_freed_total",
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -25,6 +25,8 @@
 	const char *load_header;
 	/* "1" in the answers of a target that leaves */
 	const char *leaving_header;
+	/* requests per second that a target takes from all entries together */
+	const char *rate_header;
 	/* The key of a client account, and its authentication scheme. */
 	const char *key_header;
 	const char *key_scheme;
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -391,6 +391,9 @@
 void away_on_added(struct pool *pool);
 void away_tick(struct flow *flow);
 
+/* flow_rate.c: targets that name the rate that they take */
+/* Evaluates the head of a final response. */
+void rate_on_head(struct upstream *up);
 /* flow_hedge.c: second sends against slow answers */
 void hedge_on_event(
     void *ctx, void *user, const char *target, enum hedge_outcome outcome);
--- a/src/flow/flow_response.c
+++ b/src/flow/flow_response.c
@@ -155,6 +155,7 @@
 	attribution_on_head(up);
 	if (parser->status_code >= 200) {
 		away_on_head(up);
+		rate_on_head(up);
 		leaving_on_head(up);
 	}
 	/* The departure has closed the connection of a probe. */
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -153,6 +153,14 @@
 	uint64_t started_ms;
 };
 
+/* The rate that a target takes from all entries, as this entry knows it. */
+struct rate_limit {
+	bool active;
+	bool by_probe; /* an answer to a probe has named it */
+	uint64_t micros_per_s;
+	uint64_t named_us; /* last answer that named it */
+};
+
 /* Connections to one target. */
 struct pool {
 	struct flow *flow;
@@ -176,6 +184,7 @@
 	uint64_t warmup_heard_us;
 	bool assumed_cold; /* until its next probe is answered */
 	bool evacuated; /* it gets no requests, probes or connections */
+	struct rate_limit rate_limit;
 	unsigned probe_failures;
 };
 
@@ -480,6 +489,7 @@
 	struct counter *leavings_heard;
 	struct counter *departures_asked;
 	struct counter *aways_heard;
+	struct counter *rates_heard;
 	struct counter *refused_grants;
 	struct counter *calls_freed;
 	struct counter *part_choices[PART_REASONS];
--- a/src/wire/fleet_bounds.h
+++ b/src/wire/fleet_bounds.h
@@ -46,6 +46,9 @@
 /* The last millisecond of the year 9999. */
 #define FLEET_TIME_MAX_MS UINT64_C(253402300799999)
 
+/* Rate that a target names, in millionths of a request per second. */
+#define FLEET_RATE_MAX_MICROS UINT64_C(1000000000000)
+
 /* Requests per second, or requests, of one client account. */
 #define FLEET_ALLOWANCE_MAX 1e9
 
--- a/test/unit/support_flow.c
+++ b/test/unit/support_flow.c
@@ -84,6 +84,7 @@
 	    .not_run_header = "Not-Run",
 	    .load_header = "Load",
 	    .leaving_header = "Leaving",
+	    .rate_header = "Rate",
 	    .key_header = "Authorization",
 	    .key_scheme = "Bearer",
 	    .account_header = "Account",
