--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -53,8 +53,8 @@
 class Target:
     """A mock target.  handler(request) returns the bytes of a response,
     or a list of steps: bytes to send, "reset", "close" or seconds to wait.
-    leaving is the value of Server-Leaving in answers, or None; probes are
-    answered with it if probes_say_it is set.  retry_after is a list of
+    leaving and limit are the values of Server-Leaving and Server-Limit in
+    answers, or None; probes are answered with them if probes_say_it is set.  retry_after is a list of
     Retry-After values: then requests, and probes too if probes_say_it is set,
     are turned away with 503."""
 
@@ -69,6 +69,7 @@
         self.handler = self.answer
         self.load = "0,0,%d,100" % slots
         self.leaving = None
+        self.limit = None
         self.retry_after = None
         self.probes_say_it = False
         self.arrivals = []  # (time, path) of all requests and probes
@@ -155,8 +156,10 @@
         return True
 
     def said(self):
-        return "" if self.leaving is None else (
-            "Server-Leaving: %s\r\n" % self.leaving)
+        return "".join(
+            "%s: %s\r\n" % (name, value) for name, value in (
+                ("Server-Leaving", self.leaving),
+                ("Server-Limit", self.limit)) if value is not None)
 
     def health(self):
         return ("HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
