--- a/src/flow/flow_ask.c
+++ b/src/flow/flow_ask.c
@@ -18,7 +18,12 @@
 	 * does not grant the target to this entry meanwhile.
 	 */
 	EVACUATED_AWAY_MS = 1000,
-	SUSPECT_TIMEOUTS = 3 /* consecutive, of two asks each */
+	SUSPECT_TIMEOUTS = 3, /* consecutive, of two asks each */
+	/*
+	 * Longer than an entry counts as silent in error.  Others may believe
+	 * in a scheduler that was asked within this time.
+	 */
+	ASKED_MS = 10 * 1000
 };
 
 static void on_answer_timeout(uv_timer_t *timer);
@@ -303,6 +308,39 @@
 		x->scheduler_done = true;
 }
 
+/*
+ * Tells something of a target to schedulers.  The one that granted the request
+ * may not be the one that others ask: an entry counts as silent with the
+ * control instance of its host until it answers a ping.
+ */
+void
+schedule_tell(const struct pool *pool, Fleet__Done *done)
+{
+	struct flow *flow = pool->flow;
+	const struct peer_entry *scheduler =
+	    fleet_scheduler(flow, pool->service_part);
+	uint64_t now = flow_now_us(flow);
+	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
+	GHashTableIter iter;
+	gpointer value;
+
+	/* Request 0 is unknown, and nothing is counted. */
+	done->service = pool->service_part->name;
+	done->target = pool->id;
+	done->outcome = OUTCOME_ABANDONED;
+	datagram.body_case = FLEET__DATAGRAM__BODY_DONE;
+	datagram.done = done;
+	g_hash_table_iter_init(&iter, flow->peer_entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer_entry *peer_entry = value;
+
+		if (peer_entry == scheduler ||
+		    (peer_entry->asked_us != 0 &&
+			now - peer_entry->asked_us < ASKED_MS * US_PER_MS))
+			datagram_send(flow, &peer_entry->datagram, &datagram);
+	}
+}
+
 /*
  * Returns the exchange of an answered ask, and marks its scheduler as
  * responsive.
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -437,6 +437,11 @@
 void schedule_cancel(struct exchange *x);
 bool schedule_is_stale(const struct exchange *x);
 void schedule_complete(struct attempt *attempt, enum placement_outcome outcome);
+/*
+ * Tells something of a target, in a report on the end of no send, to the
+ * scheduler of its service and to all that this entry has asked lately.
+ */
+void schedule_tell(const struct pool *pool, Fleet__Done *done);
 void ask_on_grant(struct flow *flow, const Fleet__Grant *grant);
 void ask_on_reject(struct flow *flow, const Fleet__Reject *reject);
 void ask_on_held(struct flow *flow, const Fleet__Held *held);
--- a/src/flow/flow_leaving.c
+++ b/src/flow/flow_leaving.c
@@ -21,12 +21,7 @@
 	/* More than leave at once in the largest fleet. */
 	LEAVINGS_MAX = 4096,
 	/* As long as control keeps departures. */
-	LEAVING_KEPT_MS = 30 * 60 * 1000,
-	/*
-	 * Longer than an entry counts as silent in error.  Others may believe
-	 * in a scheduler that was asked within this time.
-	 */
-	ASKED_MS = 10 * 1000
+	LEAVING_KEPT_MS = 30 * 60 * 1000
 };
 
 /* A departure that control has not confirmed. */
@@ -125,42 +120,19 @@
 }
 
 /*
- * Tells the scheduler of a target's service, and all that this entry has asked
- * lately, that the incarnation leaves.  The scheduler that granted the request
- * may not be the one that others ask: an entry counts as silent with the
- * control instance of its host until it answers a ping.
+ * Tells schedulers that an incarnation leaves.
  */
 static void
 tell_schedulers(struct flow *flow, const char *target, uint64_t started_ms)
 {
 	const struct pool *pool = g_hash_table_lookup(flow->pools, target);
-	uint64_t now = flow_now_us(flow);
-	Fleet__Datagram datagram = FLEET__DATAGRAM__INIT;
 	Fleet__Done done = FLEET__DONE__INIT;
-	const struct peer_entry *scheduler;
-	GHashTableIter iter;
-	gpointer value;
 
 	if (pool == NULL)
 		return;
-	scheduler = fleet_scheduler(flow, pool->service_part);
-	/* The end of no send: request 0 is unknown, and nothing is counted. */
-	done.service = pool->service_part->name;
-	done.target = (char *)target;
-	done.outcome = OUTCOME_ABANDONED;
 	done.departed = true;
 	done.started_ms = started_ms;
-	datagram.body_case = FLEET__DATAGRAM__BODY_DONE;
-	datagram.done = &done;
-	g_hash_table_iter_init(&iter, flow->peer_entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer_entry *peer_entry = value;
-
-		if (peer_entry == scheduler ||
-		    (peer_entry->asked_us != 0 &&
-			now - peer_entry->asked_us < ASKED_MS * US_PER_MS))
-			datagram_send(flow, &peer_entry->datagram, &datagram);
-	}
+	schedule_tell(pool, &done);
 }
 
 /*
--- a/src/placement/service_time.c
+++ b/src/placement/service_time.c
@@ -25,22 +25,30 @@
 }
 
 /*
- * Returns the usual service time of a route in microseconds.  For a route
- * without samples this is the mean of the other routes.
+ * Returns the mean of the routes' usual service times in microseconds.
  */
 double
-service_time_estimate(const struct service_time_table *table, uint32_t route)
+service_time_mean(const struct service_time_table *table)
 {
-	int at = route_index(table, route);
 	double sum = 0;
 
-	if (at >= 0)
-		return table->routes[at].work_us;
 	for (unsigned i = 0; i < table->count; i++)
 		sum += table->routes[i].work_us;
 	return table->count > 0 ? sum / table->count : ESTIMATE_DEFAULT_WORK_US;
 }
 
+/*
+ * Returns the usual service time of a route in microseconds.  For a route
+ * without samples this is the mean of the other routes.
+ */
+double
+service_time_estimate(const struct service_time_table *table, uint32_t route)
+{
+	int at = route_index(table, route);
+
+	return at >= 0 ? table->routes[at].work_us : service_time_mean(table);
+}
+
 bool
 service_time_is_known(const struct service_time_table *table, uint32_t route)
 {
--- a/src/placement/service_time.h
+++ b/src/placement/service_time.h
@@ -29,6 +29,8 @@
 	unsigned count;
 };
 
+double
+service_time_mean(const struct service_time_table *table) ATTR_NONNULL_ALL;
 double service_time_estimate(
     const struct service_time_table *table, uint32_t route) ATTR_NONNULL_ALL;
 /* Whether a route has an average of its own. */
