Requests that end targets: ends are logged by request

Observability, before any decision changes. A target that closes the connection of a request which it has not answered is checked with a new connection; if that is refused, event=target_ended says under which request (hashes of what makes it the same, and of its caller), and gypsummill_flow_ended_targets_total counts it. One connection that is accepted may have been in the backlog of a process that ended: it is checked once more.

--- a/src/base/str.c
+++ b/src/base/str.c
@@ -189,6 +189,15 @@
 	return XXH3_64bits(s.data, s.len);
 }
 
+/*
+ * Returns the 64-bit XXH3 hash of the view with a seed.
+ */
+uint64_t
+str_hash_with(struct str s, uint64_t seed)
+{
+	return XXH3_64bits_withSeed(s.data, s.len, seed);
+}
+
 /*
  * Compares two views bytewise; a prefix orders before a longer view.  Returns a
  * value below, equal to or above zero, as memcmp(3).
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -45,6 +45,8 @@
     uint64_t *value) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
 char *str_dup(struct str s) ATTR_UNUSED_RESULT;
 uint64_t str_hash(struct str s);
+/* A hash that continues another one. */
+uint64_t str_hash_with(struct str s, uint64_t seed);
 int str_compare(struct str a, struct str b);
 struct str str_pack(char **at, struct str s) ATTR_NONNULL_ALL;
 
--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -141,6 +141,8 @@
 		"Answers 503 of targets with a Retry-After (count)"},
 	    {&flow->rates_heard, "gypsummill_flow_rate_limits_total",
 		"Targets that began to name the rate that they take (count)"},
+	    {&flow->ends_seen, "gypsummill_flow_ended_targets_total",
+		"Targets that ended while they ran requests (count)"},
 	    {&flow->refused_grants, "gypsummill_flow_refused_grants_total",
 		"Grants of targets that want nothing at the time (count)"},
 	    {&flow->calls_freed, "gypsummill_flow_calls_freed_total",
@@ -242,6 +244,7 @@
 	targets_open(flow);
 	leaving_open(flow);
 	away_open(flow);
+	crash_open(flow);
 	evacuation_open(flow);
 	document_open(flow);
 	allowance_open(flow);
@@ -352,6 +355,7 @@
 	fleet_close(flow);
 	leaving_close(flow);
 	away_close(flow);
+	crash_close(flow);
 	evacuation_close(flow);
 	document_close(flow);
 	allowance_close(flow);
--- a/src/flow/flow_exchange.c
+++ b/src/flow/flow_exchange.c
@@ -442,6 +442,7 @@
 	}
 	if (!account_authenticate(x))
 		return;
+	crash_identify(x);
 	part = route_next_destination(x->route);
 	if (part == NULL) {
 		exchange_refuse(x, 503, NO_DOCUMENT_RETRY_US, "no weight");
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -244,6 +244,7 @@
 	leaving_tick(flow);
 	away_tick(flow);
 	cold_tick(flow);
+	crash_tick(flow);
 	fleet_ping_suspects(flow, now);
 	expire_targets(flow, now);
 }
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -400,6 +400,17 @@
 /* The target was added to a placement. */
 void rate_on_added(struct pool *pool);
 
+/* flow_crash.c: requests under which targets end */
+/* Sets what makes a complete request the same as another. */
+void crash_identify(struct exchange *x);
+/* The target has closed the connection of a request that was sent to it. */
+void crash_on_break(struct upstream *up);
+void crash_on_checked(struct upstream *up, enum check_result result);
+void crash_pool_clear(struct pool *pool);
+void crash_open(struct flow *flow);
+void crash_close(struct flow *flow);
+void crash_tick(struct flow *flow);
+
 /* flow_hedge.c: second sends against slow answers */
 void hedge_on_event(
     void *ctx, void *user, const char *target, enum hedge_outcome outcome);
--- a/src/flow/flow_target.c
+++ b/src/flow/flow_target.c
@@ -264,6 +264,7 @@
 	while ((up = g_queue_peek_tail(&pool->all)) != NULL)
 		upstream_unlink(up);
 	probe_remove(pool);
+	crash_pool_clear(pool);
 	mem_free(pool->id);
 	mem_free(pool->address);
 	mem_free(pool->service);
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -151,6 +151,20 @@
 	size_t stale_response_bytes;
 	unsigned interim_count; /* 1xx responses of this request */
 	uint64_t started_ms;
+	bool checks_end; /* made to see whether the target has ended */
+};
+
+/* Of a new connection to a target that has broken off a request. */
+enum check_result {
+	CHECK_REFUSED,
+	CHECK_ACCEPTED,
+	CHECK_UNKNOWN
+};
+
+/* What makes two requests the same. */
+struct request_identity {
+	uint64_t content; /* hash of method, host, path, account and body */
+	uint32_t caller; /* hash of the caller's address */
 };
 
 /* What an answer says of the rate that its target takes from all entries. */
@@ -193,6 +207,9 @@
 	bool assumed_cold; /* until its next probe is answered */
 	bool evacuated; /* it gets no requests, probes or connections */
 	struct rate_limit rate_limit;
+	/* requests whose connections broke, while it is checked; or NULL */
+	GArray *broken; /* of struct request_identity */
+	bool checked; /* a first check of these was accepted */
 	unsigned probe_failures;
 };
 
@@ -228,6 +245,7 @@
 	char attempt_id[48]; /* of the caller */
 	struct str_buf target; /* path and query */
 	struct head head;
+	struct request_identity identity;
 	size_t head_charged; /* of both */
 	struct request_body *body; /* NULL: none */
 	enum http_method method;
@@ -404,6 +422,7 @@
 	struct roster *roster;
 	struct leavings *leavings; /* departures that control does not know */
 	struct aways *aways; /* targets that want nothing from this entry */
+	struct crashes *crashes; /* requests under which targets end */
 	bool limits_warmup; /* the document names a rate for cold targets */
 	uint64_t cold_count_due_us; /* time of the next count of cold targets */
 	/* evacuated failure domains: hash -> name */
@@ -499,6 +518,7 @@
 	struct counter *departures_asked;
 	struct counter *aways_heard;
 	struct counter *rates_heard;
+	struct counter *ends_seen;
 	struct counter *refused_grants;
 	struct counter *calls_freed;
 	struct counter *part_choices[PART_REASONS];
--- a/src/flow/flow_upstream.c
+++ b/src/flow/flow_upstream.c
@@ -108,6 +108,8 @@
 {
 	if (up->closing)
 		return;
+	if (up->checks_end)
+		crash_on_checked(up, CHECK_UNKNOWN);
 	up->closing = true;
 	upstream_leave_queue(up);
 	if (up->pool != NULL) {
@@ -172,6 +174,16 @@
 	*buf = uv_buf_init(up->flow->input, READ_BYTES);
 }
 
+/*
+ * Returns whether an error shows that the target, or its host, has closed a
+ * connection.
+ */
+static bool
+is_closed_by_target(ssize_t error)
+{
+	return error == UV_EOF || error == UV_ECONNRESET || error == UV_EPIPE;
+}
+
 /*
  * Handles the end of a connection: it completes a response without a length;
  * any other response is incomplete.
@@ -189,6 +201,8 @@
 			return;
 		}
 	}
+	if (is_closed_by_target(error))
+		crash_on_break(up);
 	if (error == UV_ECONNRESET)
 		on_reset(up, uv_strerror((int)error));
 	else
@@ -235,6 +249,8 @@
 	mem_free(write);
 	up->writing = false;
 	drop_request(up);
+	if (is_closed_by_target(status) && !up->closing)
+		crash_on_break(up);
 	if (status == UV_ECONNRESET && !up->closing)
 		on_reset(up, uv_strerror(status));
 	else if (status != 0 && !up->closing)
@@ -306,21 +322,38 @@
 	}
 }
 
+static enum check_result
+check_result(int status)
+{
+	if (status == 0)
+		return CHECK_ACCEPTED;
+	return status == UV_ECONNREFUSED || status == UV_ECONNRESET
+	    ? CHECK_REFUSED
+	    : CHECK_UNKNOWN;
+}
+
 static void
 on_connected(uv_connect_t *request, int status)
 {
 	struct upstream *up = request->data;
+	bool checks_end = up->checks_end;
 
 	mem_free(request);
 	if (up->closing)
 		return;
 	upstream_leave_queue(up);
+	if (checks_end)
+		crash_on_checked(up, check_result(status));
 	if (status != 0) {
 		upstream_fail(up, OUTCOME_UNREACHABLE, uv_strerror(status));
 		return;
 	}
 	up->connected = true;
 	uv_read_start((uv_stream_t *)&up->tcp, on_alloc, on_read);
+	if (checks_end) {
+		upstream_close(up);
+		return;
+	}
 	if (up->attempt == NULL || target_confirm_request(up))
 		write_request(up);
 }
