--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -75,6 +75,7 @@
         self.arrivals = []  # (time, path) of all requests and probes
         self.resets_probes = False
         self.lock = threading.Lock()
+        self.sockets = []
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind((ip, 0))
@@ -91,6 +92,7 @@
                 return
             with self.lock:
                 self.connections += 1
+                self.sockets.append(connection)
             threading.Thread(
                 target=self.serve, args=(connection,), daemon=True).start()
 
@@ -198,6 +200,20 @@
         self.open = False
         self.listener.close()
 
+    def crash(self):
+        """Ends with all connections, as a process that is killed; False if it
+        has ended before."""
+        with self.lock:
+            if not self.open:
+                return False
+            self.close()
+            for one in self.sockets:
+                try:
+                    one.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass  # it has ended by itself
+        return True
+
 
 class Instance:
     """One instance: a flow process, and a core process if it serves control,
