Answers whose status is none are no answers

Cause: the libraries' parsers take any number up to 999, with zeros before it. Class: a field is trusted since a library has read it.

Why this works: the status line is read before the parser, byte by byte, also behind interim answers, for which the parser pauses.

--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 
 #include "base/call_header.h"
+#include "base/status_line.h"
 
 enum {
 	HTTP_OK = 200,
@@ -106,6 +107,7 @@
 bool
 answer_header(struct answer *a, struct str line, long status)
 {
+	struct status_line status_line = {.at = 0};
 	struct str value = str_trim(line);
 	struct str name;
 
@@ -113,6 +115,8 @@
 	if (a->head_complete)
 		return true;
 	if (str_has_prefix(value, STR_LITERAL("HTTP/"))) {
+		if (!status_line_read(&status_line, line))
+			return false;
 		answer_reset(a);
 		a->status = (int)status;
 		str_buf_printf(&a->head, "HTTP/1.1 %d %s\r\n", a->status,
--- a/src/flow/flow_response.c
+++ b/src/flow/flow_response.c
@@ -217,15 +217,20 @@
 {
 	struct upstream *up = parser->data;
 
+	up->status_line = (struct status_line){.at = 0};
 	if (parser->status_code < 200) {
 		up->interim_count++;
-		if (limit_exceeded(up) == NULL)
-			return 0;
-		upstream_fail(up, OUTCOME_FAILED, limit_exceeded(up));
-		return 1;
+		if (limit_exceeded(up) != NULL) {
+			upstream_fail(up, OUTCOME_FAILED, limit_exceeded(up));
+			return 1;
+		}
+		/* The next status line is read before it is parsed. */
+		http_parser_pause(parser, 1);
+		return 0;
 	}
 	if (up->attribution == ATTRIBUTION_OTHER) {
 		up->in_response = false;
+		http_parser_pause(parser, 1);
 		return 0;
 	}
 	up->complete = true;
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -17,6 +17,7 @@
 #include "base/log_limiter.h"
 #include "base/minute_log.h"
 #include "base/random.h"
+#include "base/status_line.h"
 #include "flow/caller_timeouts.h"
 #include "flow/delivery.h"
 #include "flow/ended_asks.h"
@@ -124,6 +125,7 @@
 	GQueue *queue; /* pool->idle, flow->connecting or NULL */
 	GList pool_link; /* in pool->all */
 	http_parser parser;
+	struct status_line status_line; /* of the response being read */
 	struct head head;
 	struct str_buf body;
 	size_t response_charged;
--- a/src/flow/flow_upstream.c
+++ b/src/flow/flow_upstream.c
@@ -211,11 +211,36 @@
 				    : uv_strerror((int)error));
 }
 
+/*
+ * Parses a part of a response, up to the end of it or of an interim response
+ * before it; returns how much was used.
+ */
+static size_t
+parse_response(struct upstream *up, const char *data, size_t len)
+{
+	if (!status_line_read(&up->status_line, str_of(data, len))) {
+		upstream_fail(up, OUTCOME_FAILED, "the status is none");
+		return len;
+	}
+	if (HTTP_PARSER_ERRNO(&up->parser) == HPE_PAUSED)
+		http_parser_pause(&up->parser, 0);
+	return http_parser_execute(&up->parser, &response_settings, data, len);
+}
+
+static bool
+can_parse_on(const struct upstream *up)
+{
+	enum http_errno error = HTTP_PARSER_ERRNO(&up->parser);
+
+	return !up->closing && !up->complete && !up->parser.upgrade &&
+	    (error == HPE_OK || error == HPE_PAUSED);
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct upstream *up = stream->data;
-	size_t used;
+	size_t used = 0;
 
 	if (n == 0 || up->closing)
 		return;
@@ -228,15 +253,15 @@
 		upstream_close(up);
 		return;
 	}
-	used = http_parser_execute(
-	    &up->parser, &response_settings, buf->base, (size_t)n);
+	while (used < (size_t)n && can_parse_on(up))
+		used += parse_response(up, buf->base + used, (size_t)n - used);
 	if (up->closing)
 		return;
 	if (up->complete) {
 		response_complete(up, used < (size_t)n);
 		return;
 	}
-	if (HTTP_PARSER_ERRNO(&up->parser) != HPE_OK || up->parser.upgrade)
+	if (!can_parse_on(up))
 		upstream_fail(up, OUTCOME_FAILED, "the response can't be read");
 }
 
