Heads and trailers of the product's answers are bounded

Cause: libcurl keeps every trailer as long as they come, and the entry counts bodies alone. Class: what is not used is not bounded.

Why this works: heads and trailers of one response may have 256 KiB, then the transfer ends.

--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -17,6 +17,8 @@
 	RECEIVE_BUFFER_BYTES = 64 * 1024,
 	UPLOAD_BUFFER_BYTES = 64 * 1024,
 	IDLE_MAX_S = 20, /* older idle connections are not reused */
+	/* Of a response with its trailers, all of which libcurl keeps. */
+	HEADER_MAX_BYTES = 256 * 1024,
 	URL_BYTES = 96
 };
 
@@ -53,6 +55,7 @@
 	unsigned sends; /* attempts by libcurl to send the request */
 	bool stale; /* the reused connection had input or had ended */
 	bool withdrawn;
+	size_t header_bytes; /* received, trailers too */
 };
 
 /*
@@ -286,7 +289,9 @@
 	return got < 0 ? CURL_READFUNC_ABORT : (size_t)got;
 }
 
-/* Passes a line of the response head on, with the status so far. */
+/*
+ * Passes a line of the response head, or a trailer, on with the status so far.
+ */
 static size_t
 on_header(char *data, size_t size, size_t count, void *ctx)
 {
@@ -295,6 +300,9 @@
 	size_t len = size * count;
 	long status = 0;
 
+	transfer->header_bytes += len;
+	if (transfer->header_bytes > HEADER_MAX_BYTES)
+		return 0;
 	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
 	return call->header(call->ctx, str_of(data, len), status) ? len : 0;
 }
