A voter whose disk is gone is replaced as soon as that is known

Cause: that a disk is gone was inferred from 3 s of silence, anew by each new leader, though the replica at its address says so at once. Class: a known fact is inferred from time.

Why this works: a replica that gets a message for another id answers that it has the address now; the leader promotes a learner that has caught up, then removes the voter, one committed step after the other, so that the number of disks with what was acknowledged never falls (docs/design/replica.md). A group without a majority of disks says so in log and metrics.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -81,6 +81,9 @@
 	core->is_leader =
 	    counter_register(COUNTER_GAUGE, "gypsummill_core_leader",
 		"1 while this instance is the leader", NULL);
+	core->without_quorum = counter_register(COUNTER_GAUGE,
+	    "gypsummill_core_quorum_lost",
+	    "1 while the voters with a disk are less than a majority", NULL);
 }
 
 /*
@@ -114,6 +117,7 @@
 	roster_free(core->roster);
 	minute_log_free(&core->refused_log);
 	minute_log_free(&core->messages_log);
+	g_hash_table_destroy(core->gone_voters);
 }
 
 /*
@@ -134,6 +138,8 @@
 	core_state_init(&core->state, core->roster);
 	evacuation_set_init(&core->kept_evacuations);
 	register_counters(core);
+	core->gone_voters =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	core_propose_open(core);
 	core_departures_open(core);
 	core_allowance_open(core);
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -12,6 +12,7 @@
 #include "base/minute_log.h"
 #include "core/core.h"
 #include "core/core_state.h"
+#include "core/group_keeper.h"
 #include "limit/allowance_bucket.h"
 #include "net/channel.h"
 #include "replica/replica.h"
@@ -118,7 +119,6 @@
 	unsigned next_neighbour_bit;
 	GHashTable *entries; /* datagram address -> struct core_entry */
 	GHashTable *addresses; /* replica id -> link address */
-	GHashTable *replica_last_message; /* replica id -> uint64_t time */
 	struct roster *roster;
 	struct core_state state;
 	/*
@@ -154,10 +154,7 @@
 	uint64_t announced_replica_id; /* id last sent to neighbours */
 	bool rejoin_due; /* discard the replica, join under a new id */
 	uint64_t reopen_us; /* when a stopped replica is reopened */
-	uint64_t joiner_us;
-	uint64_t joiner_id;
-	char joiner_address[64];
-	uint64_t next_membership_us;
+	struct group_keeper keeper; /* of the replica's group */
 	uint64_t next_join_us;
 	uint64_t next_members_us;
 	char leader_address[64]; /* as reported by others, without a replica */
@@ -178,6 +175,11 @@
 	struct counter *messages_refused;
 	struct minute_log messages_log; /* by sender */
 	struct counter *is_leader;
+	struct counter *without_quorum;
+	GHashTable *gone_voters; /* link address -> its struct counter */
+	uint64_t without_quorum_us; /* since when; 0: it is not */
+	uint64_t next_quorum_log_us;
+	uint64_t next_report_us;
 	struct counter *evacuations;
 	struct crash_ledger *crash_ledger;
 	struct quarantine *quarantine;
@@ -214,6 +216,9 @@
 bool core_has_lease(const struct core *core, uint64_t now_us);
 const char *core_leader_address(const struct core *core);
 
+/* core_quorum.c: reports the voters whose disks are gone */
+void core_quorum_tick(struct core *core, uint64_t now_us);
+
 /* core_entries.c */
 Fleet__Hello *core_copy_hello(const Fleet__Hello *from);
 void core_on_entry(struct core *core, const struct channel *channel,
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -212,35 +212,39 @@
 static void
 on_join(struct core *core, const Fleet__Join *join)
 {
-	core->joiner_id = join->replica;
-	core->joiner_us = clock_boot_us();
-	snprintf(core->joiner_address, sizeof(core->joiner_address), "%s",
-	    join->address);
+	group_keeper_on_join(
+	    &core->keeper, join->replica, join->address, clock_boot_us());
 }
 
 /*
- * Notifies a replica that is not a member of its removal, so that it joins
- * under a new id.  Sent only under a lease and after the removal is committed:
- * a replica that gives up its log before has no vote if the removal is lost with
- * this leader.  Returns whether it was sent.
+ * Notifies a replica of its removal, so that it joins under a new id.
  */
-static bool
-send_removed_if_not_member(struct core *core, struct core_peer *peer)
+static void
+send_removed(const struct core_peer *peer)
 {
 	Fleet__Frame frame = FLEET__FRAME__INIT;
 	Fleet__Removed removed = FLEET__REMOVED__INIT;
 
-	if (!core_has_lease(core, clock_boot_us()) ||
-	    !core->info.members_committed)
-		return false;
-	for (unsigned i = 0; i < core->info.member_count; i++)
-		if (core->info.members[i].id == peer->replica)
-			return false;
 	removed.replica = peer->replica;
 	frame.body_case = FLEET__FRAME__BODY_REMOVED;
 	frame.removed = &removed;
 	channel_send(peer->channel, &frame);
-	return true;
+}
+
+/*
+ * Tells the sender of a message for another replica that this one has its
+ * address.
+ */
+static void
+send_denied(const struct core_peer *peer, uint64_t replica)
+{
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Denied denied = FLEET__DENIED__INIT;
+
+	denied.replica = replica;
+	frame.body_case = FLEET__FRAME__BODY_DENIED;
+	frame.denied = &denied;
+	channel_send(peer->channel, &frame);
 }
 
 /*
@@ -266,13 +270,29 @@
 static void
 on_replica(struct core *core, struct core_peer *peer, const Fleet__Frame *frame)
 {
-	if (peer == NULL || peer->replica == 0 ||
-	    send_removed_if_not_member(core, peer) ||
-	    frame->replica_to != core->replica_id)
+	enum group_verdict verdict;
+
+	if (peer == NULL || peer->replica == 0)
+		return;
+	verdict = group_judge_message(&core->info,
+	    core_has_lease(core, clock_boot_us()), core->replica_id,
+	    peer->replica, frame->replica_to);
+	switch (verdict) {
+	case GROUP_TELL_REMOVED:
+		send_removed(peer);
 		return;
-	if (core_replica_message(core, peer->replica, &frame->replica) !=
-	    STATUS_OK)
-		count_refused(core, peer->channel, frame, status_message());
+	case GROUP_DENY:
+		/* Without an open replica, the id in the folder may change. */
+		if (core->replica != NULL && !core->rejoin_due)
+			send_denied(peer, frame->replica_to);
+		return;
+	case GROUP_TAKE:
+		if (core_replica_message(
+			core, peer->replica, &frame->replica) != STATUS_OK)
+			count_refused(
+			    core, peer->channel, frame, status_message());
+		return;
+	}
 }
 
 /*
@@ -292,6 +312,24 @@
 	core->reopen_us = 0;
 }
 
+/*
+ * Records that another replica runs at the address of a member, unless the
+ * answer comes from elsewhere.
+ */
+static void
+on_denied(struct core *core, const struct channel *channel,
+    const Fleet__Denied *denied)
+{
+	for (unsigned i = 0; i < core->info.member_count; i++) {
+		const struct replica_member *member = &core->info.members[i];
+
+		if (member->id == denied->replica &&
+		    strcmp(member->address, channel_address(channel)) == 0)
+			group_keeper_on_denied(
+			    &core->keeper, member->id, clock_boot_us());
+	}
+}
+
 /*
  * Returns whether a frame has a field out of its bounds, which is counted and
  * logged.
@@ -355,6 +393,10 @@
 	case FLEET__FRAME__BODY_REMOVED:
 		on_removed(core, frame->removed);
 		break;
+	case FLEET__FRAME__BODY_DENIED:
+		if (peer == NULL)
+			on_denied(core, channel, frame->denied);
+		break;
 	case FLEET__FRAME__BODY_FETCH:
 		if (peer != NULL && peer->hello_received)
 			core_on_fetch(core, peer);
@@ -618,8 +660,6 @@
 	    g_str_hash, g_str_equal, g_free, core_entry_free);
 	core->addresses =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-	core->replica_last_message =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	core->listener =
 	    channel_listen(core->loop, core->settings.link_address, &callbacks);
 	return core->listener != NULL ? STATUS_OK : STATUS_IO;
@@ -644,5 +684,4 @@
 	g_ptr_array_free(core->reported_members, TRUE);
 	g_hash_table_destroy(core->entries);
 	g_hash_table_destroy(core->addresses);
-	g_hash_table_destroy(core->replica_last_message);
 }
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -11,16 +11,10 @@
 #include "base/memory.h"
 #include "base/random.h"
 #include "core/core_internal.h"
-#include "core/group_membership.h"
 
 enum {
-	ELECTION_MS = 600, /* a new leader well within ack_ms, 4 s */
-	HEARTBEAT_MS = 100, /* a sixth of the election timeout */
-	LEASE_MS = 500, /* below the election timeout */
 	SNAPSHOT_ENTRIES = 400, /* hundreds of edits are usual per day */
 	APPEND_MAX_BYTES = 1 << 20,
-	MEMBERSHIP_INTERVAL_MS = 100,
-	JOIN_MS = 300,
 	REOPEN_MS = 1000
 };
 
@@ -47,7 +41,7 @@
 	    clock_wall_us() ^ (uint64_t)getpid() << 40 ^
 		(uint64_t)(uintptr_t)&random ^ clock_boot_us() << 20);
 	return (random_next(&random) & ((UINT64_C(1) << 46) - 1)) |
-	    UINT64_C(1) << 47;
+	    GROUP_DRAWN_ID;
 }
 
 /*
@@ -234,9 +228,9 @@
 	    .changed = on_changed,
 	};
 	struct replica_config config = {
-	    .election_timeout_us = ELECTION_MS * US_PER_MS,
-	    .heartbeat_us = HEARTBEAT_MS * US_PER_MS,
-	    .lease_us = LEASE_MS * US_PER_MS,
+	    .election_timeout_us = GROUP_ELECTION_MS * US_PER_MS,
+	    .heartbeat_us = GROUP_HEARTBEAT_MS * US_PER_MS,
+	    .lease_us = GROUP_LEASE_MS * US_PER_MS,
 	    .snapshot_entries = SNAPSHOT_ENTRIES,
 	    .append_max_bytes = APPEND_MAX_BYTES,
 	};
@@ -309,24 +303,6 @@
 	return address != NULL ? address : "";
 }
 
-/*
- * Records the time of a replica's last message.
- */
-static void
-record_replica_message(struct core *core, uint64_t id, uint64_t now_us)
-{
-	uint64_t *known = g_hash_table_lookup(core->replica_last_message, &id);
-
-	if (known == NULL) {
-		uint64_t *key = g_new(uint64_t, 1);
-
-		known = g_new(uint64_t, 1);
-		*key = id;
-		g_hash_table_insert(core->replica_last_message, key, known);
-	}
-	*known = now_us;
-}
-
 /*
  * Passes a message of another replica to the local one.  STATUS_INVALID as for
  * replica_receive().
@@ -339,100 +315,43 @@
 
 	if (core->replica == NULL || core->rejoin_due)
 		return STATUS_OK;
-	record_replica_message(core, from, now);
+	group_keeper_on_message(&core->keeper, from, now);
 	return replica_receive(core->replica, from,
 	    str_of((const char *)bytes->data, bytes->len), now);
 }
 
 /*
- * Fills in the leader's view of its group.
- */
-static void
-describe_group(struct core *core, struct group_view *view, uint64_t now_us)
-{
-	*view = (struct group_view){
-	    .count = core->info.member_count,
-	    .wanted_voters = 2 * core->settings.losses + 1,
-	};
-	for (unsigned i = 0; i < view->count; i++) {
-		const struct replica_member *from = &core->info.members[i];
-		struct group_member *to = &view->members[i];
-		const uint64_t *last_message_us =
-		    g_hash_table_lookup(core->replica_last_message, &from->id);
-
-		to->id = from->id;
-		to->voter = from->voter;
-		to->self = from->id == core->replica_id;
-		memcpy(to->address, from->address, sizeof(to->address));
-		if (last_message_us == NULL)
-			record_replica_message(core, from->id, now_us);
-		else
-			to->silent_ms = (now_us - *last_message_us) / US_PER_MS;
-		if (from->id == core->joiner_id)
-			core->joiner_id = 0;
-	}
-	if (now_us - core->joiner_us < GROUP_SILENT_MS * US_PER_MS) {
-		view->joiner.id = core->joiner_id;
-		memcpy(view->joiner.address, core->joiner_address,
-		    sizeof(view->joiner.address));
-	}
-}
-
-/*
- * Starts the next membership change, if one is needed.  A change that can't
- * start yet is retried at the next interval.
+ * Starts the next change of members, if one is needed.  A change that can't
+ * start yet is retried.
  */
 static void
 run_membership_action(struct core *core, uint64_t now_us)
 {
-	static const char *const names[] = {
-	    [GROUP_KEEP] = "keep",
-	    [GROUP_ADD] = "add",
-	    [GROUP_PROMOTE] = "promote",
-	    [GROUP_REMOVE] = "remove",
-	};
-	struct group_view view;
-	struct group_action action;
-	struct replica_member member = {0};
-	uint64_t index = 0;
-	enum status status = STATUS_OK;
-
-	describe_group(core, &view, now_us);
-	action = group_next_action(&view);
-	switch (action.change) {
-	case GROUP_KEEP:
-		return;
-	case GROUP_ADD:
-		member.id = action.id;
-		memcpy(member.address, view.joiner.address,
-		    sizeof(member.address));
-		status = replica_add_learner(core->replica, &member, &index);
-		break;
-	case GROUP_PROMOTE:
-		status = replica_promote(core->replica, action.id, &index);
-		break;
-	case GROUP_REMOVE:
-		status = replica_remove(core->replica, action.id, &index);
-		break;
-	}
-	if (status == STATUS_BUSY)
+	struct group_step step;
+	struct group_action action = group_keeper_plan(
+	    &core->keeper, &core->info, 2 * core->settings.losses + 1, now_us);
+
+	if (!group_keeper_apply(&core->keeper, core->replica, action, &step))
 		return;
 	log_info("group_change",
 	    "instance=%s change=%s replica=%" PRIu64 " index=%" PRIu64
 	    " term=%" PRIu64 " members=%u outcome=%s",
-	    core->settings.instance, names[action.change], action.id, index,
-	    core->info.term, view.count, status_name(status));
+	    core->settings.instance, group_change_name(action.change),
+	    action.id, step.index, core->info.term, core->info.member_count,
+	    status_name(step.status));
 }
 
 /*
  * Updates the replica's description and logs a change of role.
  */
 static void
-log_role_change(struct core *core)
+log_role_change(struct core *core, uint64_t now_us)
 {
 	struct replica_info before = core->info;
 
 	replica_describe(core->replica, &core->info);
+	group_keeper_update(
+	    &core->keeper, &core->info, core->replica_id, now_us);
 	counter_set(core->is_leader, core->info.role == REPLICA_LEADER);
 	if (before.role == core->info.role && before.term == core->info.term &&
 	    before.leader == core->info.leader &&
@@ -479,7 +398,7 @@
 }
 
 /*
- * Requests membership while this replica is not a member.
+ * Requests membership while this replica may not be a member.
  */
 static void
 request_join(struct core *core, uint64_t now_us)
@@ -489,12 +408,10 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	for (unsigned i = 0; i < core->info.member_count; i++)
-		if (core->info.members[i].id == core->replica_id)
-			return;
-	if (now_us < core->next_join_us)
+	if (now_us < core->next_join_us ||
+	    !group_should_ask_to_join(&core->info, core->replica_id))
 		return;
-	core->next_join_us = now_us + JOIN_MS * US_PER_MS;
+	core->next_join_us = now_us + GROUP_JOIN_MS * US_PER_MS;
 	message.replica = core->replica_id;
 	message.address = (char *)core->settings.link_address;
 	frame.body_case = FLEET__FRAME__BODY_JOIN;
@@ -519,10 +436,9 @@
 	}
 	replica_tick(core->replica, now_us);
 	replica_flush(core->replica, clock_boot_us());
-	log_role_change(core);
+	log_role_change(core, now_us);
+	core_quorum_tick(core, now_us);
 	request_join(core, now_us);
-	if (now_us < core->next_membership_us || !core_has_lease(core, now_us))
-		return;
-	core->next_membership_us = now_us + MEMBERSHIP_INTERVAL_MS * US_PER_MS;
-	run_membership_action(core, now_us);
+	if (core_has_lease(core, now_us))
+		run_membership_action(core, now_us);
 }
--- a/src/core/group_membership.c
+++ b/src/core/group_membership.c
@@ -3,25 +3,28 @@
 #include <string.h>
 
 /*
- * Returns whether a member sent a message within GROUP_SILENT_MS; self is
- * always alive.
+ * Returns whether a member sent a message within GROUP_SILENT_MS and has its
+ * disk; self is always alive.
  */
 static bool
 is_alive(const struct group_member *member)
 {
-	return member->self || member->silent_ms < GROUP_SILENT_MS;
+	return member->self ||
+	    (!member->denied && member->silent_ms < GROUP_SILENT_MS);
 }
 
 /*
- * Returns whether a live member or the joiner has the address of a silent
- * member.  Since an address has one process, the silent one has lost its
- * disk.
+ * Returns whether another replica has the address of a lost member: a live
+ * member, the joiner, or one that has answered from there.  Since an address
+ * has one process, the member has lost its disk.
  */
 static bool
 is_replaced(const struct group_view *view, const struct group_member *member)
 {
 	if (member->self || is_alive(member))
 		return false;
+	if (member->denied)
+		return true;
 	for (unsigned i = 0; i < view->count; i++) {
 		const struct group_member *other = &view->members[i];
 
@@ -87,15 +90,15 @@
 }
 
 /*
- * Returns a live learner, NULL when there is none.
+ * Returns a live learner that may be promoted, NULL when there is none.
  */
 static const struct group_member *
-live_learner(const struct group_view *view)
+ready_learner(const struct group_view *view)
 {
 	for (unsigned i = 0; i < view->count; i++) {
 		const struct group_member *member = &view->members[i];
 
-		if (!member->voter && is_alive(member))
+		if (!member->voter && is_alive(member) && member->caught_up)
 			return member;
 	}
 	return NULL;
@@ -128,14 +131,15 @@
 /*
  * Returns the next membership change.  A successor becomes a voter before
  * the lost voter is removed, so that a majority never depends on fewer disks
- * than before.
+ * than before.  A learner that is ready goes before a joiner, which has yet to
+ * get the log: the next loss may come at any moment.
  */
 struct group_action
 group_next_action(const struct group_view *view)
 {
 	unsigned voters = count_voters(view);
 	const struct group_member *lost = lost_voter(view);
-	const struct group_member *learner = live_learner(view);
+	const struct group_member *learner = ready_learner(view);
 	const struct group_member *old = lost_learner(view);
 
 	if (old != NULL)
@@ -143,11 +147,11 @@
 	if (voters > view->wanted_voters && lost != NULL &&
 	    may_remove(view, lost))
 		return action(GROUP_REMOVE, lost->id);
-	if (view->joiner.id != 0 && view->count < REPLICA_MEMBERS_MAX)
-		return action(GROUP_ADD, view->joiner.id);
 	if (learner != NULL &&
 	    (voters < view->wanted_voters ||
 		(lost != NULL && voters == view->wanted_voters)))
 		return action(GROUP_PROMOTE, learner->id);
+	if (view->joiner.id != 0 && view->count < REPLICA_MEMBERS_MAX)
+		return action(GROUP_ADD, view->joiner.id);
 	return action(GROUP_KEEP, 0);
 }
--- a/src/core/group_membership.h
+++ b/src/core/group_membership.h
@@ -21,6 +21,8 @@
 	bool self;
 	char address[64];
 	uint64_t silent_ms; /* since its last message; 0 for self */
+	bool denied; /* its address has another replica: its disk is gone */
+	bool caught_up; /* it holds all that is committed */
 };
 
 /* A replica that asked to join. */
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -486,6 +486,9 @@
 		? election_quorum_value(replica, list_us, replica->now_us)
 		: 0,
 	};
-	for (unsigned i = 0; i < replica->members.count; i++)
+	for (unsigned i = 0; i < replica->members.count; i++) {
 		info->members[i] = replica->members.list[i].info;
+		info->caught_up[i] =
+		    members_caught_up(replica, info->members[i].id);
+	}
 }
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -68,6 +68,8 @@
 	uint64_t snapshot_index;
 	struct replica_member members[REPLICA_MEMBERS_MAX];
 	unsigned member_count;
+	/* On the leader, by member: it holds all that is committed. */
+	bool caught_up[REPLICA_MEMBERS_MAX];
 	/* false: a change is under way, which may not come to pass */
 	bool members_committed;
 	/* of the log: at which this list is known to be in effect */
--- a/src/replica/replica_defs.h
+++ b/src/replica/replica_defs.h
@@ -231,6 +231,7 @@
 
 /* replica_members.c */
 struct peer *members_peer(struct replica *r, uint64_t id);
+bool members_caught_up(const struct replica *r, uint64_t id);
 void members_record_reply(
     const struct replica *r, struct peer *peer, uint64_t sent_us);
 const struct member *members_find(const struct members *members, uint64_t id);
--- a/src/replica/replica_election.c
+++ b/src/replica/replica_election.c
@@ -84,7 +84,9 @@
 }
 
 /*
- * Starts a pre-vote round: terms stay unchanged until a majority would grant
+ * The time without a leader is over.  A learner, which may have been removed
+ * without a message, only forgets the leader that it knew.  A voter starts a
+ * pre-vote round: terms stay unchanged until a majority would grant
  * its vote (Ongaro 2014, section 9.6).  The next round follows soon: after a
  * restart of all, the first rounds are refused by replicas that started later,
  * and pre-votes disturb no leader.  Rounds within an election timeout of our
@@ -94,10 +96,12 @@
 election_campaign(struct replica *r)
 {
 	election_retry_soon(r);
+	if (r->leader != 0)
+		replica_mark_changed(r);
+	r->leader = 0;
 	if (!members_is_voter(r) || r->bootstrapping)
 		return;
 	r->role = REPLICA_PRE_CANDIDATE;
-	r->leader = 0;
 	replica_mark_changed(r);
 	request_votes(r, REPLICA__KIND__KIND_PRE_VOTE, r->term + 1);
 	r->dirty = true;
--- a/src/replica/replica_members.c
+++ b/src/replica/replica_members.c
@@ -54,6 +54,25 @@
 	return voters / 2 + 1;
 }
 
+/*
+ * Returns whether, as this leader knows, another member has stored all
+ * committed entries on a disk that has a number.
+ */
+bool
+members_caught_up(const struct replica *r, uint64_t id)
+{
+	if (r->role != REPLICA_LEADER)
+		return false;
+	for (unsigned i = 0; i < r->peer_count; i++) {
+		const struct peer *peer = &r->peers[i];
+
+		if (peer->id == id)
+			return peer->match >= r->commit_index &&
+			    peer->disk != 0;
+	}
+	return false;
+}
+
 /*
  * Records a peer's reply to a message that was sent at sent_us by our clock.
  * A time in the future is ignored, since it would extend the lease.
@@ -251,7 +270,7 @@
 	if (peer->voter)
 		return status_set(
 		    STATUS_CONFLICT, "%llu is a voter", (unsigned long long)id);
-	if (peer->match < r->commit_index || peer->disk == 0)
+	if (!members_caught_up(r, id))
 		return status_set(STATUS_BUSY,
 		    "learner %llu holds %llu of %llu entries",
 		    (unsigned long long)id, (unsigned long long)peer->match,
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -662,6 +662,50 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+fleet__denied__init(Fleet__Denied *message)
+{
+	static const Fleet__Denied init_value = FLEET__DENIED__INIT;
+	*message = init_value;
+}
+size_t
+fleet__denied__get_packed_size(const Fleet__Denied *message)
+{
+	assert(message->base.descriptor == &fleet__denied__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+fleet__denied__pack(const Fleet__Denied *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &fleet__denied__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+fleet__denied__pack_to_buffer(
+    const Fleet__Denied *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &fleet__denied__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Fleet__Denied *
+fleet__denied__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Fleet__Denied *)protobuf_c_message_unpack(
+	    &fleet__denied__descriptor, allocator, len, data);
+}
+void
+fleet__denied__free_unpacked(
+    Fleet__Denied *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &fleet__denied__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 fleet__ping__init(Fleet__Ping *message)
 {
 	static const Fleet__Ping init_value = FLEET__PING__INIT;
@@ -2309,6 +2353,26 @@
     fleet__removed__number_ranges, (ProtobufCMessageInit)fleet__removed__init,
     NULL, NULL, NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor fleet__denied__field_descriptors[1] = {
+    {
+	"replica", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Denied, replica), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+};
+static const unsigned fleet__denied__field_indices_by_name[] = {
+    0, /* field[0] = replica */
+};
+static const ProtobufCIntRange fleet__denied__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor fleet__denied__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Denied", "Denied",
+    "Fleet__Denied", "fleet", sizeof(Fleet__Denied), 1,
+    fleet__denied__field_descriptors, fleet__denied__field_indices_by_name, 1,
+    fleet__denied__number_ranges, (ProtobufCMessageInit)fleet__denied__init,
+    NULL, NULL, NULL /* reserved[123] */
+};
 #define fleet__ping__field_descriptors NULL
 #define fleet__ping__field_indices_by_name NULL
 #define fleet__ping__number_ranges NULL
@@ -2706,7 +2770,7 @@
     fleet__cache__number_ranges, (ProtobufCMessageInit)fleet__cache__init, NULL,
     NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[25] = {
+static const ProtobufCFieldDescriptor fleet__frame__field_descriptors[26] = {
     {
 	"ping", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
 	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, ping),
@@ -2881,10 +2945,18 @@
 	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"denied", 26, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+	offsetof(Fleet__Frame, body_case), offsetof(Fleet__Frame, denied),
+	&fleet__denied__descriptor, NULL,
+	0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__frame__field_indices_by_name[] = {
     7, /* field[7] = announcement */
     23, /* field[23] = crash */
+    25, /* field[25] = denied */
     8, /* field[8] = departure */
     6, /* field[6] = document */
     19, /* field[19] = document_received */
@@ -2910,10 +2982,10 @@
     13, /* field[13] = synced */
 };
 static const ProtobufCIntRange fleet__frame__number_ranges[1 + 1] = {
-    {1, 0}, {0, 25}};
+    {1, 0}, {0, 26}};
 const ProtobufCMessageDescriptor fleet__frame__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Frame", "Frame",
-    "Fleet__Frame", "fleet", sizeof(Fleet__Frame), 25,
+    "Fleet__Frame", "fleet", sizeof(Fleet__Frame), 26,
     fleet__frame__field_descriptors, fleet__frame__field_indices_by_name, 1,
     fleet__frame__number_ranges, (ProtobufCMessageInit)fleet__frame__init, NULL,
     NULL, NULL /* reserved[123] */
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Fleet__Read Fleet__Read;
 typedef struct Fleet__Join Fleet__Join;
 typedef struct Fleet__Removed Fleet__Removed;
+typedef struct Fleet__Denied Fleet__Denied;
 typedef struct Fleet__Ping Fleet__Ping;
 typedef struct Fleet__Synced Fleet__Synced;
 typedef struct Fleet__Fetch Fleet__Fetch;
@@ -342,6 +343,20 @@
     , 0 }
 
 
+/*
+ * Another replica runs at the address to which a message for this one came:
+ * its disk is gone.
+ */
+struct  Fleet__Denied
+{
+  ProtobufCMessage base;
+  uint64_t replica;
+};
+#define FLEET__DENIED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__denied__descriptor) \
+    , 0 }
+
+
 struct  Fleet__Ping
 {
   ProtobufCMessage base;
@@ -592,7 +607,8 @@
   FLEET__FRAME__BODY_DRAW_RESULT = 22,
   FLEET__FRAME__BODY_DRAW_RETURN = 23,
   FLEET__FRAME__BODY_CRASH = 24,
-  FLEET__FRAME__BODY_QUARANTINE = 25
+  FLEET__FRAME__BODY_QUARANTINE = 25,
+  FLEET__FRAME__BODY_DENIED = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLEET__FRAME__BODY__CASE)
 } Fleet__Frame__BodyCase;
 
@@ -629,6 +645,7 @@
     Fleet__DrawReturn *draw_return;
     Fleet__Crash *crash;
     Fleet__Quarantine *quarantine;
+    Fleet__Denied *denied;
   };
 };
 #define FLEET__FRAME__INIT \
@@ -1179,6 +1196,25 @@
 void   fleet__removed__free_unpacked
                      (Fleet__Removed *message,
                       ProtobufCAllocator *allocator);
+/* Fleet__Denied methods */
+void   fleet__denied__init
+                     (Fleet__Denied         *message);
+size_t fleet__denied__get_packed_size
+                     (const Fleet__Denied   *message);
+size_t fleet__denied__pack
+                     (const Fleet__Denied   *message,
+                      uint8_t             *out);
+size_t fleet__denied__pack_to_buffer
+                     (const Fleet__Denied   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Denied *
+       fleet__denied__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__denied__free_unpacked
+                     (Fleet__Denied *message,
+                      ProtobufCAllocator *allocator);
 /* Fleet__Ping methods */
 void   fleet__ping__init
                      (Fleet__Ping         *message);
@@ -1663,6 +1699,9 @@
 typedef void (*Fleet__Removed_Closure)
                  (const Fleet__Removed *message,
                   void *closure_data);
+typedef void (*Fleet__Denied_Closure)
+                 (const Fleet__Denied *message,
+                  void *closure_data);
 typedef void (*Fleet__Ping_Closure)
                  (const Fleet__Ping *message,
                   void *closure_data);
@@ -1754,6 +1793,7 @@
 extern const ProtobufCMessageDescriptor fleet__read__descriptor;
 extern const ProtobufCMessageDescriptor fleet__join__descriptor;
 extern const ProtobufCMessageDescriptor fleet__removed__descriptor;
+extern const ProtobufCMessageDescriptor fleet__denied__descriptor;
 extern const ProtobufCMessageDescriptor fleet__ping__descriptor;
 extern const ProtobufCMessageDescriptor fleet__synced__descriptor;
 extern const ProtobufCMessageDescriptor fleet__fetch__descriptor;
--- a/test/functional/test_platform_group.py
+++ b/test/functional/test_platform_group.py
@@ -2,8 +2,9 @@
 survive restarts, killed instances and lost disks."""
 
 import json
-import shutil
 import os
+import re
+import shutil
 import threading
 import time
 import unittest
@@ -11,6 +12,14 @@
 from platform_bed import Testbed, Target
 from support import wait_until
 
+CATCH_UP_S = 4.0  # a machine that is back counts as lost for so long
+
+
+def lines_of(instance, text):
+    """Returns the lines of the core's log with a text."""
+    with open(instance.log("core"), encoding="utf-8") as log:
+        return [line for line in log if text in line]
+
 
 class TargetExpiry(unittest.TestCase):
     """A target expires 40 heartbeat intervals after its last report, here
@@ -201,8 +210,7 @@
         self.assertEqual(self.read_config(one), 503)
 
     def count_lines(self, instance, text):
-        with open(instance.log("core"), encoding="utf-8") as log:
-            return sum(text in line for line in log)
+        return len(lines_of(instance, text))
 
     def test_replica_with_lost_disk_is_replaced(self):
         config = self.accept(2, 1)
@@ -230,6 +238,62 @@
         config = self.accept(3, 2)
         self.wait_until_all_read(config)
 
+    def lose_disk(self, one):
+        one.kill("core")
+        shutil.rmtree(one.data)
+        os.makedirs(one.data)
+        one.bootstrap = False
+        one.start("core")
+
+    def leader(self):
+        roles = [(line, one) for one in self.bed.cores()
+                 for line in lines_of(one, "event=role ")[-1:]]
+        leaders = [(int(re.search(r" term=(\d+)", line).group(1)), i)
+                   for i, (line, _) in enumerate(roles)
+                   if " role=leader " in line]
+        return roles[max(leaders)[1]][1] if leaders else None
+
+    def restart_all(self):
+        for instance in self.bed.instances:
+            instance.kill("core")
+        for instance in self.bed.instances:
+            instance.bootstrap = False
+            instance.start("core")
+
+    def test_disks_are_lost_in_turn_with_restarts_between(self):
+        # The leader loses its disk as soon as it has acknowledged a change,
+        # then all restart; when all have been back for CATCH_UP_S, the next
+        # disk may be lost.
+        config, version = self.config, 1
+        for _ in range(4):
+            config = self.accept(version + 1, version)
+            version += 1
+            self.lose_disk(wait_until(self.leader, "a leader"))
+            time.sleep(0.5)
+            self.restart_all()
+            time.sleep(CATCH_UP_S)
+        self.wait_until_all_read(config)
+        self.accept(version + 1, version)
+
+    def test_lost_quorum_is_said(self):
+        # Two of three voters lose their disks at once; the third one has no
+        # way to go on.
+        self.bed.instances[3].kill("core")
+        wait_until(self.leader, "a leader")
+        lost, left = self.bed.instances[:2], self.bed.instances[2]
+        for one in lost:
+            one.kill("core")
+        for one in lost:
+            self.lose_disk(one)
+        wait_until(lambda: self.count_lines(left, "event=quorum_lost"),
+                   "the loss is logged")
+        line = lines_of(left, "event=quorum_lost")[0]
+        for one in lost:
+            self.assertIn(one.ip + ":", line)
+        self.assertNotIn(left.ip + ":", line)
+        self.assertEqual(self.bed.put_config(
+            self.next_config(2), 1, left), 503)
+
     def test_accepted_configs_survive_kill_of_all_instances(self):
         version = 1
         for _ in range(3):
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -110,8 +110,11 @@
 static struct group_member
 member(uint64_t id, bool voter, const char *address, uint64_t silent_ms)
 {
-	struct group_member m = {
-	    .id = id, .voter = voter, .self = id == 1, .silent_ms = silent_ms};
+	struct group_member m = {.id = id,
+	    .voter = voter,
+	    .self = id == 1,
+	    .silent_ms = silent_ms,
+	    .caught_up = true};
 
 	snprintf(m.address, sizeof(m.address), "%s", address);
 	return m;
