What a replica has loaded is durable before it is counted

Read by the review and shown since with a storage stand-in that kills a process without a loss of power and loses each removal of a file on its own: a term, vote or entries that were loaded were gone after a later loss of power; several removed segments could leave a gap, with which the folder didn't load; the replica's id was written in place.

Cause: opening trusted what the system had in memory. Class: what was written is taken for what is stored.

Why this works: opening syncs names and segments, each removal is synced before the next, the id is replaced as a whole.

--- a/src/core/core_folder.c
+++ b/src/core/core_folder.c
@@ -97,26 +97,19 @@
 }
 
 /*
- * Writes the id durably, before the replica is used.
+ * Writes the id durably and whole, before the replica is used: a part of it
+ * would be another replica's.
  */
 enum status
 core_write_id(const struct core *core, uint64_t id)
 {
-	char path[CORE_PATH_BYTES];
 	char text[32];
 	int len = snprintf(text, sizeof(text), "%" PRIu64 "\n", id);
-	int fd;
-	bool good;
 
-	core_path(core, id_file, path);
-	fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
-	if (fd < 0)
-		return status_set_errno(STATUS_IO, path);
-	good = write(fd, text, (size_t)len) == len && fsync(fd) == 0;
-	(void)close(fd);
-	if (!good)
-		return status_set_errno(STATUS_IO, path);
-	return core_sync_folder(core->settings.data);
+	if (!core_replace_file(
+		core->settings.data, id_file, str_of(text, (size_t)len)))
+		return status_set_errno(STATUS_IO, id_file);
+	return STATUS_OK;
 }
 
 /*
--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -200,8 +200,11 @@
 	if (status != STATUS_OK)
 		return status;
 	status = core_read_id(core, &core->replica_id);
-	if (status != STATUS_OK || core->replica_id != 0)
+	if (status != STATUS_OK)
 		return status;
+	/* The process that wrote it may have been killed before its sync. */
+	if (core->replica_id != 0)
+		return core_sync_folder(core->settings.data);
 	core_remove_files(path);
 	core->replica_id = first_count > 0
 	    ? bootstrap_replica_id(core->settings.link_address)
--- a/src/replica/storage_folder.c
+++ b/src/replica/storage_folder.c
@@ -59,7 +59,8 @@
 }
 
 /*
- * Closes and removes the newest segment.
+ * Closes and removes the newest segment, durably: a prefix of the log remains
+ * after a crash.
  */
 static enum status
 remove_last_segment(struct folder *f)
@@ -67,14 +68,17 @@
 	struct segment *segment = last_segment(f);
 	enum status status = file_unlink(&f->location, segment->name);
 
+	if (status == STATUS_OK)
+		status = file_sync_folder(&f->location);
 	segment_close(&f->location, segment);
 	f->count--;
 	return status;
 }
 
 /*
- * Removes the segments that end at or before an index, oldest first, so that
- * a suffix of the log remains after a crash.
+ * Removes the segments that end at or before an index, oldest first and each
+ * durably, so that a suffix of the log remains after a crash: of removals that
+ * are not synced, a later one may be kept without an earlier one.
  */
 static enum status
 remove_segments_up_to(struct folder *f, uint64_t index)
@@ -88,6 +92,8 @@
 		if (segment->first + segment->count > index + 1)
 			break;
 		status = file_unlink(&f->location, segment->name);
+		if (status == STATUS_OK)
+			status = file_sync_folder(&f->location);
 		segment_close(&f->location, segment);
 		removed++;
 	}
@@ -96,7 +102,7 @@
 	memmove(f->segments, f->segments + removed,
 	    (f->count - removed) * sizeof(*f->segments));
 	f->count -= removed;
-	return status == STATUS_OK ? file_sync_folder(&f->location) : status;
+	return status;
 }
 
 /*
@@ -108,13 +114,8 @@
 {
 	enum status status = STATUS_OK;
 
-	if (f->count == 0)
-		return STATUS_OK;
-	while (f->count > 0 && status == STATUS_OK) {
+	while (f->count > 0 && status == STATUS_OK)
 		status = remove_last_segment(f);
-		if (status == STATUS_OK)
-			status = file_sync_folder(&f->location);
-	}
 	return status;
 }
 
@@ -238,15 +239,9 @@
 {
 	struct folder *f = ctx;
 	enum status status = folder_check_usable(f);
-	bool removed = false;
-
 	while (status == STATUS_OK && f->count > 0 &&
-	    last_segment(f)->first > index) {
+	    last_segment(f)->first > index)
 		status = remove_last_segment(f);
-		removed = true;
-	}
-	if (status == STATUS_OK && removed)
-		status = file_sync_folder(&f->location);
 	if (status == STATUS_OK && f->count > 0)
 		status = segment_truncate_after(
 		    &f->location, last_segment(f), index);
@@ -312,7 +307,8 @@
 }
 
 /*
- * Creates, locks and identifies the folder.
+ * Creates, locks and identifies the folder.  The names in it are durable then:
+ * an earlier process may have been killed before it had synced them.
  */
 static enum status
 prepare_data_folder(struct folder *f, uint64_t id, uint64_t *disk)
@@ -332,7 +328,8 @@
 		    "%s is in use by another process", f->location.path);
 	if (f->lock < 0)
 		return storage_errno_status("lock", f->location.path);
-	return folder_identify(f, id, disk);
+	status = file_sync_folder(&f->location);
+	return status == STATUS_OK ? folder_identify(f, id, disk) : status;
 }
 
 /*
--- a/src/replica/storage_segment.c
+++ b/src/replica/storage_segment.c
@@ -137,7 +137,9 @@
 }
 
 /*
- * Opens a segment and checks each record. bytes receives its contents.
+ * Opens a segment and checks each record. bytes receives its contents, which
+ * are durable then: the process that wrote them may have been killed before it
+ * had synced them.
  */
 enum status
 segment_open(const struct storage_location *location, uint64_t first, bool last,
@@ -153,7 +155,10 @@
 	if (status == STATUS_OK)
 		status = scan_records(segment, str_buf_view(bytes), last);
 	if (status == STATUS_OK && segment->size < bytes->len)
-		status = truncate_file(location, segment);
+		return truncate_file(location, segment);
+	if (status == STATUS_OK &&
+	    location->calls->sync(location->calls->ctx, segment->fd) != 0)
+		return storage_errno_status("fsync", segment->name);
 	return status;
 }
 
--- a/test/unit/support_replica_fs.c
+++ b/test/unit/support_replica_fs.c
@@ -255,6 +255,7 @@
 	inode = entry->inode;
 	change_name(fs, base_name(to), inode);
 	change_name(fs, base_name(from), NULL);
+	fs->changes[fs->change_count - 1].renamed = true;
 	return call_result(fs, 0);
 }
 
@@ -415,25 +416,47 @@
 	return kept > 0 && kept < unsynced;
 }
 
+void
+fs_kill(struct fs *fs)
+{
+	memset(fs->open, 0, sizeof(fs->open));
+	fs->dead = false;
+	fs->full = false;
+	fs->fault_triggered = false;
+	fs->fault = FS_NONE;
+}
+
+/*
+ * Applies the changes of names that survive a crash: those before a random one,
+ * but each removal of a file is kept or lost independently of others.
+ */
+static void
+crash_names(struct fs *fs)
+{
+	size_t kept = random_below(&fs->random, fs->change_count + 1);
+
+	fs->current = fs->durable;
+	for (size_t i = 0; i < fs->change_count; i++) {
+		const struct fs_name *change = &fs->changes[i];
+		bool is_removal = change->inode == NULL && !change->renamed;
+
+		if (is_removal ? random_below(&fs->random, 2) == 0 : i < kept)
+			apply_change(&fs->current, change);
+	}
+}
+
 bool
 fs_crash(struct fs *fs)
 {
 	bool torn = false;
-	size_t kept = random_below(&fs->random, fs->change_count + 1);
 
-	fs->current = fs->durable;
-	for (size_t i = 0; i < kept; i++)
-		apply_change(&fs->current, &fs->changes[i]);
+	crash_names(fs);
 	fs->durable = fs->current;
 	fs->change_count = 0;
 	for (struct fs_inode *inode = fs->inodes; inode != NULL;
 	     inode = inode->next)
 		torn = crash_inode(fs, inode) || torn;
-	memset(fs->open, 0, sizeof(fs->open));
-	fs->dead = false;
-	fs->full = false;
-	fs->fault_triggered = false;
-	fs->fault = FS_NONE;
+	fs_kill(fs);
 	return torn;
 }
 
--- a/test/unit/support_replica_fs.h
+++ b/test/unit/support_replica_fs.h
@@ -28,6 +28,7 @@
 struct fs_name {
 	char name[48];
 	struct fs_inode *inode; /* NULL in a change: unlink */
+	bool renamed; /* the change belongs to the one before it */
 };
 
 struct fs_table {
@@ -56,6 +57,8 @@
 
 struct fs *fs_new(uint64_t seed);
 void fs_free(struct fs *fs);
+/* Kills the process: what it has written stays with the system, unsynced. */
+void fs_kill(struct fs *fs);
 /* Simulates a power failure; true when a file kept a torn tail. */
 bool fs_crash(struct fs *fs);
 /* Returns the last file, by name, that starts with prefix. */
--- a/test/unit/test_replica_storage.c
+++ b/test/unit/test_replica_storage.c
@@ -327,6 +327,162 @@
 	printf("%llu failure points\n", (unsigned long long)points);
 }
 
+/*
+ * What is loaded after the kill of a process survives a loss of power, whether
+ * the killed process had synced it or not: a replica confirms and counts what
+ * it has loaded.  Returns false once the kill would come after the last
+ * operation.
+ */
+static bool
+run_with_kill_and_crash(uint64_t seed, enum fs_fault kill, uint64_t at)
+{
+	struct fs *fs = fs_new(seed);
+	struct model model = {0};
+	struct replica_storage storage;
+	struct loaded before, after;
+	bool killed;
+
+	fs->short_writes = seed % 2 == 0;
+	fs->fault = kill;
+	fs->fault_at = at;
+	if (load(fs, &model, &before, &storage) == STATUS_OK) {
+		run_operations(&model, &storage);
+		storage.close(storage.ctx);
+	}
+	killed = fs->fault_triggered;
+	fs_kill(fs);
+	assert_int_equal(load(fs, &model, &before, &storage), STATUS_OK);
+	check_loaded(&model, &before);
+	storage.close(storage.ctx);
+	fs_crash(fs);
+	assert_int_equal(load(fs, &model, &after, &storage), STATUS_OK);
+	storage.close(storage.ctx);
+	fs_free(fs);
+	assert_int_equal(after.errors, 0);
+	assert_int_equal(after.term, before.term);
+	assert_int_equal(after.vote, before.vote);
+	assert_int_equal(after.snapshot, before.snapshot);
+	assert_int_equal(after.group, before.group);
+	assert_int_equal(after.last, before.last);
+	return killed;
+}
+
+static void
+loaded_data_survives_a_power_failure(void **state ATTR_UNUSED)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		uint64_t at = 1;
+
+		while (run_with_kill_and_crash(seed, FS_KILL_BEFORE, at))
+			at++;
+		at = 1;
+		while (run_with_kill_and_crash(seed, FS_KILL_AFTER, at))
+			at++;
+	}
+}
+
+/*
+ * Appends entries of a size that fills several segments.
+ */
+static void
+append_large(struct replica_storage *storage, uint64_t first, unsigned count)
+{
+	enum {
+		LARGE_BYTES = 3 << 20
+	};
+	char *data = mem_calloc(1, LARGE_BYTES);
+
+	for (unsigned i = 0; i < count; i++) {
+		const struct storage_entry entry = {.index = first + i,
+		    .term = 1,
+		    .kind = 1,
+		    .data = str_of(data, LARGE_BYTES)};
+
+		if (storage->append(storage->ctx, &entry, 1) != STATUS_OK)
+			break;
+	}
+	(void)storage->sync(storage->ctx);
+	mem_free(data);
+}
+
+static void
+count_entry(void *ctx, const struct storage_entry *entry)
+{
+	uint64_t *last = ctx;
+
+	*last = entry->index;
+}
+
+static void
+ignore_state(
+    void *ctx ATTR_UNUSED, uint64_t term ATTR_UNUSED, uint64_t vote ATTR_UNUSED)
+{
+}
+
+static void
+ignore_snapshot(void *ctx ATTR_UNUSED, uint64_t index ATTR_UNUSED,
+    uint64_t term ATTR_UNUSED, struct str data ATTR_UNUSED)
+{
+}
+
+/*
+ * Removes several segments, the oldest ones behind a snapshot or the newest
+ * ones by a truncation, with a loss of power at a call.  A gap would make the
+ * replica give up its disk.  Returns false once the loss would come after the
+ * last call.
+ */
+static bool
+remove_segments_with_crash(uint64_t seed, bool oldest, uint64_t at)
+{
+	struct fs *fs = fs_new(seed);
+	uint64_t last = 0;
+	const struct storage_loader loader = {.ctx = &last,
+	    .state = ignore_state,
+	    .snapshot = ignore_snapshot,
+	    .entry = count_entry};
+	struct replica_storage storage;
+	bool killed;
+
+	assert_int_equal(
+	    storage_folder_open_with("/data", REPLICA_ID, &fs->calls, &storage),
+	    STATUS_OK);
+	assert_int_equal(storage.load(storage.ctx, &loader), STATUS_OK);
+	assert_int_equal(storage.save_state(storage.ctx, 1, 1), STATUS_OK);
+	append_large(&storage, 1, 8);
+	fs->fault = FS_KILL_AFTER;
+	fs->fault_at = fs->mutations + at;
+	if (oldest)
+		(void)storage.save_snapshot(
+		    storage.ctx, 7, 1, str_from("snapshot"));
+	else
+		(void)storage.truncate_after(storage.ctx, 1);
+	killed = fs->fault_triggered;
+	storage.close(storage.ctx);
+	fs_crash(fs);
+	assert_int_equal(
+	    storage_folder_open_with("/data", REPLICA_ID, &fs->calls, &storage),
+	    STATUS_OK);
+	assert_int_equal(storage.load(storage.ctx, &loader), STATUS_OK);
+	assert_true(oldest ? last == 8 : last >= 1);
+	storage.close(storage.ctx);
+	fs_free(fs);
+	return killed;
+}
+
+static void
+removed_segments_leave_no_gap(void **state ATTR_UNUSED)
+{
+	for (uint64_t seed = 1; seed <= 4 * SEEDS; seed++) {
+		for (unsigned oldest = 0; oldest < 2; oldest++) {
+			uint64_t at = 1;
+
+			while (
+			    remove_segments_with_crash(seed, oldest == 1, at))
+				at++;
+		}
+	}
+}
+
 /*
  * Creates a folder with a snapshot and entries after it.
  */
@@ -485,6 +641,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(recovers_from_every_failure_point),
+	    cmocka_unit_test(loaded_data_survives_a_power_failure),
+	    cmocka_unit_test(removed_segments_leave_no_gap),
 	    cmocka_unit_test(flipped_bits_are_detected),
 	    cmocka_unit_test(torn_tails_are_truncated),
 	    cmocka_unit_test(missing_files_are_detected),
