Calls of an old start do not act on a new one

Cause: a call that doesn't name its start was taken for the start known at its arrival, and starts were ordered by clocks. Class: the order of events read from clocks or arrivals.

Why this works: a caller that lived after a start was known is of that start or a later one, and a connection shows when its caller lived. Calls without effect say so in answer, log and a counter.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -68,6 +68,9 @@
 	    "Announcements from targets, instances or the cache with a field "
 	    "out of its bounds (count)",
 	    NULL);
+	core->ignored = counter_register(COUNTER_TOTAL,
+	    "gypsummill_core_calls_ignored_total",
+	    "Calls of earlier or departed starts of targets (count)", NULL);
 	core->messages_refused = counter_register(COUNTER_TOTAL,
 	    "gypsummill_core_messages_refused_total",
 	    "Messages of instances with a field out of its bounds (count)",
@@ -116,6 +119,7 @@
 	evacuation_set_destroy(&core->kept_evacuations);
 	roster_free(core->roster);
 	minute_log_free(&core->refused_log);
+	minute_log_free(&core->ignored_log);
 	minute_log_free(&core->messages_log);
 	g_hash_table_destroy(core->gone_voters);
 }
@@ -219,10 +223,21 @@
 }
 
 /*
- * Returns an announced target, NULL when it is unknown.
+ * Counts a call of a target that has no effect, since it comes from an earlier
+ * start or from one that has departed.  Returns whether to log it, as above.
  */
-const struct roster_target *
-core_target(const struct core *core, const char *id)
+bool
+core_ignore_call(struct core *core, const char *id)
+{
+	counter_add(core->ignored, 1);
+	return minute_log_allow(&core->ignored_log, id, clock_boot_us());
+}
+
+/*
+ * Returns what this instance knows of targets.
+ */
+const struct roster *
+core_roster(const struct core *core)
 {
-	return roster_find(core->roster, id);
+	return core->roster;
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -56,9 +56,11 @@
  */
 bool core_refuse_announcement(
     struct core *core, const char *id) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
-/* Finds an announced target; NULL when it is unknown. */
-const struct roster_target *
-core_target(const struct core *core, const char *id) ATTR_NONNULL_ALL;
+/* The targets and departures that this instance knows. */
+const struct roster *core_roster(const struct core *core) ATTR_NONNULL_ALL;
+/* Counts a call of a target that has no effect.  Returns whether to log it. */
+bool core_ignore_call(
+    struct core *core, const char *id) ATTR_NONNULL_ALL ATTR_UNUSED_RESULT;
 
 typedef void core_done(void *ctx, enum core_outcome outcome);
 
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -172,6 +172,8 @@
 	struct counter *announcements;
 	struct counter *refused; /* announcements */
 	struct minute_log refused_log; /* by target id */
+	struct counter *ignored; /* calls of earlier or departed starts */
+	struct minute_log ignored_log; /* by target id */
 	struct counter *messages_refused;
 	struct minute_log messages_log; /* by sender */
 	struct counter *is_leader;
--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -157,7 +157,10 @@
 	const struct roster_departure departure = {
 	    .id = message->id,
 	    .started_ms = message->started_ms,
+	    .born_ms =
+		message->born_ms != 0 ? message->born_ms : message->started_ms,
 	    .recorded_ms = message->recorded_ms,
+	    .known_us = clock_boot_us(),
 	};
 
 	if (core->settings.data == NULL &&
--- a/src/core/core_propose.c
+++ b/src/core/core_propose.c
@@ -179,6 +179,7 @@
 {
 	Fleet__Command command = FLEET__COMMAND__INIT;
 	Fleet__Departure departure = FLEET__DEPARTURE__INIT;
+	const struct roster_target *known = roster_find(core->roster, id);
 
 	if (roster_has_departed(core->roster, id, started_ms)) {
 		done(ctx, CORE_ACCEPTED);
@@ -186,6 +187,9 @@
 	}
 	departure.id = (char *)id;
 	departure.started_ms = started_ms;
+	departure.born_ms = known != NULL && known->started_ms == started_ms
+	    ? known->born_ms
+	    : started_ms;
 	command.body_case = FLEET__COMMAND__BODY_DEPARTURE;
 	command.departure = &departure;
 	core_submit_command(core, &command, done, ctx);
--- a/src/core/core_push.c
+++ b/src/core/core_push.c
@@ -55,6 +55,7 @@
 
 	message.id = departure->id;
 	message.started_ms = departure->started_ms;
+	message.born_ms = departure->born_ms;
 	message.recorded_ms = departure->recorded_ms;
 	frame.body_case = FLEET__FRAME__BODY_DEPARTURE;
 	frame.departure = &message;
@@ -152,6 +153,7 @@
 	message.address = target->address;
 	message.failure_domain = target->failure_domain;
 	message.started_ms = target->started_ms;
+	message.born_ms = target->born_ms;
 	message.sequence = target->sequence;
 	message.slots = target->slots;
 	if (target->warmup_end_us > now)
--- a/src/core/core_state.c
+++ b/src/core/core_state.c
@@ -4,13 +4,16 @@
 
 #include <xxhash.h>
 
+#include "base/clock.h"
 #include "base/memory.h"
 
 enum {
 	/* Resends are recognized for a month at hundreds of edits a day. */
 	ACCEPTED_MAX = 65536,
 	/* Far more than the lateness of any report, which is seconds. */
-	DEPARTURE_RETENTION_MS = 30 * 60 * 1000
+	DEPARTURE_RETENTION_MS = 30 * 60 * 1000,
+	/* Kept whatever the time, which a step of a leader's clock changes. */
+	DEPARTURES_KEPT = 256
 };
 
 /*
@@ -102,7 +105,18 @@
 }
 
 /*
- * Records a departure and removes expired ones.
+ * Returns when the start of a departure was born; departures of an older
+ * program name one time.
+ */
+static uint64_t
+born_ms(const Fleet__Departure *departure)
+{
+	return departure->born_ms != 0 ? departure->born_ms
+				       : departure->started_ms;
+}
+
+/*
+ * Records a departure and removes expired ones, if there are many.
  */
 static void
 apply_departure(struct core_state *state, const Fleet__Departure *departure,
@@ -111,10 +125,13 @@
 	effect->departed = (struct roster_departure){
 	    .id = departure->id,
 	    .started_ms = departure->started_ms,
+	    .born_ms = born_ms(departure),
 	    .recorded_ms = time_ms,
+	    .known_us = clock_boot_us(),
 	};
 	effect->has_departed = roster_depart(state->roster, &effect->departed);
-	if (time_ms > DEPARTURE_RETENTION_MS)
+	if (time_ms > DEPARTURE_RETENTION_MS &&
+	    roster_departure_count(state->roster) > DEPARTURES_KEPT)
 		roster_prune_departures(
 		    state->roster, time_ms - DEPARTURE_RETENTION_MS);
 }
@@ -221,6 +238,8 @@
 		fleet__departure__init(&space[i]);
 		space[i].id = from->id;
 		space[i].started_ms = from->started_ms;
+		if (from->born_ms != from->started_ms)
+			space[i].born_ms = from->born_ms;
 		space[i].recorded_ms = from->recorded_ms;
 		pointers[i] = &space[i];
 	}
@@ -263,6 +282,8 @@
 		const struct roster_departure from = {
 		    .id = message->departure[i]->id,
 		    .started_ms = message->departure[i]->started_ms,
+		    .born_ms = born_ms(message->departure[i]),
+		    .known_us = clock_boot_us(),
 		    .recorded_ms = message->departure[i]->recorded_ms,
 		};
 
--- a/src/core/core_warm_start.c
+++ b/src/core/core_warm_start.c
@@ -93,6 +93,7 @@
 	to->address = target->address;
 	to->failure_domain = target->failure_domain;
 	to->started_ms = target->started_ms;
+	to->born_ms = target->born_ms;
 	to->sequence = target->sequence;
 	to->slots = target->slots;
 	/*
--- a/src/net/address.c
+++ b/src/net/address.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <linux/sockios.h>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdio.h>
@@ -82,6 +83,18 @@
 	return socket_unacknowledged_bytes(fd);
 }
 
+bool
+tcp_opened_at_once(const uv_tcp_t *tcp)
+{
+	uv_os_fd_t fd;
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+
+	return uv_fileno((const uv_handle_t *)tcp, &fd) == 0 &&
+	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) == 0 &&
+	    info.tcpi_total_retrans == 0;
+}
+
 unsigned
 tcp_unsent_bytes(const uv_tcp_t *tcp)
 {
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -50,6 +50,8 @@
  * room at the peer's host or on the way; 0 if that is unknown.
  */
 unsigned tcp_unsent_bytes(const uv_tcp_t *tcp) ATTR_NONNULL_ALL;
+/* Whether a connection was opened without a second try of its handshake. */
+bool tcp_opened_at_once(const uv_tcp_t *tcp) ATTR_NONNULL_ALL;
 
 /*
  * Returns whether an idle connection is open and has no input that the event
--- a/src/net/api.c
+++ b/src/net/api.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/logger.h"
 #include "base/memory.h"
 #include "net/address.h"
@@ -215,6 +216,17 @@
 	return first != NULL;
 }
 
+/*
+ * Records that all connections which were waiting have been accepted.
+ */
+static void
+on_polled(uv_check_t *check)
+{
+	struct api_server *server = check->data;
+
+	server->polled_us = clock_boot_us();
+}
+
 static void
 on_connection(uv_stream_t *listener, int status)
 {
@@ -243,9 +255,13 @@
 	c->parser.data = c;
 	c->opened_ms = uv_now(server->loop);
 	accepted = uv_accept(listener, (uv_stream_t *)&c->tcp) == 0;
-	if (accepted)
+	if (accepted) {
 		(void)uv_tcp_getpeername(
 		    &c->tcp, (struct sockaddr *)&c->peer, &peer_len);
+		/* What was waiting at the last poll was accepted then. */
+		if (tcp_opened_at_once(&c->tcp))
+			c->since_us = server->polled_us;
+	}
 	if (!api_limit_add_connection(c, &limit)) {
 		api_limit_close(c, limit);
 		return;
@@ -304,6 +320,11 @@
 		uv_close((uv_handle_t *)&server->tcp, on_listen_failed);
 		return NULL;
 	}
+	server->polled_us = clock_boot_us();
+	server->check.data = server;
+	uv_check_init(loop, &server->check);
+	uv_check_start(&server->check, on_polled);
+	uv_unref((uv_handle_t *)&server->check);
 	return server;
 }
 
@@ -345,7 +366,7 @@
 		status = 503;
 		body = STR_LITERAL("{\"error\":\"no memory for the answer\"}");
 	}
-	close_after = !e->keep_alive || c->server->closing;
+	close_after = !e->keep_alive || call->last || c->server->closing;
 	len = snprintf(head, sizeof(head),
 	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
 	    "%s\r\n",
@@ -393,6 +414,7 @@
 	if (server == NULL || server->closing)
 		return;
 	server->closing = true;
+	uv_close((uv_handle_t *)&server->check, NULL);
 	uv_close((uv_handle_t *)&server->tcp, on_closed);
 }
 
--- a/src/net/api.h
+++ b/src/net/api.h
@@ -11,12 +11,29 @@
 #include "base/status.h"
 #include "base/str.h"
 
+enum {
+	API_SPEAKER_BYTES = 128
+};
+
+/* For whom a connection's calls have spoken; kept with the connection. */
+struct api_speaker {
+	char name[API_SPEAKER_BYTES]; /* empty: nobody yet */
+	uint64_t number;
+};
+
 struct api_call {
 	struct str method;
 	struct str path; /* without the query */
 	struct str query;
 	struct str if_match; /* empty when absent */
 	struct str body;
+	/*
+	 * clock_boot_us(): the caller lived after this time, when it opened the
+	 * connection.  0: not known, since the connection took several tries.
+	 */
+	uint64_t since_us;
+	struct api_speaker *speaker; /* until the handler returns */
+	bool last; /* set by the handler: close the connection with the reply */
 };
 
 /*
--- a/src/net/api_internal.h
+++ b/src/net/api_internal.h
@@ -18,6 +18,8 @@
 
 struct api_server {
 	uv_tcp_t tcp;
+	uv_check_t check;
+	uint64_t polled_us; /* when the last poll for connections had ended */
 	uv_loop_t *loop;
 	size_t body_max_bytes;
 	api_handler *handler;
@@ -51,6 +53,8 @@
 	bool served; /* a whole request has arrived */
 	struct sockaddr_in peer;
 	uint64_t opened_ms;
+	uint64_t since_us; /* as of api_call */
+	struct api_speaker speaker;
 	uint64_t request_ms; /* start of the request being received */
 	size_t unread; /* bytes of buffers for its answers */
 	uint64_t given; /* bytes of answers, in all */
--- a/src/net/api_parse.c
+++ b/src/net/api_parse.c
@@ -136,6 +136,8 @@
 	    str_from(http_method_str((enum http_method)c->parser.method));
 	e->call.body = str_buf_view(&e->body);
 	e->call.if_match = str_buf_view(&e->if_match);
+	e->call.since_us = c->since_us;
+	e->call.speaker = &c->speaker;
 	c->server->handler(c->server->ctx, &e->call);
 }
 
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -201,6 +201,7 @@
 	    is_name(target->failure_domain, "") &&
 	    is_host_address(target->address) &&
 	    target->started_ms <= ROSTER_STARTED_MAX_MS &&
+	    target->born_ms <= ROSTER_STARTED_MAX_MS &&
 	    target->sequence <= ROSTER_SEQUENCE_MAX && target->slots > 0 &&
 	    target->slots <= ROSTER_SLOTS_MAX;
 }
@@ -215,6 +216,7 @@
 {
 	struct roster_target *known = roster_find(roster, from->id);
 	struct roster_target *address_holder;
+	struct roster_target target;
 
 	if (roster_has_departed(roster, from->id, from->started_ms))
 		return false;
@@ -243,11 +245,14 @@
 			    roster->callbacks.ctx, known, before_us);
 		return warmup;
 	}
+	target = *from;
+	if (known != NULL && known->started_ms == from->started_ms)
+		target.known_us = known->known_us;
 	if (known != NULL)
 		remove_target(roster, known);
 	if (address_holder != NULL && address_holder != known)
 		remove_target(roster, address_holder);
-	add_target(roster, from);
+	add_target(roster, &target);
 	return true;
 }
 
@@ -269,7 +274,9 @@
 		g_hash_table_insert(roster->departures, known->id, known);
 	}
 	known->started_ms = from->started_ms;
+	known->born_ms = from->born_ms;
 	known->recorded_ms = from->recorded_ms;
+	known->known_us = from->known_us;
 	if (target != NULL && target->started_ms <= from->started_ms)
 		remove_target(roster, target);
 	return true;
@@ -288,6 +295,24 @@
 	return known != NULL && started_ms <= known->started_ms;
 }
 
+/*
+ * Returns the newest departure of an id, NULL when there is none.
+ */
+const struct roster_departure *
+roster_find_departure(const struct roster *roster, const char *id)
+{
+	return g_hash_table_lookup(roster->departures, id);
+}
+
+/*
+ * Returns the target that has an address, NULL when there is none.
+ */
+const struct roster_target *
+roster_find_address(const struct roster *roster, const char *address)
+{
+	return g_hash_table_lookup(roster->addresses, address);
+}
+
 /*
  * Writes the start of the newest departed incarnation of an id; returns false
  * if there is none.
@@ -397,6 +422,12 @@
 		visit(ctx, value);
 }
 
+unsigned
+roster_departure_count(const struct roster *roster)
+{
+	return g_hash_table_size(roster->departures);
+}
+
 /*
  * Removes departures that were recorded before a wall-clock time.
  */
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -16,7 +16,14 @@
 	char *service;
 	char *address; /* IP:PORT */
 	char *failure_domain;
-	uint64_t started_ms; /* Unix time; identifies the incarnation */
+	/*
+	 * Identifies the incarnation and orders those of an id.  Unix time as
+	 * the target named it (born_ms), or later if its clock is behind that
+	 * of an earlier start.
+	 */
+	uint64_t started_ms;
+	uint64_t born_ms;
+	uint64_t known_us; /* when this process first knew of this start */
 	uint64_t sequence;
 	uint32_t slots;
 	uint64_t warmup_end_us; /* end of the slow phase after its start */
@@ -37,7 +44,9 @@
 struct roster_departure {
 	char *id;
 	uint64_t started_ms;
+	uint64_t born_ms; /* of that start, as the target named it */
 	uint64_t recorded_ms; /* wall clock of the log leader */
+	uint64_t known_us; /* when this process first knew of it */
 };
 
 /*
@@ -84,6 +93,10 @@
 /* Returns the newest departed incarnation of an id; false if there is none. */
 bool roster_departed_start(const struct roster *roster, const char *id,
     uint64_t *started_ms) ATTR_NONNULL_ALL;
+const struct roster_departure *roster_find_departure(
+    const struct roster *roster, const char *id) ATTR_NONNULL_ALL;
+const struct roster_target *roster_find_address(
+    const struct roster *roster, const char *address) ATTR_NONNULL_ALL;
 struct roster_target *
 roster_find(const struct roster *roster, const char *id) ATTR_NONNULL_ALL;
 /*
@@ -98,6 +111,7 @@
     void *ctx) ATTR_NONNULL(1, 2);
 void roster_for_each_departure(const struct roster *roster,
     roster_departure_visitor *visit, void *ctx) ATTR_NONNULL(1, 2);
+unsigned roster_departure_count(const struct roster *roster) ATTR_NONNULL_ALL;
 /* Removes departures recorded before a time. */
 void roster_prune_departures(
     struct roster *roster, uint64_t before_ms) ATTR_NONNULL_ALL;
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1829,7 +1829,7 @@
     NULL, NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    fleet__announcement__field_descriptors[9] = {
+    fleet__announcement__field_descriptors[10] = {
 	{
 	    "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
 	    0, /* quantifier_offset */
@@ -1890,9 +1890,16 @@
 	    offsetof(Fleet__Announcement, leaving), NULL, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "born_ms", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Fleet__Announcement, born_ms), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned fleet__announcement__field_indices_by_name[] = {
     2, /* field[2] = address */
+    9, /* field[9] = born_ms */
     3, /* field[3] = failure_domain */
     0, /* field[0] = id */
     8, /* field[8] = leaving */
@@ -1903,17 +1910,17 @@
     7, /* field[7] = warm_in_ms */
 };
 static const ProtobufCIntRange fleet__announcement__number_ranges[1 + 1] = {
-    {1, 0}, {0, 9}};
+    {1, 0}, {0, 10}};
 const ProtobufCMessageDescriptor fleet__announcement__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Announcement", "Announcement",
-    "Fleet__Announcement", "fleet", sizeof(Fleet__Announcement), 9,
+    "Fleet__Announcement", "fleet", sizeof(Fleet__Announcement), 10,
     fleet__announcement__field_descriptors,
     fleet__announcement__field_indices_by_name, 1,
     fleet__announcement__number_ranges,
     (ProtobufCMessageInit)fleet__announcement__init, NULL, NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__departure__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor fleet__departure__field_descriptors[4] = {
     {
 	"id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
 	0, /* quantifier_offset */
@@ -1933,17 +1940,24 @@
 	offsetof(Fleet__Departure, recorded_ms), NULL, NULL, 0, /* flags */
 	0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+	"born_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+	0, /* quantifier_offset */
+	offsetof(Fleet__Departure, born_ms), NULL, NULL, 0, /* flags */
+	0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned fleet__departure__field_indices_by_name[] = {
+    3, /* field[3] = born_ms */
     0, /* field[0] = id */
     2, /* field[2] = recorded_ms */
     1, /* field[1] = started_ms */
 };
 static const ProtobufCIntRange fleet__departure__number_ranges[1 + 1] = {
-    {1, 0}, {0, 3}};
+    {1, 0}, {0, 4}};
 const ProtobufCMessageDescriptor fleet__departure__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "fleet.Departure", "Departure",
-    "Fleet__Departure", "fleet", sizeof(Fleet__Departure), 3,
+    "Fleet__Departure", "fleet", sizeof(Fleet__Departure), 4,
     fleet__departure__field_descriptors,
     fleet__departure__field_indices_by_name, 1, fleet__departure__number_ranges,
     (ProtobufCMessageInit)fleet__departure__init, NULL, NULL,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -134,10 +134,14 @@
   uint32_t slots;
   uint32_t warm_in_ms;
   protobuf_c_boolean leaving;
+  /*
+   * as the target named it; 0: started_ms
+   */
+  uint64_t born_ms;
 };
 #define FLEET__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__announcement__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Fleet__Departure
@@ -149,10 +153,14 @@
    */
   uint64_t started_ms;
   uint64_t recorded_ms;
+  /*
+   * of that start, by its target; 0: started_ms
+   */
+  uint64_t born_ms;
 };
 #define FLEET__DEPARTURE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__departure__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Fleet__Entry
--- a/src/wire/fleet_bounds.c
+++ b/src/wire/fleet_bounds.c
@@ -178,6 +178,7 @@
 {
 	const struct bound bounds[] = {
 	    {"started_ms", departure->started_ms, FLEET_TIME_MAX_MS},
+	    {"born_ms", departure->born_ms, FLEET_TIME_MAX_MS},
 	    {"recorded_ms", departure->recorded_ms, FLEET_TIME_MAX_MS},
 	};
 
--- a/test/functional/test_platform_group.py
+++ b/test/functional/test_platform_group.py
@@ -1,6 +1,7 @@
 """The control group on the provider's platform: the config and departures must
 survive restarts, killed instances and lost disks."""
 
+import http.client
 import json
 import os
 import re
@@ -351,6 +352,89 @@
             self.bed.request("/a/x")
         self.assertEqual(target.requests, [])
 
+    def register(self, target, connection=None, state="ready"):
+        """A report of a target, on its own connection or on one that is
+        kept; returns the status and the answer."""
+        core = self.bed.cores()[0]
+        kept = connection or http.client.HTTPConnection(
+            core.ip, self.bed.port + 2, timeout=5)
+        kept.request("PUT", "/instances/" + target.name,
+                     json.dumps(target.report(state)))
+        answer = kept.getresponse()
+        body = answer.read()
+        if connection is None:
+            kept.close()
+        return answer.status, body
+
+    def restarted(self, clock_ms=0):
+        """A target that drains and starts again under its id, with a clock
+        that has stepped; returns both starts and the connection of the
+        first."""
+        old = Target("i-1", "svc", "127.0.7.200")
+        self.addCleanup(old.close)
+        kept = http.client.HTTPConnection(
+            self.bed.cores()[0].ip, self.bed.port + 2, timeout=5)
+        self.addCleanup(kept.close)
+        wait_until(lambda: self.register(old, kept)[0] == 200, "a report")
+        self.bed.wait_ready()
+        wait_until(lambda: self.bed.request("/a/x")[0] == 200, "an answer")
+        wait_until(lambda: self.register(old, kept, "draining")[0] == 200,
+                   "the departure is acknowledged")
+        new = Target("i-1", "svc", "127.0.7.200")
+        self.addCleanup(new.close)
+        new.started_ms = max(
+            int(time.time() * 1000), old.started_ms + 1) + clock_ms
+        return old, new, kept
+
+    def test_late_departure_does_not_end_a_new_start(self):
+        # The first start's last call arrives when the second one has
+        # registered.
+        _, new, kept = self.restarted()
+        self.assertEqual(self.register(new)[0], 200)
+        wait_until(lambda: self.bed.request("/a/x")[0] == 200, "an answer")
+        kept.request("DELETE", "/instances/i-1")
+        self.assertEqual(kept.getresponse().status, 200)
+        self.assertEqual(self.register(new), (200, b"{}"))
+        for _ in range(10):
+            self.assertEqual(self.bed.request("/a/x")[0], 200)
+            time.sleep(0.1)
+        # Its own departure, on a new connection, takes effect at once.
+        self.assertEqual(self.bed.cores()[0].call(
+            "DELETE", "/instances/i-1")[0], 200)
+        wait_until(lambda: self.bed.request("/a/x")[0] == 503,
+                   "no target is left")
+
+    def test_departure_on_the_connection_of_reports_without_a_time(self):
+        target = Target("i-1", "svc", "127.0.7.200")
+        self.addCleanup(target.close)
+        kept = http.client.HTTPConnection(
+            self.bed.cores()[0].ip, self.bed.port + 2, timeout=5)
+        self.addCleanup(kept.close)
+        report = target.report()
+        del report["born"]
+        kept.request("PUT", "/instances/i-1", json.dumps(report))
+        answer = kept.getresponse()
+        self.assertEqual((answer.status, answer.read()), (200, b"{}"))
+        self.bed.wait_ready()
+        wait_until(lambda: self.bed.request("/a/x")[0] == 200, "an answer")
+        kept.request("DELETE", "/instances/i-1")
+        self.assertEqual(kept.getresponse().status, 200)
+        wait_until(lambda: self.bed.request("/a/x")[0] == 503,
+                   "no target is left")
+
+    def test_start_with_a_clock_behind_is_served(self):
+        _, new, _ = self.restarted(-2000)
+        self.assertIn(b"ignored", self.register(new)[1])
+        self.assertEqual(self.register(new), (200, b"{}"))
+        wait_until(lambda: self.bed.request("/a/x")[0] == 200, "an answer")
+        for one in self.bed.instances:
+            wait_until(lambda i=self.bed.instances.index(one):
+                       self.bed.request("/a/x", instance=i)[0] == 200,
+                       "an answer at all entries")
+        self.assertEqual(self.register(new, state="draining")[0], 200)
+        wait_until(lambda: self.bed.request("/a/x")[0] == 503,
+                   "no target is left")
+
     def test_invalid_reports_are_rejected(self):
         core = self.bed.cores()[0]
         target = Target("i-9", "svc", "127.0.7.200")
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -107,6 +107,33 @@
 	roster_free(two);
 }
 
+/*
+ * A step ahead of the leader's clock makes nobody forget who has left, so that
+ * a late report would bring it back.  Only where many have left, those that
+ * left long ago are forgotten.
+ */
+static void
+departures_outlive_a_step_of_the_clock(void **state ATTR_UNUSED)
+{
+	const uint64_t hour_ms = 3600 * 1000;
+	struct roster *roster = roster_new(NULL);
+	struct core_state s;
+	char id[16];
+
+	core_state_init(&s, roster);
+	depart(&s, 1, "t1", 10, hour_ms);
+	depart(&s, 2, "t2", 10, 24 * hour_ms);
+	assert_true(roster_has_departed(roster, "t1", 10));
+	for (unsigned i = 0; i < 300; i++) {
+		snprintf(id, sizeof(id), "m%u", i);
+		depart(&s, 3 + i, id, 10, 24 * hour_ms);
+	}
+	assert_false(roster_has_departed(roster, "t1", 10));
+	assert_true(roster_has_departed(roster, "t2", 10));
+	core_state_destroy(&s);
+	roster_free(roster);
+}
+
 static struct group_member
 member(uint64_t id, bool voter, const char *address, uint64_t silent_ms)
 {
@@ -255,6 +282,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(edits_compare_and_set),
 	    cmocka_unit_test(snapshot_restores_the_whole_state),
+	    cmocka_unit_test(departures_outlive_a_step_of_the_clock),
 	    cmocka_unit_test(lost_voter_is_replaced_before_removal),
 	    cmocka_unit_test(learner_replaces_silent_voter),
 	    cmocka_unit_test(no_voter_is_removed_without_a_live_majority),
