A late end of an entry's old link does not take its new start out

Found in the table of late calls (docs/incidents, departure without a start): the link of an entry whose machine had lost power closed after the new start had connected, and all others dropped the new one.

Cause: the message that an entry is gone names its address, not its start. Why this works: it is not sent while another link of that address is open.

--- a/src/core/core_link.c
+++ b/src/core/core_link.c
@@ -468,6 +468,25 @@
 	dispatch(ctx, channel_user(channel), channel, frame);
 }
 
+/*
+ * Returns whether the entry of a closed link is connected by another one: it
+ * was started again before the link of its earlier start was found to be dead.
+ */
+static bool
+is_connected_again(const struct core *core, const struct core_peer *gone)
+{
+	const char *address = gone->hello->datagram_address;
+
+	for (guint i = 0; i < core->peers->len; i++) {
+		const struct core_peer *peer = core->peers->pdata[i];
+
+		if (peer != gone && peer->hello_received && !peer->is_control &&
+		    strcmp(peer->hello->datagram_address, address) == 0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Removes the peer of a closed channel, and publishes that its entry is
  * gone.
@@ -488,7 +507,8 @@
 	if (peer->hello_received && !peer->is_control) {
 		peer->hello_received = false;
 		core->entry_count--;
-		core_publish_entry(core, peer->hello, true);
+		if (!is_connected_again(core, peer))
+			core_publish_entry(core, peer->hello, true);
 	}
 	g_ptr_array_remove_fast(core->peers, peer);
 }
--- a/test/unit/support_core.c
+++ b/test/unit/support_core.c
@@ -192,7 +192,8 @@
 
 	hello.instance = (char *)"entry";
 	hello.failure_domain = (char *)subscriber->failure_domain;
-	hello.datagram_address = hello.caller_address = (char *)"127.0.7.9:99";
+	hello.datagram_address = (char *)subscriber->datagram_address;
+	hello.caller_address = (char *)"127.0.7.9:99";
 	hello.wants_all = true;
 	frame.body_case = FLEET__FRAME__BODY_HELLO;
 	frame.hello = &hello;
@@ -217,6 +218,9 @@
 	case FLEET__FRAME__BODY_DEPARTURE:
 		subscriber->departure_count++;
 		break;
+	case FLEET__FRAME__BODY_ENTRY:
+		subscriber->entries_gone += frame->entry->gone ? 1 : 0;
+		break;
 	case FLEET__FRAME__BODY_QUARANTINE:
 		subscriber->quarantines++;
 		subscriber->quarantine_content = frame->quarantine->content;
@@ -245,8 +249,8 @@
 	const struct channel_callbacks callbacks = {
 	    .ctx = subscriber, .opened = on_opened, .message = on_message};
 
-	*subscriber =
-	    (struct core_subscriber){.failure_domain = failure_domain};
+	*subscriber = (struct core_subscriber){.failure_domain = failure_domain,
+	    .datagram_address = "127.0.7.9:99"};
 	subscriber->channel =
 	    channel_dial(&fixture->loop, fixture->address, &callbacks);
 }
--- a/test/unit/support_core.h
+++ b/test/unit/support_core.h
@@ -27,6 +27,8 @@
 struct core_subscriber {
 	struct channel *channel;
 	const char *failure_domain;
+	const char *datagram_address; /* may be set after it is opened */
+	unsigned entries_gone; /* messages that an entry is gone */
 	uint64_t
 	    indexes[CORE_FIXTURE_DOCUMENTS_MAX]; /* of documents received */
 	unsigned document_count;
