A majority of the first members forms the group

Cause: none voted before all the others had noted its disk. Class: a quorum of all where a majority is enough.

Why this works: two disks of an id would need two majorities, which share a member that has noted one of them, or has lost its disk and is no first member any more, since its settings say bootstrap false. A first member with another disk than before is refused with a log line.

--- a/src/core/core_replica.c
+++ b/src/core/core_replica.c
@@ -247,6 +247,8 @@
 	config.id = core->replica_id;
 	config.seed = random_replica_id();
 	config.started_us = core->allowance.started_us;
+	/* A machine that has lost its disk starts with bootstrap set to false. */
+	config.forms_by_majority = true;
 	core_path(core, core_log_folder, path);
 	status = storage_folder_open(path, core->replica_id, &core->storage);
 	if (status == STATUS_OK)
@@ -255,6 +257,15 @@
 	if (status != STATUS_OK)
 		return status;
 	replica_describe(core->replica, &core->info);
+	if (group_never_took_part(&core->info, core->replica_id, count)) {
+		log_info("replica_discarded",
+		    "instance=%s replica=%" PRIu64
+		    " reason=\"killed before it took part in the first start\"",
+		    core->settings.instance, core->replica_id);
+		core_replica_close(core);
+		core_discard_replica(core);
+		return core_replica_open(core);
+	}
 	core_allowance_on_opened(core);
 	log_info("replica_opened",
 	    "instance=%s replica=%" PRIu64 " term=%" PRIu64
@@ -381,6 +392,13 @@
 
 	if (now_us < core->reopen_us)
 		return;
+	if (core->info.refused) {
+		log_warn("replica_refused",
+		    "instance=%s replica=%" PRIu64
+		    " reason=\"its id belongs to another disk\" next=join_anew",
+		    core->settings.instance, core->replica_id);
+		core->rejoin_due = true;
+	}
 	core->reopen_us = now_us + REOPEN_MS * US_PER_MS;
 	core_keep_state(core);
 	core_replica_close(core);
--- a/src/core/group_keeper.c
+++ b/src/core/group_keeper.c
@@ -33,6 +33,19 @@
 	return to == self ? GROUP_TAKE : GROUP_DENY;
 }
 
+/*
+ * A seed that was killed after it had written its id and before it had stored
+ * the first members is opened again without them, if bootstrap is set to false
+ * then.  Nobody has seen its disk.
+ */
+bool
+group_never_took_part(
+    const struct replica_info *info, uint64_t self, unsigned count)
+{
+	return count == 0 && (self & GROUP_DRAWN_ID) == 0 &&
+	    info->member_count == 0 && !info->bootstrapping;
+}
+
 /*
  * Returns whether a replica asks to join: while its own list doesn't have it,
  * and while it knows of no leader.  It may have been replaced while it was
--- a/src/core/group_keeper.h
+++ b/src/core/group_keeper.h
@@ -54,6 +54,12 @@
 
 enum group_verdict group_judge_message(const struct replica_info *info,
     bool has_lease, uint64_t self, uint64_t from, uint64_t to) ATTR_NONNULL_ALL;
+/*
+ * Whether a replica that was opened with count bootstrap members has the id of
+ * one, but no trace of having taken part: it must join under another id.
+ */
+bool group_never_took_part(const struct replica_info *info, uint64_t self,
+    unsigned count) ATTR_NONNULL_ALL;
 /* Whether a replica asks to join: it may not be a member, or no longer. */
 bool group_should_ask_to_join(
     const struct replica_info *info, uint64_t self) ATTR_NONNULL_ALL;
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -74,6 +74,21 @@
 	replica_mark_changed(r);
 }
 
+/*
+ * Stops a replica whose id belongs to another disk: it has to join under a new
+ * one.
+ */
+void
+replica_refuse(struct replica *r, const char *why)
+{
+	if (r->role != REPLICA_STOPPED)
+		(void)status_set(STATUS_CONFLICT,
+		    "join under a new id; disk %llu",
+		    (unsigned long long)r->storage.disk);
+	r->refused = true;
+	replica_stop(r, why);
+}
+
 /*
  * Stores term and vote, which take effect after the next sync.
  */
@@ -255,8 +270,10 @@
 
 /*
  * Processes a message of another member.  One that doesn't decode, or has a
- * number out of its bounds, has no effect: STATUS_INVALID.  A message addressed to another disk under our id means that the
- * group has bound the id to that disk; the replica stops.
+ * number out of its bounds, has no effect: STATUS_INVALID.  A message addressed
+ * to another disk under our id means that the group has bound the id to that
+ * disk, and the replica stops.  A voter knows better: the sender's note is of an
+ * earlier try to form the group.
  */
 enum status
 replica_receive(
@@ -278,10 +295,11 @@
 		replica__message__free_unpacked(m, NULL);
 		return status_set(STATUS_INVALID, "%s", field);
 	}
-	if (m->to_disk != 0 && m->to_disk != replica->storage.disk)
-		replica_stop(replica,
-		    "this id belongs to another disk; join under a new id");
-	else if (update_term(replica, from, m) &&
+	if (m->to_disk != 0 && m->to_disk != replica->storage.disk) {
+		if (!members_is_voter(replica))
+			replica_refuse(
+			    replica, "this id belongs to another disk");
+	} else if (update_term(replica, from, m) &&
 	    (!replica->bootstrapping || m->kind == REPLICA__KIND__KIND_JOIN ||
 		m->kind == REPLICA__KIND__KIND_JOIN_REPLY))
 		dispatch(replica, from, m);
@@ -481,6 +499,8 @@
 	    .members_committed =
 		replica->members_index <= replica->commit_index,
 	    .members_index = replica->members_index,
+	    .bootstrapping = replica->bootstrapping,
+	    .refused = replica->refused,
 	    .touch_us = replica->touch_us,
 	    .list_us = replica->members.count > 0
 		? election_quorum_value(replica, list_us, replica->now_us)
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -40,6 +40,12 @@
 	uint64_t seed;
 	/* of the process, at the latest; 0: its messages may be older */
 	uint64_t started_us;
+	/*
+	 * A majority of the first members forms the group; else all of them do.
+	 * Requires that none which lost its disk is opened with bootstrap again:
+	 * two such could form a second group.
+	 */
+	bool forms_by_majority;
 };
 
 struct replica_storage; /* replica/storage.h */
@@ -72,6 +78,9 @@
 	bool caught_up[REPLICA_MEMBERS_MAX];
 	/* false: a change is under way, which may not come to pass */
 	bool members_committed;
+	bool bootstrapping; /* the group isn't formed yet, as far as it knows */
+	/* Stopped since its id belongs to another disk. */
+	bool refused;
 	/* of the log: at which this list is known to be in effect */
 	uint64_t members_index;
 	/*
--- a/src/replica/replica_append.c
+++ b/src/replica/replica_append.c
@@ -346,7 +346,7 @@
 
 	if (r->role != REPLICA_LEADER || peer == NULL)
 		return NULL;
-	if (peer->disk == m->from_disk)
+	if (members_has_disk(peer, m->from_disk))
 		return peer;
 	if (peer->voter)
 		return NULL;
--- a/src/replica/replica_defs.h
+++ b/src/replica/replica_defs.h
@@ -41,7 +41,11 @@
 
 struct member {
 	struct replica_member info;
-	uint64_t disk; /* 0: unknown, then never a voter */
+	/*
+	 * 0: unknown.  Of a voter only if it is a first member that had not shown
+	 * its disk when the group was formed.
+	 */
+	uint64_t disk;
 };
 
 struct members {
@@ -145,7 +149,9 @@
 	struct members members; /* latest in the log, committed or not */
 	uint64_t members_index;
 	struct members bootstrap_members; /* and their disks */
-	bool bootstrapping; /* not all have confirmed our disk yet */
+	bool bootstrapping; /* not enough have confirmed our disk yet */
+	bool refused; /* our id belongs to another disk */
+	uint64_t next_refusal_log_us;
 	unsigned confirmed_members; /* bit per bootstrap member with our disk */
 	uint64_t join_due_us;
 
@@ -167,6 +173,7 @@
 
 /* replica.c */
 void replica_stop(struct replica *r, const char *what);
+void replica_refuse(struct replica *r, const char *why);
 void replica_mark_changed(struct replica *r);
 void replica_append_entry(
     struct replica *r, enum entry_kind kind, struct str data, uint64_t term);
@@ -231,6 +238,7 @@
 
 /* replica_members.c */
 struct peer *members_peer(struct replica *r, uint64_t id);
+bool members_has_disk(struct peer *peer, uint64_t disk);
 bool members_caught_up(const struct replica *r, uint64_t id);
 void members_record_reply(
     const struct replica *r, struct peer *peer, uint64_t sent_us);
--- a/src/replica/replica_election.c
+++ b/src/replica/replica_election.c
@@ -261,6 +261,18 @@
 	return m->index >= log_last_index(&r->log);
 }
 
+/*
+ * Returns whether a sender knows us with our current disk.  One that knows no
+ * disk of a first member may mean us: no other disk can have voted for it.
+ */
+static bool
+is_for_our_disk(const struct replica *r, const Replica__Message *m)
+{
+	if (m->to_disk != 0)
+		return m->to_disk == r->storage.disk;
+	return members_find(&r->bootstrap_members, r->config.id) != NULL;
+}
+
 /*
  * Answers a request for a vote or pre-vote.  The sender must know us as a
  * voter with our current disk: the votes stored on a lost disk are unknown.
@@ -270,7 +282,7 @@
 {
 	bool is_vote = m->kind == REPLICA__KIND__KIND_VOTE;
 	Replica__Message reply = REPLICA__MESSAGE__INIT;
-	bool grant = !r->bootstrapping && m->to_disk == r->storage.disk &&
+	bool grant = !r->bootstrapping && is_for_our_disk(r, m) &&
 	    r->role != REPLICA_LEADER && !election_leader_is_active(r) &&
 	    log_is_up_to_date(r, m);
 
@@ -325,12 +337,13 @@
 	bool is_vote = m->kind == REPLICA__KIND__KIND_VOTE_REPLY;
 	uint64_t term = is_vote ? r->term : r->term + 1;
 
-	if (peer != NULL && peer->voter && peer->disk == m->from_disk)
+	if (peer != NULL && peer->voter && members_has_disk(peer, m->from_disk))
 		record_list(r, peer, m);
 	if (r->role != (is_vote ? REPLICA_CANDIDATE : REPLICA_PRE_CANDIDATE))
 		return;
-	if (peer == NULL || !peer->voter || peer->disk != m->from_disk ||
-	    m->reject || m->term != term)
+	if (peer == NULL || !peer->voter ||
+	    !members_has_disk(peer, m->from_disk) || m->reject ||
+	    m->term != term)
 		return;
 	peer->granted = true;
 	r->dirty = true;
--- a/src/replica/replica_group.c
+++ b/src/replica/replica_group.c
@@ -1,16 +1,27 @@
 #include <string.h>
 
+#include "base/clock.h"
+#include "base/logger.h"
 #include "replica/replica_defs.h"
 
+enum {
+	REFUSAL_LOG_MS = 60 * 1000
+};
+
 /*
  * Bootstrap of a new group, and protection against a replica that votes
  * again under its old id after losing its data.  Each data folder holds a
  * random number, called its disk, drawn when the folder was created.  A
- * bootstrap member votes only after every other bootstrap member has durably
- * stored its disk; a member permanently stores one disk for each id, the first
- * that is presented.  A member that lost its folder presents another disk, is
- * rejected and stops.  Members that join later are bound to their disk by
- * the log entry that makes them voters.
+ * bootstrap member votes only after every other bootstrap member, or a majority
+ * with itself, has durably stored its disk; a member permanently stores one disk
+ * for each id, the first that is presented.  A member that lost its folder
+ * presents another disk, is rejected and stops.  Members that join later are
+ * bound to their disk by the log entry that makes them voters.
+ *
+ * With a majority: two disks of an id can't both vote, since two majorities
+ * share a member, and that has stored one of them; or it has lost its own disk,
+ * and then isn't a bootstrap member any more.  So the first members are the same
+ * voters wherever the group is formed, and one group comes of it.
  */
 
 /*
@@ -55,19 +66,36 @@
 }
 
 /*
- * Ends the bootstrap, so that this replica may vote, once every other
- * bootstrap member has confirmed our disk and we know theirs.
+ * Returns whether enough bootstrap members have confirmed our disk and shown
+ * theirs.
+ */
+static bool
+is_confirmed(const struct replica *r)
+{
+	unsigned count = r->bootstrap_members.count;
+	unsigned confirmed = 0;
+
+	for (unsigned i = 0; i < count; i++) {
+		const struct member *member = &r->bootstrap_members.list[i];
+
+		if (member->info.id == r->config.id ||
+		    (member->disk != 0 &&
+			(r->confirmed_members & 1u << i) != 0))
+			confirmed++;
+	}
+	return confirmed == count ||
+	    (r->config.forms_by_majority && confirmed >= count / 2 + 1);
+}
+
+/*
+ * Ends the bootstrap, so that this replica may vote, once its disk is
+ * confirmed.
  */
 static void
 finish_bootstrap_if_ready(struct replica *r)
 {
-	for (unsigned i = 0; i < r->bootstrap_members.count; i++) {
-		if (r->bootstrap_members.list[i].disk == 0)
-			return;
-		if (r->bootstrap_members.list[i].info.id != r->config.id &&
-		    (r->confirmed_members & 1u << i) == 0)
-			return;
-	}
+	if (!is_confirmed(r))
+		return;
 	r->bootstrapping = false;
 	save_group(r);
 	r->snapshot_members = r->bootstrap_members;
@@ -143,6 +171,23 @@
 	return (struct member *)members_find(&r->bootstrap_members, id);
 }
 
+/*
+ * Logs, once a minute, that a bootstrap member presents another disk than
+ * before: with it, a second group could be formed.
+ */
+static void
+log_other_disk(struct replica *r, const struct member *note)
+{
+	if (r->now_us < r->next_refusal_log_us)
+		return;
+	r->next_refusal_log_us = r->now_us + REFUSAL_LOG_MS * US_PER_MS;
+	log_warn("first_member_refused",
+	    "id=%llu member=%llu address=%s formed=%d reason=\"it has shown "
+	    "another disk before; with both, two groups could be formed\"",
+	    (unsigned long long)r->config.id, (unsigned long long)note->info.id,
+	    note->info.address, !r->bootstrapping);
+}
+
 /*
  * Stores the disk of a bootstrap member when it is first presented, and
  * replies whether it is the stored one.
@@ -156,7 +201,8 @@
 	Replica__Member space[REPLICA_MEMBERS_MAX];
 	Replica__Member *list[REPLICA_MEMBERS_MAX];
 
-	if (note != NULL && note->disk == 0 && r->bootstrapping) {
+	if (note != NULL && note->disk == 0 &&
+	    (r->bootstrapping || r->config.forms_by_majority)) {
 		note->disk = m->from_disk;
 		save_group(r);
 		if (r->role == REPLICA_STOPPED)
@@ -164,6 +210,8 @@
 	}
 	reply.kind = REPLICA__KIND__KIND_JOIN_REPLY;
 	reply.reject = note == NULL || note->disk != m->from_disk;
+	if (note != NULL && reply.reject)
+		log_other_disk(r, note);
 	reply.to_disk = m->from_disk;
 	members_to_message(&r->bootstrap_members, space, list);
 	group.formed = !r->bootstrapping;
@@ -205,10 +253,17 @@
 
 	if (!r->bootstrapping || note == NULL)
 		return;
+	/* What a formed group says counts, whatever was noted in earlier tries. */
+	if (adopt_members(r, m->group)) {
+		finish_bootstrap_if_ready(r);
+		return;
+	}
 	if (m->reject) {
-		replica_stop(r,
-		    "this id has voted with another disk; "
-		    "join under a new id");
+		/* Of an earlier try; a majority may form the group without it. */
+		if (r->config.forms_by_majority &&
+		    (m->group == NULL || !m->group->formed))
+			return;
+		replica_refuse(r, "this id has shown another disk before");
 		return;
 	}
 	if (note->disk == 0) {
@@ -218,6 +273,5 @@
 	if (note->disk != m->from_disk || r->role == REPLICA_STOPPED)
 		return;
 	r->confirmed_members |= 1u << (note - r->bootstrap_members.list);
-	adopt_members(r, m->group);
 	finish_bootstrap_if_ready(r);
 }
--- a/src/replica/replica_members.c
+++ b/src/replica/replica_members.c
@@ -38,7 +38,20 @@
 	const struct member *self = members_find(&r->members, r->config.id);
 
 	return self != NULL && self->info.voter &&
-	    self->disk == r->storage.disk;
+	    (self->disk == r->storage.disk || self->disk == 0);
+}
+
+/*
+ * Returns whether a peer's reply comes from the disk to which its id is bound.
+ * A first member whose disk isn't known yet is bound by its first reply: it
+ * sends none before a majority has confirmed its disk, and each confirms one.
+ */
+bool
+members_has_disk(struct peer *peer, uint64_t disk)
+{
+	if (peer->voter && peer->disk == 0)
+		peer->disk = disk;
+	return peer->disk == disk;
 }
 
 /*
@@ -206,17 +219,40 @@
 	return STATUS_OK;
 }
 
+/*
+ * Returns members with the disks of first members that have become known since
+ * the group was formed.
+ */
+static struct members
+with_known_disks(struct replica *r, const struct members *from)
+{
+	struct members members = *from;
+
+	for (unsigned i = 0; i < members.count; i++) {
+		struct member *member = &members.list[i];
+		const struct peer *peer = members_peer(r, member->info.id);
+
+		if (!member->info.voter || member->disk != 0)
+			continue;
+		if (member->info.id == r->config.id)
+			member->disk = r->storage.disk;
+		else if (peer != NULL)
+			member->disk = peer->disk;
+	}
+	return members;
+}
+
 /*
  * Appends a membership entry, which takes effect at once.  STATUS_IO if the
  * storage failed: the entry may be in the log.
  */
 static enum status
-append_members(
-    struct replica *r, const struct members *members, uint64_t *index)
+append_members(struct replica *r, const struct members *from, uint64_t *index)
 {
+	struct members members = with_known_disks(r, from);
 	struct str_buf data = {0};
 
-	members_encode(members, &data);
+	members_encode(&members, &data);
 	replica_append_entry(r, ENTRY_MEMBERS, str_buf_view(&data), r->term);
 	str_buf_free(&data);
 	if (r->role == REPLICA_STOPPED)
--- a/src/replica/replica_snapshot.c
+++ b/src/replica/replica_snapshot.c
@@ -226,7 +226,7 @@
 	struct peer *peer = members_peer(r, from);
 
 	if (r->role != REPLICA_LEADER || peer == NULL ||
-	    (peer->voter && peer->disk != m->from_disk))
+	    (peer->voter && !members_has_disk(peer, m->from_disk)))
 		return;
 	members_record_reply(r, peer, m->sent_us);
 	if (peer->state != PEER_SNAPSHOT || m->index != peer->image->index ||
--- a/test/functional/test_platform_group.py
+++ b/test/functional/test_platform_group.py
@@ -93,6 +93,30 @@
             bed.close()
 
 
+class FirstStart(unittest.TestCase):
+    def test_two_of_three_seeds_form_the_group(self):
+        # The third one is lost before the others know it, and comes back
+        # without its disk.
+        bed = Testbed(instances=3, cores=3)
+        self.addCleanup(bed.close)
+        for one in bed.instances:
+            one.kill("core")
+            shutil.rmtree(one.data)
+            os.makedirs(one.data)
+        first, second, third = bed.instances
+        for one in (first, second):
+            one.start("core")
+        bed.set_config(bed.config(1, [bed.route("/a/")]))
+        third.bootstrap = False
+        third.start("core")
+        wait_until(lambda: any(lines_of(one, "change=remove")
+                               for one in (first, second)),
+                   "the lost seed is replaced")
+        # The group bears the loss of another one.
+        first.kill("core")
+        bed.set_config(bed.config(2, [bed.route("/a/")]), base=1)
+
+
 class ControlGroup(unittest.TestCase):
     def setUp(self):
         self.bed = Testbed(instances=4, cores=4)
