State of control's folders: gypsummillctl state

A group that has lost its quorum doesn't mend itself; operators had no way to see what the disks that are left hold.

--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -5,9 +5,9 @@
 #include "ctl/ctl_apply.h"
 #include "ctl/ctl_burn.h"
 #include "ctl/ctl_client.h"
-#include "ctl/ctl_config.h"
 #include "ctl/ctl_document.h"
 #include "ctl/ctl_group.h"
+#include "ctl/ctl_program.h"
 
 enum {
 	ARGUMENTS_MAX = 2
@@ -37,6 +37,8 @@
 	"validate a document without a control group"},
     {"config", "check FILE", 2, 2, false, ctl_config,
 	"check a config of gypsummill-core; config check --help"},
+    {"state", "FOLDER", 1, 1, false, ctl_state,
+	"show what a data folder of gypsummill-core holds; state --help"},
     {"diff", "FILE", 1, 1, true, ctl_diff,
 	"show what applying a document would change"},
     {"apply", "FILE", 1, 1, true, ctl_apply,
--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -7,7 +7,7 @@
 
 #include "base/settings.h"
 #include "ctl/ctl_command.h"
-#include "ctl/ctl_config.h"
+#include "ctl/ctl_program.h"
 
 enum {
 	TIMEOUT_MAX_MS = 600000,
@@ -137,12 +137,13 @@
 	    .count = sizeof(setting_list) / sizeof(setting_list[0]),
 	    .allow_arguments = true,
 	};
+	ctl_program_command *program;
 	const struct ctl_command *command;
 	struct ctl ctl = {.settings = &settings, .out = stdout};
 
-	/* Its options are those of another program. */
-	if (argc > 1 && strcmp(argv[1], "config") == 0)
-		return ctl_config(&ctl, argv + 2);
+	program = argc > 1 ? ctl_program_find(argv[1]) : NULL;
+	if (program != NULL)
+		return program(&ctl, argv + 2);
 	ctl_command_append_help(&summary);
 	description.summary = summary.data;
 	settings_parse(&description, &argc, &argv);
--- a/src/replica/storage_calls.c
+++ b/src/replica/storage_calls.c
@@ -202,6 +202,96 @@
 	return &calls;
 }
 
+static int
+keep_name(void *ctx ATTR_UNUSED, const char *path ATTR_UNUSED)
+{
+	return 0;
+}
+
+/*
+ * Locks a file against a process that writes; a folder without one was never
+ * in use.
+ */
+static int
+shared_lock(void *ctx ATTR_UNUSED, const char *path)
+{
+	int fd = open(path, O_RDONLY | O_CLOEXEC);
+
+	if (fd < 0 && errno == ENOENT)
+		return open("/dev/null", O_RDONLY | O_CLOEXEC);
+	if (fd < 0)
+		return -1;
+	if (flock(fd, LOCK_SH | LOCK_NB) == 0)
+		return fd;
+	close(fd);
+	errno = EBUSY;
+	return -1;
+}
+
+static int
+open_to_read(void *ctx ATTR_UNUSED, const char *path, bool create)
+{
+	if (create) {
+		errno = EROFS;
+		return -1;
+	}
+	return open(path, O_RDONLY | O_CLOEXEC);
+}
+
+static ssize_t
+refuse_write(void *ctx ATTR_UNUSED, int fd ATTR_UNUSED,
+    const void *data ATTR_UNUSED, size_t len ATTR_UNUSED,
+    uint64_t offset ATTR_UNUSED)
+{
+	errno = EROFS;
+	return -1;
+}
+
+static int
+keep_file(void *ctx ATTR_UNUSED, int fd ATTR_UNUSED)
+{
+	return 0;
+}
+
+static int
+keep_size(void *ctx ATTR_UNUSED, int fd ATTR_UNUSED, uint64_t size ATTR_UNUSED)
+{
+	return 0;
+}
+
+static int
+refuse_rename(void *ctx ATTR_UNUSED, const char *from ATTR_UNUSED,
+    const char *to ATTR_UNUSED)
+{
+	errno = EROFS;
+	return -1;
+}
+
+/*
+ * Returns the table of calls that change nothing.
+ */
+const struct storage_calls *
+storage_calls_read_only(void)
+{
+	static const struct storage_calls calls = {
+	    .make_folder = keep_name,
+	    .lock = shared_lock,
+	    .open = open_to_read,
+	    .close = system_close,
+	    .read = system_read,
+	    .write = refuse_write,
+	    .sync = keep_file,
+	    .truncate = keep_size,
+	    .rename = refuse_rename,
+	    .unlink = keep_name,
+	    .sync_folder = keep_name,
+	    .list = system_list,
+	    .random = system_random,
+	};
+
+	return &calls;
+}
+
 /*
  * Opens a data folder, or creates one for this id.
  */
--- a/src/replica/storage_calls.h
+++ b/src/replica/storage_calls.h
@@ -37,6 +37,11 @@
 };
 
 const struct storage_calls *storage_calls_system(void);
+/*
+ * The same, but nothing is changed: writes fail, and what only tidies up a
+ * folder succeeds without effect.
+ */
+const struct storage_calls *storage_calls_read_only(void);
 /* storage_folder_open() with the given calls, which outlive the storage. */
 enum status storage_folder_open_with(const char *path, uint64_t id,
     const struct storage_calls *calls,
