Entries lost together with a control instance are dropped after its return

Cause: what an instance had reported was dropped only with another instance's news. Why this works: what an instance has not reported again 2.5 s after its return (twice the longest attempt and pause of a link) is dropped; what lives has connected again by then.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -23,6 +23,7 @@
 	core_replica_tick(core, now);
 	core_propose_tick(core, now);
 	core_link_tick(core, now);
+	core_entries_tick(core, now);
 	core_push_tick(core);
 	core_text_tick(core, now);
 	core_cache_tick(core, now);
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -45,6 +45,8 @@
 struct core_entry {
 	Fleet__Hello *hello; /* owned */
 	uint64_t sources; /* bit per neighbour that reports it */
+	/* of these, the ones that did since they were last connected */
+	uint64_t renewed;
 };
 
 /* Another control instance that this one connects to. */
@@ -54,6 +56,8 @@
 	uint64_t last_named_us; /* when a peer last named it */
 	unsigned bit; /* in core_entry.sources */
 	bool synced;
+	/* entries that it has not reported again are dropped then; 0: none */
+	uint64_t sweep_us;
 };
 
 /* A command or read without a result, local or for another instance. */
@@ -226,8 +230,9 @@
 void core_on_entry(struct core *core, const struct channel *channel,
     const Fleet__Entry *update);
 void core_on_synced(struct core *core, const struct channel *channel);
-void core_drop_entries_from(
-    struct core *core, const struct core_neighbour *neighbour);
+void
+core_drop_entries_from(struct core *core, struct core_neighbour *neighbour);
+void core_entries_tick(struct core *core, uint64_t now_us);
 void core_entry_free(void *value);
 
 /* core_departure.c: departures that targets have announced to entries */
--- a/src/flow/flow_control.c
+++ b/src/flow/flow_control.c
@@ -192,6 +192,7 @@
 	while (count_primaries(flow) < wanted &&
 	    (control = next_primary(flow)) != NULL) {
 		control->primary = true;
+		updates_expect_all(flow, control);
 		send_hello(flow, control);
 	}
 }
@@ -205,6 +206,7 @@
 	if (control == NULL)
 		return;
 	control->opened_us = flow_now_us(flow);
+	updates_expect_all(flow, control);
 	if (flow->first_opened_us == 0)
 		flow->first_opened_us = control->opened_us;
 	log_info("control_connected", "instance=%s control=%s",
@@ -251,6 +253,7 @@
 	if (control == NULL)
 		return;
 	control->synced = false;
+	control->sweep_us = 0;
 	control->stale = control->stale || control->primary;
 	control->primary = false;
 	controls_choose_primaries(flow);
--- a/src/flow/flow_fleet.c
+++ b/src/flow/flow_fleet.c
@@ -225,6 +225,7 @@
 			control->last_named_us = now;
 	}
 	controls_expire(flow, now);
+	updates_tick(flow, now);
 	controls_choose_primaries(flow);
 	if (ready != flow->ready) {
 		flow->ready = ready;
--- a/src/flow/flow_internal.h
+++ b/src/flow/flow_internal.h
@@ -113,6 +113,8 @@
 /* flow_updates.c: frames from control instances */
 void updates_on_frame(
     struct flow *flow, struct control *control, const Fleet__Frame *frame);
+void updates_expect_all(struct flow *flow, struct control *control);
+void updates_tick(struct flow *flow, uint64_t now_us);
 void updates_drop_source(struct flow *flow, unsigned bit);
 void peer_entry_free(void *value);
 
--- a/src/flow/flow_types.h
+++ b/src/flow/flow_types.h
@@ -350,6 +350,8 @@
 	unsigned processor_millis;
 	/* bit per control instance that reports it as connected */
 	uint64_t sources;
+	/* of these, the ones that have said so since they were last connected */
+	uint64_t renewed;
 	bool ready;
 	bool stopping;
 	struct sockaddr_in datagram;
@@ -369,6 +371,9 @@
 	bool relay; /* keeps no log; few entries connect to it */
 	/* lost; its data is kept until another one is synchronized */
 	bool stale;
+	bool reports_anew; /* it had reported entries before */
+	/* entries that it has not reported again are dropped then; 0: none */
+	uint64_t sweep_us;
 	uint64_t opened_us;
 	/* when it was last named by a member or as a seed */
 	uint64_t last_named_us;
--- a/src/flow/flow_updates.c
+++ b/src/flow/flow_updates.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "base/logger.h"
 #include "base/memory.h"
 #include "flow/flow_internal.h"
 #include "roster/announcement.h"
@@ -96,6 +97,7 @@
 	if (m->gone) {
 		if (peer_entry != NULL && (peer_entry->sources & bit) != 0) {
 			peer_entry->sources &= ~bit;
+			peer_entry->renewed &= ~bit;
 			check_sources(flow, peer_entry);
 		}
 		return;
@@ -123,6 +125,7 @@
 	peer_entry->ready = hello->ready;
 	peer_entry->stopping = hello->stopping;
 	peer_entry->sources |= bit;
+	peer_entry->renewed |= bit;
 }
 
 static void
@@ -175,8 +178,77 @@
 }
 
 /*
- * Drops the entries reported only by lost control instances, after another one
- * is synchronized.
+ * A control instance will report all entries that it knows.  One that has just
+ * started doesn't know those that were lost with its last start.
+ */
+void
+updates_expect_all(struct flow *flow, struct control *control)
+{
+	uint64_t bit = UINT64_C(1) << control->source_bit;
+	GHashTableIter iter;
+	gpointer value;
+
+	control->sweep_us = 0;
+	control->reports_anew = false;
+	g_hash_table_iter_init(&iter, flow->peer_entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer_entry *peer_entry = value;
+
+		peer_entry->renewed &= ~bit;
+		control->reports_anew =
+		    control->reports_anew || (peer_entry->sources & bit) != 0;
+	}
+}
+
+/*
+ * Drops what a control instance had reported before and has not reported again,
+ * once the entries that live have had time to connect to it.
+ */
+static void
+sweep(struct flow *flow, struct control *control)
+{
+	uint64_t bit = UINT64_C(1) << control->source_bit;
+	unsigned dropped = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	control->sweep_us = 0;
+	flow_count_scanned(flow, g_hash_table_size(flow->peer_entries));
+	g_hash_table_iter_init(&iter, flow->peer_entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer_entry *peer_entry = value;
+
+		if ((peer_entry->sources & ~peer_entry->renewed & bit) == 0)
+			continue;
+		peer_entry->sources &= ~bit;
+		dropped += peer_entry->sources == 0 ? 1 : 0;
+		check_sources(flow, peer_entry);
+	}
+	if (dropped > 0)
+		log_info("entries_not_returned",
+		    "instance=%s control=%s count=%u", flow->settings.instance,
+		    channel_address(control->channel), dropped);
+}
+
+void
+updates_tick(struct flow *flow, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flow->controls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct control *control = value;
+
+		if (control->sweep_us != 0 && now_us >= control->sweep_us)
+			sweep(flow, control);
+	}
+}
+
+/*
+ * Drops the entries reported only by control instances that were lost, after
+ * another one is synchronized.  One that is back and a primary again reports
+ * anew what it knows; the others send no lists.
  */
 static void
 drop_stale_sources(struct flow *flow)
@@ -188,7 +260,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct control *control = value;
 
-		if (control->stale && !control->synced)
+		if (control->stale && !(control->primary && control->synced))
 			updates_drop_source(flow, control->source_bit);
 		control->stale = false;
 	}
@@ -237,6 +309,9 @@
 		control->synced = true;
 		if (!frame->synced->all)
 			break;
+		if (control->reports_anew)
+			control->sweep_us =
+			    flow_now_us(flow) + CHANNEL_RETURN_MS * US_PER_MS;
 		if (control->primary)
 			drop_stale_sources(flow);
 		if (flow->first_synced_us == 0)
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -17,6 +17,14 @@
 
 struct channel;
 
+enum {
+	/*
+	 * Within this time, twice the longest attempt and pause, a peer that
+	 * lives has dialled again.  Below the shortest stable window, 3 s.
+	 */
+	CHANNEL_RETURN_MS = 2500
+};
+
 struct channel_callbacks {
 	void *ctx;
 	void (*opened)(void *ctx, struct channel *channel);
--- a/test/unit/test_core_relay.c
+++ b/test/unit/test_core_relay.c
@@ -155,12 +155,94 @@
 	close_testbed(&testbed);
 }
 
+static void
+report_entry(const struct relay_testbed *testbed)
+{
+	Fleet__Hello hello = FLEET__HELLO__INIT;
+
+	hello.instance = (char *)"entry-1";
+	hello.datagram_address = (char *)"127.0.7.9:98";
+	hello.caller_address = (char *)"127.0.7.9:80";
+	hello.failure_domain = (char *)"c";
+	hello.ready = true;
+	hello.processor_millis = 100;
+	fake_control_send_entry(testbed->to_relay, &hello, false);
+}
+
+/*
+ * Returns whether a lookup names the entry that the keeper has reported.
+ */
+static bool
+is_named(const void *ctx)
+{
+	const struct relay_testbed *testbed = ctx;
+	const char *addresses[8];
+	unsigned in_domain;
+
+	return core_lookup(testbed->fixture.core, STR_LITERAL("c"), addresses,
+		   8, &in_domain) > 0 &&
+	    in_domain == 1;
+}
+
+static bool
+is_not_named(const void *ctx)
+{
+	return !is_named(ctx);
+}
+
+static bool
+keeper_is_connected(const void *ctx)
+{
+	return ((const struct relay_testbed *)ctx)->to_relay != NULL;
+}
+
+/*
+ * The keeper starts again.
+ */
+static void
+lose_keeper(struct relay_testbed *testbed)
+{
+	struct channel *lost = testbed->to_relay;
+
+	testbed->to_relay = NULL;
+	channel_close(lost);
+	core_fixture_run_until(&testbed->fixture, keeper_is_connected, testbed);
+	fake_control_send_synced(testbed->to_relay);
+}
+
+/*
+ * An entry that is lost together with the only instance that reports it isn't
+ * named for good; one that lives connects again.
+ */
+static void
+entry_that_does_not_return_with_the_keeper_is_not_named(
+    void **state ATTR_UNUSED)
+{
+	struct relay_testbed testbed;
+
+	open_testbed(&testbed);
+	report_entry(&testbed);
+	fake_control_send_synced(testbed.to_relay);
+	core_fixture_run_until(&testbed.fixture, is_named, &testbed);
+	lose_keeper(&testbed);
+	core_fixture_run(&testbed.fixture, 500);
+	assert_true(is_named(&testbed));
+	report_entry(&testbed);
+	core_fixture_run(&testbed.fixture, CHANNEL_RETURN_MS + 500);
+	assert_true(is_named(&testbed));
+	lose_keeper(&testbed);
+	core_fixture_run_until(&testbed.fixture, is_not_named, &testbed);
+	close_testbed(&testbed);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(document_is_passed_on_to_entries),
 	    cmocka_unit_test(departure_is_passed_on_to_entries),
+	    cmocka_unit_test(
+		entry_that_does_not_return_with_the_keeper_is_not_named),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit/test_flow_fleet.c
+++ b/test/unit/test_flow_fleet.c
@@ -47,8 +47,9 @@
 {
 	struct fleet *fleet = ctx;
 
+	/* As control, which sends all to whoever subscribes. */
 	if (frame->body_case != FLEET__FRAME__BODY_HELLO ||
-	    fleet->informed == channel)
+	    !frame->hello->wants_all || fleet->informed == channel)
 		return;
 	fleet->informed = channel;
 	if (fleet->reported_entries > 0)
@@ -132,6 +133,120 @@
 	}
 }
 
+/*
+ * Runs until an entry knows this many others; protects only against a hang.
+ */
+static void
+run_until_others(struct flow_fixture *fixture, unsigned others)
+{
+	for (unsigned ms = 0;
+	     ms < 20000 && fleet_other_entry_count(fixture->flow) != others;
+	     ms += 100)
+		flow_fixture_run(fixture, 100);
+	assert_int_equal(fleet_other_entry_count(fixture->flow), others);
+}
+
+/*
+ * Closes control's end; the entry connects again.
+ */
+static void
+lose_control(struct fleet *fleet)
+{
+	struct channel *lost = fleet->informed;
+
+	fleet->informed = NULL;
+	channel_close(lost);
+}
+
+/*
+ * Control is lost together with some entries, and is back at once: it doesn't
+ * know that they were there.  Those that live are kept meanwhile.
+ */
+static void
+entries_that_do_not_return_with_control_are_dropped(void **state ATTR_UNUSED)
+{
+	struct fleet fleet = {.entries = 5};
+	struct fake_control control = {.message = send_fleet, .ctx = &fleet};
+	struct flow_fixture fixture;
+
+	flow_fixture_open(&fixture, REPEAT_ALLOWED);
+	flow_fixture_join(&fixture, &control);
+	run_until_others(&fixture, 5);
+	fleet.entries = 2;
+	lose_control(&fleet);
+	flow_fixture_run(&fixture, SETTLE_MS / 2);
+	assert_int_equal(fleet_other_entry_count(fixture.flow), 5);
+	run_until_others(&fixture, 2);
+	flow_fixture_run(&fixture, SETTLE_MS);
+	assert_int_equal(fleet_other_entry_count(fixture.flow), 2);
+	flow_fixture_leave(&fixture, &control);
+	flow_fixture_close(&fixture, NULL);
+}
+
+/*
+ * Entries that connect to control after its return are no news.
+ */
+static void
+entries_that_return_later_than_control_are_kept(void **state ATTR_UNUSED)
+{
+	struct fleet fleet = {.entries = 3};
+	struct fake_control control = {.message = send_fleet, .ctx = &fleet};
+	struct flow_fixture fixture;
+
+	flow_fixture_open(&fixture, REPEAT_ALLOWED);
+	flow_fixture_join(&fixture, &control);
+	run_until_others(&fixture, 3);
+	fleet.entries = 0;
+	lose_control(&fleet);
+	flow_fixture_run(&fixture, SETTLE_MS / 2);
+	for (unsigned i = 0; i < 3; i++) {
+		Fleet__Hello hello = FLEET__HELLO__INIT;
+		char name[32], at[ADDRESS_BYTES];
+
+		fill_hello(&hello, name, at, i);
+		fake_control_send_entry(fleet.informed, &hello, false);
+	}
+	for (unsigned i = 0; i < 8; i++) {
+		flow_fixture_run(&fixture, SETTLE_MS / 4);
+		assert_int_equal(fleet_other_entry_count(fixture.flow), 3);
+	}
+	flow_fixture_leave(&fixture, &control);
+	flow_fixture_close(&fixture, NULL);
+}
+
+/*
+ * An instance that sent lists is back, but another one sends them now: what it
+ * had reported isn't kept, whichever of the two is synchronized first.
+ */
+static void
+reports_of_an_instance_that_sends_no_lists_any_more_are_dropped(
+    void **state ATTR_UNUSED)
+{
+	struct fleet fleet = {.entries = 3};
+	struct fake_control control = {.message = send_fleet, .ctx = &fleet};
+	struct control next = {.primary = true, .source_bit = 9};
+	struct flow_fixture fixture;
+	struct control *returned;
+	Fleet__Frame frame = FLEET__FRAME__INIT;
+	Fleet__Synced synced = FLEET__SYNCED__INIT;
+
+	flow_fixture_open(&fixture, REPEAT_ALLOWED);
+	flow_fixture_join(&fixture, &control);
+	run_until_others(&fixture, 3);
+	returned = g_hash_table_lookup(fixture.flow->controls, control.address);
+	returned->stale = true;
+	returned->primary = false;
+	returned->synced = true;
+	synced.all = true;
+	frame.body_case = FLEET__FRAME__BODY_SYNCED;
+	frame.synced = &synced;
+	updates_on_frame(fixture.flow, &next, &frame);
+	fleet_tick(fixture.flow);
+	assert_int_equal(fleet_other_entry_count(fixture.flow), 0);
+	flow_fixture_leave(&fixture, &control);
+	flow_fixture_close(&fixture, NULL);
+}
+
 static void
 expired_control_instances_free_their_slots(void **state ATTR_UNUSED)
 {
@@ -409,6 +524,11 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(idle_entry_scans_nothing_in_large_fleet),
 	    cmocka_unit_test(non_candidate_entry_does_not_schedule),
+	    cmocka_unit_test(
+		entries_that_do_not_return_with_control_are_dropped),
+	    cmocka_unit_test(entries_that_return_later_than_control_are_kept),
+	    cmocka_unit_test(
+		reports_of_an_instance_that_sends_no_lists_any_more_are_dropped),
 	    cmocka_unit_test(expired_control_instances_free_their_slots),
 	    cmocka_unit_test(simultaneous_start_has_one_owner_per_part),
 	};
