Soak: targets that name limits

Targets begin and end to name a limit beside the other faults; requests of undisturbed entries are counted against one and a half times it, and 5.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -6,7 +6,7 @@
     test/soak/soak.py --seeds 1-50 [--seconds 20] [--naive]
 
 Processes are killed, terminated, paused and restarted; targets are slow or
-silent, reset or truncate answers, reject calls, send extra bytes,
+silent, reset or truncate answers, reject calls, send extra bytes, name limits and
 depart, also to start again under their id with a clock that has stepped, while
 a call of the start before is held up;
 disks are lost, with restarts of all of control and losses of power between;
@@ -42,6 +42,7 @@
 CLOCK_STEP_MS = 2000
 SHUT_OUT_CALLERS = 40
 STABLE_S = 3.0  # after a disturbance, or until a rule binds
+LIMIT_WINDOW_S = 4.0
 # Statuses that guarantee that the request has not run and never will.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
@@ -65,6 +66,8 @@
         self.soak = soak
         self.mode = "good"
         self.departed_at = None  # when its departure was acknowledged
+        self.limited_at = None  # when it first named its limit
+        self.limited_runs = []  # times, of undisturbed instances
         super().__init__(name, "svc", "127.0.7.200")
         self.handler = self.handle_request
 
@@ -176,6 +179,9 @@
             known = self.sent.get(attempt)
         if known is None:
             self.findings.add("unasked", attempt)
+        if self.is_calm(self.instances.get(attempt), now):
+            if target.limited_at is not None:
+                target.limited_runs.append(now)
         if target.departed_at is not None and \
                 now > target.departed_at + DRAIN_TIMEOUT_S and \
                 self.is_sender_calm(attempt, now):
@@ -198,6 +204,17 @@
             self.sent[attempt] = once
             self.instances[attempt] = instance
 
+    def check_limits(self, target):
+        """No 4 s above one and a half times the limit, and 5."""
+        times = [at for at in target.limited_runs
+                 if at > target.limited_at + STABLE_S]
+        most = max([sum(a <= at < a + LIMIT_WINDOW_S for at in times)
+                    for a in times] or [0])
+        allowed = 1.5 * float(target.limit) * LIMIT_WINDOW_S + 5
+        if most > allowed:
+            self.findings.add("limit", "%s got %d in 4 s, %g allowed" % (
+                target.name, most, allowed))
+
     def add_target(self):
         if self.stopped:
             return
@@ -311,7 +328,7 @@
     def inject_target_faults(self):
         faults = [self.change_target_mode, self.change_target_mode,
                   self.change_target_mode, self.remove_target,
-                  self.return_target]
+                  self.return_target, self.change_limit]
         while not self.stopped:
             time.sleep(self.rng.random() * 0.5)
             self.rng.choice(faults)()
@@ -354,6 +371,18 @@
         with self.lock:
             return self.rng.choice(self.targets) if self.targets else None
 
+    def change_limit(self):
+        target = self.choose_target()
+        if target is None:
+            return
+        if target.limited_at is not None:
+            self.check_limits(target)
+            target.limited_at = target.limit = None
+            return
+        target.probes_say_it = self.rng.random() < 0.5
+        target.limited_runs = []
+        target.limit = "%.1f" % (0.5 + self.rng.random() * 10)
+        target.limited_at = time.monotonic()
 
     def change_target_mode(self):
         target = self.choose_target()
@@ -459,6 +488,9 @@
 
     def check_recovery(self):
         for target in self.targets:
+            if target.limited_at is not None:
+                self.check_limits(target)
+                target.limited_at = target.limit = None
             target.mode = "good"
         end = time.monotonic() + RECOVERY_TIMEOUT_S
         served = 0
