--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -8,7 +8,7 @@
 Processes are killed, terminated, paused and restarted; targets are slow or
 silent, reset or truncate answers, reject calls, send extra bytes, name limits and
 depart, also to start again under their id with a clock that has stepped, while
-a call of the start before is held up;
+a call of the start before is held up; one request ends the targets that run it;
 disks are lost, with restarts of all of control and losses of power between;
 config edits race.  --naive replaces the entries by a forwarder that retries
 every failed request, to show that the checks detect what it breaks.
@@ -43,6 +43,9 @@
 SHUT_OUT_CALLERS = 40
 STABLE_S = 3.0  # after a disturbance, or until a rule binds
 LIMIT_WINDOW_S = 4.0
+HARM = "/safe/harm"
+HARM_ENDS = 3  # targets that have ended under it
+HARM_SENDS_AFTER = 3
 # Statuses that guarantee that the request has not run and never will.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
@@ -81,6 +84,10 @@
             return (b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
                     b"Content-Length: 0\r\n\r\n")
         self.soak.record_run(self, attempt, request)
+        if request["path"] == HARM:
+            time.sleep(0.05)
+            self.soak.end_target(self)
+            return ["reset"]
         body = ("%s %s " % (attempt, request["path"])).encode() * 20
         answer = self.answer(request, body)
         if mode == "slow":
@@ -167,6 +174,8 @@
         self.instances = {}  # attempt -> number of the instance
         # by instance: the end of the last disturbance, None: it goes on
         self.disturbed = {}
+        self.harm_ends = []
+        self.harm_sends = []  # times, of undisturbed instances
         self.stopped = False
         self.bed = Testbed(instances=INSTANCES, cores=INSTANCES)
         self.targets = []
@@ -182,6 +191,8 @@
         if self.is_calm(self.instances.get(attempt), now):
             if target.limited_at is not None:
                 target.limited_runs.append(now)
+            if request["path"] == HARM:
+                self.harm_sends.append(now)
         if target.departed_at is not None and \
                 now > target.departed_at + DRAIN_TIMEOUT_S and \
                 self.is_sender_calm(attempt, now):
@@ -199,6 +210,27 @@
             else range(INSTANCES)
         return all(self.is_calm(number, now) for number in numbers)
 
+    def end_target(self, target):
+        if not target.crash():
+            return
+        self.harm_ends.append(time.monotonic())
+        with self.lock:
+            if target in self.targets:
+                self.targets.remove(target)
+                self.bed.targets.remove(target)
+                threading.Timer(0.5, self.add_target).start()
+
+    def run_harmful_caller(self):
+        """The same request, at all instances in turn."""
+        count = 0
+        while not self.stopped:
+            time.sleep(0.3)
+            count += 1
+            attempt = "harm-%d" % count
+            self.note_sent(attempt, False, count % INSTANCES)
+            self.bed.request(HARM, attempt=attempt,
+                             instance=count % INSTANCES, wait_ms=DEADLINE_MS)
+
     def note_sent(self, attempt, once, instance):
         with self.lock:
             self.sent[attempt] = once
@@ -215,6 +247,15 @@
             self.findings.add("limit", "%s got %d in 4 s, %g allowed" % (
                 target.name, most, allowed))
 
+    def check_harm(self):
+        if len(self.harm_ends) < HARM_ENDS:
+            return
+        since = sorted(self.harm_ends)[HARM_ENDS - 1] + STABLE_S
+        late = sum(at > since for at in self.harm_sends)
+        if late > HARM_SENDS_AFTER:
+            self.findings.add("harm", "sent %d times more; %d ended" % (
+                late, len(self.harm_ends)))
+
     def add_target(self):
         if self.stopped:
             return
@@ -562,6 +603,7 @@
             threads = [threading.Thread(target=self.run_caller, args=(i,))
                        for i in range(CALLERS)]
             threads.append(threading.Thread(target=self.edit_configs))
+            threads.append(threading.Thread(target=self.run_harmful_caller))
             threads.append(threading.Thread(target=self.run_unread_caller))
             threads.append(
                 threading.Thread(target=self.inject_instance_faults))
@@ -575,6 +617,7 @@
             self.check_recovery()
             time.sleep(1.5)  # rejected requests must not run later
             self.check_runs()
+            self.check_harm()
         finally:
             self.stopped = True
             self.bed.close()
