Functional tests: ports are reserved, a frozen process stands, orders are heard

Ports were taken by others between choice and use: each is reserved until the test ends now, below those of outgoing connections.

--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -15,14 +15,12 @@
 import threading
 import time
 
-from support import BIN, wait_until
+from support import BIN, PORT_END, PORT_FIRST, wait_until
 
 ANSWER_TIMEOUT_S = 20
 
 
 PORTS = 10  # of a bed
-# Below the ports that the kernel gives to outgoing connections.
-PORT_FIRST, PORT_END = 20000, 32760
 RESERVATION_IP = "127.0.7.254"
 
 
--- a/test/functional/support.py
+++ b/test/functional/support.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -22,16 +23,35 @@
 DOMAINS = ["a", "b", "c", "d"]
 
 
+# Below the ports that the kernel gives to outgoing connections.
+PORT_FIRST, PORT_END = 20000, 32760
+RESERVATION_IP = "127.0.7.253"
+reservations = []  # sockets that reserve ports until this process ends
+
+
+def free_port():
+    """Returns a port of 127.0.0.1 that no other test gets while this one runs:
+    between its choice and its use another test, or a connection of anybody,
+    would take a port of the kernel's choice."""
+    draw = random.SystemRandom()
+    for _ in range(1000):
+        port = draw.randrange(PORT_FIRST, PORT_END)
+        reservation = socket.socket()
+        try:
+            reservation.bind((RESERVATION_IP, port))
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+        except OSError:
+            reservation.close()
+            continue
+        reservations.append(reservation)
+        return port
+    raise AssertionError("no free port")
+
+
 def free_ports(count):
-    """Returns free ports; all are bound before the first is released, so that
-    they differ."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    """Returns different ports, each reserved for this process."""
+    return [free_port() for _ in range(count)]
 
 
 def wait_until(condition, what, timeout_s=START_TIMEOUT_S):
@@ -46,6 +66,21 @@
     raise AssertionError("timed out waiting for: " + what)
 
 
+def freeze_process(process, name):
+    """Sends a process, started here, SIGSTOP and waits until it has taken
+    effect: all threads stand."""
+    process.send_signal(signal.SIGSTOP)
+    tasks = "/proc/%d/task" % process.pid
+
+    def stopped():
+        for task in os.listdir(tasks):
+            with open("%s/%s/stat" % (tasks, task), encoding="ascii") as stat:
+                if stat.read().rsplit(")", 1)[1].split()[0] != "T":
+                    return False
+        return True
+    wait_until(stopped, name + " is stopped")
+
+
 class Process:
     """A process of one of the programs, with its output in a file."""
 
@@ -72,13 +107,7 @@
 
     def freeze(self):
         """Sends SIGSTOP and waits until the process is stopped."""
-        self.signal(signal.SIGSTOP)
-
-        def stopped():
-            with open("/proc/%d/stat" % self.popen.pid,
-                      encoding="ascii") as stat:
-                return stat.read().rsplit(")", 1)[1].split()[0] == "T"
-        wait_until(stopped, self.name + " is stopped")
+        freeze_process(self.popen, self.name)
 
     def running(self):
         return self.popen.poll() is None
--- a/test/functional/test_platform_attribution.py
+++ b/test/functional/test_platform_attribution.py
@@ -1,13 +1,16 @@
 """To which request a target's answer belongs, on the provider's platform: old
 rejections sent once more, and rejections that name no attempt."""
 
+import fcntl
 import http.client
 import signal
+import sys
+import termios
 import time
 import unittest
 
 from platform_bed import Testbed
-from support import wait_until
+from support import freeze_process, wait_until
 
 NOT_RUN = "X-Not-Executed: 1\r\n"
 PROMISES = (408, 421, 429, 503)
@@ -18,6 +21,12 @@
         status, fields)).encode()
 
 
+def unreceived(connection):
+    """Returns the number of bytes sent that the peer's system lacks."""
+    count = fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(4))
+    return int.from_bytes(count, sys.byteorder)
+
+
 class Attribution(unittest.TestCase):
     def setUp(self):
         self.bed = Testbed()
@@ -127,11 +136,13 @@
         self.assertEqual(caller.getresponse().read(), b"whole")
         kept = {r["connection"] for r in self.requests()}
         process = one.processes["flow"]
-        process.send_signal(signal.SIGSTOP)
+        freeze_process(process, "the entry")
         try:
             ask("POST", "/once/b", "b1")
             for connection in kept:
                 connection.sendall(rejection())
+            wait_until(lambda: not any(map(unreceived, kept)),
+                       "the rejections have arrived")
         finally:
             process.send_signal(signal.SIGCONT)
         status = caller.getresponse().status
--- a/test/functional/test_platform_evacuation.py
+++ b/test/functional/test_platform_evacuation.py
@@ -150,11 +150,14 @@
 
     def test_order_without_a_majority_is_not_acknowledged(self):
         self.acknowledged("POST", "z-a")
+        # The leader may end before it has told anybody, and a minority can't.
+        self.wait_entries(["z-a"])
         for one in self.bed.instances[1:CORES]:
             one.kill("core")
         self.assertEqual(self.order("POST", "z-b"), 503)
         # Entries keep the set in force.
-        self.wait_entries(["z-a"])
+        for one in self.bed.instances:
+            self.assertEqual(self.heard(one), {"z-a"})
 
 
 if __name__ == "__main__":
