Tests wait until each entry knows a target

In copies of it with logs kept, 9 of 18 failed, in two ways:

- 4: the first request came 0 to 10 ms after all entries were ready, 2 to 33 ms after one control instance had acknowledged the target; the entry's log names the target 4 to 321 ms later.
A fault of the test: an acknowledgement says nothing of other entries at that moment.

Each entry is waited for now, then every answer has to be 200 for three times the expiry, as before. The same class: test_platform_odd_entries asked all entries after it had waited for one.

--- a/test/functional/platform_bed.py
+++ b/test/functional/platform_bed.py
@@ -393,6 +393,13 @@
             wait_until(lambda o=one: o.call("GET", "/ready", port=1)[0] == 200,
                        one.name + " is ready")
 
+    def wait_served(self, path):
+        """Waits for an answer at each entry: a target that one control
+        instance has acknowledged is known to them some time later."""
+        for i, one in enumerate(self.instances):
+            wait_until(lambda n=i: self.request(path, instance=n)[0] == 200,
+                       one.name + " answers")
+
     def memory_kb(self, instance=0, role="flow"):
         """Returns the resident set size of a process in KB."""
         pid = self.instances[instance].processes[role].pid
--- a/test/functional/test_platform_group.py
+++ b/test/functional/test_platform_group.py
@@ -46,6 +46,7 @@
         # answers; the others must receive the target from it.
         self.bed.target("t1", "svc")
         self.bed.wait_ready()
+        self.bed.wait_served("/a/x")
         end = time.time() + 3 * self.EXPIRY_S
         while time.time() < end:
             for i in range(4):
--- a/test/functional/test_platform_odd_entries.py
+++ b/test/functional/test_platform_odd_entries.py
@@ -47,7 +47,7 @@
         self.target = self.bed.target("i-1", "svc")
         self.bed.set_config(self.bed.config(1, [self.bed.route("/a/")]))
         self.bed.wait_ready()
-        wait_until(lambda: self.bed.request("/a/x")[0] == 200, "an answer")
+        self.bed.wait_served("/a/x")
         self.core = self.bed.instances[0]
         self.processes = [(i, role, p.pid) for i in self.bed.instances
                           for role, p in i.processes.items()]
@@ -96,7 +96,7 @@
         self.bed.wait_ready()
         self.processes = [(i, role, p.pid) for i in self.bed.instances
                           for role, p in i.processes.items()]
-        wait_until(lambda: self.bed.request("/a/x")[0] == 200, "an answer")
+        self.bed.wait_served("/a/x")
 
     def put(self, name, body):
         return self.core.call("PUT", "/instances/" + name, body)[0]
